--- /dev/null
+++ b/crates/mustardpin-node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The node process as a library with a control thread, traffic, peers and administration.
--- /dev/null
+++ b/crates/mustardpin-virtual/src/lib.rs
@@ -0,0 +1,1 @@
+//! Several worlds driven in one thread over virtual time.
--- /dev/null
+++ b/crates/mustardpin-world/src/id.rs
@@ -0,0 +1,67 @@
+//! Identifiers that mean the same to every process, and the `Copy` keys of this node's arenas.
+
+use derive_more::Display;
+use sha2::{Digest as _, Sha256};
+use subtle::ConstantTimeEq as _;
+
+/// One incarnation of a node: a random number drawn when its process starts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Display)]
+#[display("{_0:016x}")]
+pub struct NodeId(pub u64);
+
+/// A revision of the platform's table. Grows with every accepted transaction.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Display)]
+pub struct Revision(pub u64);
+
+/// The SHA-256 digest of a tenant key. The key itself never enters the world.
+///
+/// Equality takes the same time wherever the digests differ.
+#[derive(Clone, Copy)]
+pub struct KeyDigest(pub [u8; 32]);
+
+impl KeyDigest {
+    /// The digest of a key's text.
+    ///
+    /// ```
+    /// use mustardpin_world::id::KeyDigest;
+    ///
+    /// assert!(KeyDigest::of("garage-1.s3cret") == KeyDigest::of("garage-1.s3cret"));
+    /// assert!(KeyDigest::of("garage-1.s3cret") != KeyDigest::of("garage-1.other"));
+    /// ```
+    pub fn of(text: &str) -> KeyDigest {
+        KeyDigest(Sha256::digest(text.as_bytes()).into())
+    }
+}
+
+impl PartialEq for KeyDigest {
+    fn eq(&self, other: &KeyDigest) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+impl Eq for KeyDigest {}
+
+impl std::fmt::Debug for KeyDigest {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("KeyDigest(..)")
+    }
+}
+
+slotmap::new_key_type! {
+    /// Names a row of the data centre table.
+    pub struct DataCentreKey;
+    /// Names a row of the team table.
+    pub struct TeamKey;
+    /// Names a row of the service table.
+    pub struct ServiceKey;
+    /// Names a row of the route table.
+    pub struct RouteKey;
+    /// Names a row of the table of tenant keys.
+    pub struct TenantKey;
+    /// Names a row of the exception table.
+    pub struct ExceptionKey;
+    /// Names a row of the peer table: another node.
+    pub struct PeerKey;
+    /// Names a row of the call table: a request this node has taken in.
+    pub struct CallKey;
+}
--- /dev/null
+++ b/crates/mustardpin-world/src/lib.rs
@@ -0,0 +1,27 @@
+//! Decisions of one node: tables of entities, and the systems that run over them each tick.
+//!
+//! The crate does no I/O. A caller hands [`World::tick`] the time and the events since the last
+//! tick and carries out the commands it returns. The same events at the same times with the same
+//! seed give the same commands.
+
+pub mod clock;
+pub mod command;
+pub mod config;
+pub mod event;
+pub mod id;
+pub mod message;
+pub mod options;
+pub mod platform;
+pub mod refusal;
+pub mod request;
+mod system;
+pub mod table;
+mod world;
+
+pub use crate::{
+    clock::Millis,
+    command::Command,
+    event::Event,
+    options::Options,
+    world::{Identity, World},
+};
--- /dev/null
+++ b/crates/mustardpin-world/src/message/quarantine.rs
@@ -0,0 +1,5 @@
+//! Messages of the quarantine system.
+
+/// A message of the quarantine system.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Message {}
--- /dev/null
+++ b/crates/mustardpin-world/src/refusal.rs
@@ -0,0 +1,159 @@
+//! Refusals: answers the system makes in place of a target.
+
+use derive_more::Display;
+
+use crate::clock::Millis;
+
+/// Whether a request has run on a target, as far as the system can prove.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
+pub enum Outcome {
+    /// No target has seen any byte of the request, and none will.
+    #[display("not-run")]
+    NotRun,
+    /// A target may have seen the request.
+    #[display("unknown")]
+    Unknown,
+    /// A target has run the request.
+    #[display("run")]
+    Run,
+}
+
+macro_rules! reasons {
+    ($($(#[$doc:meta])* $name:ident = $text:literal, $status:literal;)*) => {
+        /// Why a request was refused. Each reason has a counter of the same name.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Display)]
+        pub enum Reason { $($(#[$doc])* #[display($text)] $name,)* }
+
+        impl Reason {
+            /// Every reason, in the order of declaration.
+            pub const ALL: &[Reason] = &[$(Reason::$name,)*];
+
+            /// The HTTP status code callers see for this reason.
+            ///
+            /// ```
+            /// assert_eq!(mustardpin_world::refusal::Reason::KeyWithdrawn.status(), 401);
+            /// ```
+            pub const fn status(self) -> u16 {
+                match self { $(Reason::$name => $status,)* }
+            }
+
+            /// The reason with this name, or `None` if there is no such reason.
+            ///
+            /// ```
+            /// use mustardpin_world::refusal::Reason;
+            /// assert_eq!(Reason::from_name("cut_off"), Some(Reason::CutOff));
+            /// ```
+            pub fn from_name(name: &str) -> Option<Reason> {
+                match name { $($text => Some(Reason::$name),)* _ => None }
+            }
+        }
+    };
+}
+
+reasons! {
+    /// The request came without a key on a route that needs one.
+    KeyMissing = "key_missing", 401;
+    /// No key with this digest was ever issued.
+    KeyUnknown = "key_unknown", 401;
+    /// Operators withdrew the key.
+    KeyWithdrawn = "key_withdrawn", 401;
+    /// The route is not open to the key's team.
+    RouteForbidden = "route_forbidden", 403;
+    /// No route matches the path.
+    RouteUnknown = "route_unknown", 404;
+    /// The call token is not one that this node issued for a call in progress.
+    CallTokenInvalid = "call_token_invalid", 403;
+    /// The same non-repeatable request is in progress.
+    InProgress = "in_progress", 409;
+    /// The same non-repeatable request may have run before; its answer is lost.
+    OutcomeUnknown = "outcome_unknown", 409;
+    /// The same non-repeatable request ran before; its answer was too large to record.
+    AnswerNotRecorded = "answer_not_recorded", 409;
+    /// The request body is larger than the limit.
+    BodyTooLarge = "body_too_large", 413;
+    /// The idempotency key came before with another request.
+    IdempotencyKeyReused = "idempotency_key_reused", 422;
+    /// The route is non-repeatable and the request has no idempotency key.
+    IdempotencyKeyMissing = "idempotency_key_missing", 428;
+    /// The team has used up its rate and burst.
+    RateExceeded = "rate_exceeded", 429;
+    /// The caller resends more often than the retry budget allows.
+    ResendBudget = "resend_budget", 429;
+    /// The root request has spent its allowance of retries.
+    RetryAllowance = "retry_allowance", 503;
+    /// The queue is full of requests of no lower importance.
+    QueueFull = "queue_full", 503;
+    /// The service below refuses this importance at present.
+    Shed = "shed", 503;
+    /// No target serves the route.
+    NoTarget = "no_target", 503;
+    /// The node that keeps records for this request is changing.
+    HomeMoving = "home_moving", 503;
+    /// The node asked is not the home of this request.
+    WrongHome = "wrong_home", 503;
+    /// The node that would mirror the record of this request did not answer.
+    MirrorUnavailable = "mirror_unavailable", 503;
+    /// The node has no recent knowledge of keys and configuration.
+    CutOff = "cut_off", 503;
+    /// The node has no configuration yet.
+    Starting = "starting", 503;
+    /// The node is leaving.
+    Leaving = "leaving", 503;
+    /// The request was in flight at several target crashes.
+    Quarantined = "quarantined", 503;
+    /// The target failed or the connection to it broke.
+    TargetFailed = "target_failed", 502;
+    /// The peer that had the request failed or the connection to it broke.
+    PeerFailed = "peer_failed", 502;
+    /// The deadline passed before the request could run.
+    DeadlineBeforeRun = "deadline_before_run", 504;
+    /// The deadline passed during the run.
+    DeadlineDuringRun = "deadline_during_run", 504;
+    /// The caller has gone.
+    CallerGone = "caller_gone", 499;
+}
+
+/// An answer that the system makes in place of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// Whether the request has run.
+    pub outcome: Outcome,
+    /// How long the caller should wait before it sends again, where waiting helps.
+    pub retry_after: Option<Millis>,
+}
+
+impl Refusal {
+    /// A refusal of a request that has not run, without advice on when to send again.
+    ///
+    /// ```
+    /// use mustardpin_world::refusal::{Outcome, Reason, Refusal};
+    /// assert_eq!(Refusal::not_run(Reason::NoTarget).outcome, Outcome::NotRun);
+    /// ```
+    pub const fn not_run(reason: Reason) -> Refusal {
+        Refusal { reason, outcome: Outcome::NotRun, retry_after: None }
+    }
+
+    /// A refusal of a request that may have run.
+    ///
+    /// ```
+    /// use mustardpin_world::refusal::{Outcome, Reason, Refusal};
+    /// assert_eq!(Refusal::unknown(Reason::PeerFailed).outcome, Outcome::Unknown);
+    /// ```
+    pub const fn unknown(reason: Reason) -> Refusal {
+        Refusal { reason, outcome: Outcome::Unknown, retry_after: None }
+    }
+
+    /// The same refusal with advice to wait.
+    ///
+    /// ```
+    /// use mustardpin_world::{Millis, refusal::{Reason, Refusal}};
+    /// let refusal = Refusal::not_run(Reason::RateExceeded).after(Millis(500));
+    /// assert_eq!(refusal.retry_after, Some(Millis(500)));
+    /// ```
+    pub const fn after(self, wait: Millis) -> Refusal {
+        Refusal { retry_after: Some(wait), ..self }
+    }
+}
--- /dev/null
+++ b/crates/mustardpin-world/src/table/peer.rs
@@ -0,0 +1,123 @@
+//! Peers: the other nodes this node knows.
+
+use std::collections::BTreeMap;
+
+use slotmap::SlotMap;
+
+use crate::{
+    clock::Millis,
+    id::{NodeId, PeerKey},
+    platform::Announcement,
+    request::Pressure,
+};
+
+/// What this node believes of a peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub enum State {
+    /// It answers.
+    #[default]
+    Alive,
+    /// It missed a probe.
+    Suspect,
+    /// It is leaving and takes no new work.
+    Leaving,
+    /// It is gone.
+    Dead,
+}
+
+/// Another node.
+#[derive(Debug, Clone)]
+pub struct Peer {
+    /// Who and where.
+    pub announcement: Announcement,
+    /// Grows when the peer refutes a suspicion.
+    pub incarnation: u32,
+    /// What this node believes of it.
+    pub state: State,
+    /// Since when.
+    pub since: Millis,
+    /// Calls this node has passed to it that have not ended.
+    pub in_flight: u32,
+    /// What its last answer said of its target.
+    pub pressure: Option<Pressure>,
+    /// When it said so.
+    pub pressure_as_of: Millis,
+    /// Failures in a row on the traffic path.
+    pub failures: u32,
+    /// No request goes there before this point.
+    pub ejected_until: Millis,
+}
+
+impl Peer {
+    /// A peer that has just been found.
+    pub fn new(announcement: Announcement, now: Millis) -> Peer {
+        Peer {
+            announcement,
+            incarnation: 0,
+            state: State::Alive,
+            since: now,
+            in_flight: 0,
+            pressure: None,
+            pressure_as_of: Millis::ZERO,
+            failures: 0,
+            ejected_until: Millis::ZERO,
+        }
+    }
+}
+
+/// The table of peers.
+#[derive(Debug, Default)]
+pub struct Peers {
+    rows: SlotMap<PeerKey, Peer>,
+    by_node: BTreeMap<NodeId, PeerKey>,
+}
+
+impl Peers {
+    /// Adds a peer, or returns the key of the one that is there with the same id.
+    pub fn insert(&mut self, peer: Peer) -> PeerKey {
+        let node = peer.announcement.node;
+        if let Some(&key) = self.by_node.get(&node) {
+            return key;
+        }
+        let key = self.rows.insert(peer);
+        self.by_node.insert(node, key);
+        key
+    }
+
+    /// The peer with this key.
+    pub fn get(&self, key: PeerKey) -> Option<&Peer> {
+        self.rows.get(key)
+    }
+
+    /// The peer with this key.
+    pub fn get_mut(&mut self, key: PeerKey) -> Option<&mut Peer> {
+        self.rows.get_mut(key)
+    }
+
+    /// The key of the peer with this id.
+    pub fn by_node(&self, node: NodeId) -> Option<PeerKey> {
+        self.by_node.get(&node).copied()
+    }
+
+    /// Forgets a peer.
+    pub fn remove(&mut self, key: PeerKey) -> Option<Peer> {
+        let peer = self.rows.remove(key)?;
+        self.by_node.remove(&peer.announcement.node);
+        Some(peer)
+    }
+
+    /// All peers, in the order of their ids.
+    pub fn iter(&self) -> impl Iterator<Item = (PeerKey, &Peer)> {
+        self.by_node.values().map(|&key| (key, &self.rows[key]))
+    }
+
+    /// How many peers there are.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Whether there are no peers.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/mustardpin-world/src/world.rs
@@ -0,0 +1,127 @@
+//! The world: the tables, and the tick that runs the systems over them.
+
+use compact_str::CompactString;
+use rand::SeedableRng as _;
+use rand_pcg::Pcg64Mcg;
+
+use crate::{
+    clock::Millis,
+    command::Command,
+    event::Event,
+    id::NodeId,
+    options::Options,
+    platform::{Announcement, Operation, Ticket},
+    system,
+    table::Tables,
+};
+
+/// Who a node is: fixed while its process runs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Identity {
+    /// What the node tells others of itself.
+    pub announcement: Announcement,
+}
+
+impl Identity {
+    /// The node's id.
+    pub fn node(&self) -> NodeId {
+        self.announcement.node
+    }
+
+    /// The name of the node's data centre.
+    pub fn data_centre(&self) -> &CompactString {
+        &self.announcement.data_centre
+    }
+
+    /// The name of the service of the node's target.
+    pub fn service(&self) -> &CompactString {
+        &self.announcement.service
+    }
+}
+
+/// Everything one node decides on.
+#[derive(Debug)]
+pub struct World {
+    pub(crate) identity: Identity,
+    pub(crate) options: Options,
+    pub(crate) tables: Tables,
+    pub(crate) systems: system::State,
+    pub(crate) rng: Pcg64Mcg,
+}
+
+/// One tick in progress: the time, what came in and what has to be done.
+#[derive(Debug)]
+pub(crate) struct Tick {
+    pub(crate) now: Millis,
+    pub(crate) inbox: system::Inbox,
+    pub(crate) commands: Vec<Command>,
+    next_wake: Millis,
+}
+
+impl Tick {
+    /// Asks for another tick at this point at the latest.
+    pub(crate) fn wake(&mut self, at: Millis) {
+        self.next_wake = self.next_wake.min(at);
+    }
+}
+
+impl World {
+    /// A world without any knowledge. The seed decides all its random choices.
+    ///
+    /// ```
+    /// use mustardpin_world::{Identity, Millis, Options, World, id::NodeId, platform::Announcement};
+    ///
+    /// let announcement = Announcement {
+    ///     node: NodeId(1),
+    ///     data_centre: "north".into(),
+    ///     service: "ledger".into(),
+    ///     control_address: "127.0.0.1:7101".into(),
+    ///     traffic_address: "127.0.0.1:7102".into(),
+    /// };
+    /// let mut world = World::new(Identity { announcement }, Options::default(), 42);
+    /// let commands = world.tick(Millis(0), Vec::new());
+    /// assert!(!commands.is_empty(), "it asks the platform for its configuration");
+    /// ```
+    pub fn new(identity: Identity, options: Options, seed: u64) -> World {
+        World {
+            identity,
+            options,
+            tables: Tables::default(),
+            systems: system::State::default(),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+        }
+    }
+
+    /// Runs all systems once over what has happened since the last tick.
+    ///
+    /// `now` must not go back. The last command is always [`Command::Wake`].
+    pub fn tick(&mut self, now: Millis, events: Vec<Event>) -> Vec<Command> {
+        let mut tick = Tick {
+            now,
+            inbox: system::Inbox::sort(events),
+            commands: Vec::new(),
+            next_wake: Millis::MAX,
+        };
+        system::run(self, &mut tick);
+        tick.commands.push(Command::Wake(tick.next_wake));
+        tick.commands
+    }
+
+    /// The tables, for reports.
+    pub fn tables(&self) -> &Tables {
+        &self.tables
+    }
+
+    /// Who the node is.
+    pub fn identity(&self) -> &Identity {
+        &self.identity
+    }
+
+    /// Asks the platform; the reply comes with the ticket returned.
+    pub(crate) fn ask_platform(&mut self, tick: &mut Tick, operation: Operation) -> Ticket {
+        self.systems.last_ticket.0 += 1;
+        let ticket = self.systems.last_ticket;
+        tick.commands.push(Command::Platform(ticket, operation));
+        ticket
+    }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,2 @@
+//! The `mustardpin` command.
+fn main() {}
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,1 @@
+//! Tests of the whole product, a module per feature.
