Drive several worlds over virtual time, and name homes by rendezvous hashing

Cause: every promise needs the decisions of several nodes tested under failure, with the same verdict each run. Change: crate mustardpin-virtual (fleet, network with cuts, platform, targets that call further services); home and mirror of a hash; the epoch's standing as a table. Figures: one request through two nodes and two targets passes in virtual time. Conclusion: the parts can be built and tested apart from sockets.

--- a/crates/mustardpin-virtual/src/lib.rs
+++ b/crates/mustardpin-virtual/src/lib.rs
@@ -1,1 +1,17 @@
-//! Several worlds driven in one thread over virtual time.
+//! Several worlds driven in one thread over virtual time, with fakes at their borders.
+//!
+//! A [`Fleet`] holds worlds, a fake platform, a fake target behind each node and a network between
+//! them. The same seed and the same calls give the same history. The history that checks look at
+//! is what targets ran and what callers received, not what a world believes.
+
+mod fleet;
+mod network;
+mod platform;
+mod target;
+
+pub use crate::{
+    fleet::{Fleet, Received, Request, Site},
+    network::{Delay, Network},
+    platform::{Platform, PlatformMode},
+    target::{Ran, Service, Target},
+};
--- /dev/null
+++ b/crates/mustardpin-virtual/src/target.rs
@@ -0,0 +1,114 @@
+//! A fake target: slots, service time, calls of its own, crashes.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use mustardpin_world::{
+    Millis,
+    id::{CallKey, NodeId},
+    request::Fingerprint,
+};
+use rand::RngExt as _;
+use rand_pcg::Pcg64Mcg;
+
+/// How the targets of a service behave.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Service {
+    /// Its name.
+    pub name: String,
+    /// Requests each target runs at once; others wait inside the target.
+    pub slots: usize,
+    /// Mean service time in milliseconds, exponentially distributed.
+    pub mean: f64,
+    /// Paths it calls, one after another, in the course of each request.
+    pub calls: Vec<String>,
+    /// How often it sends a failed call again.
+    pub resends: u32,
+}
+
+impl Service {
+    /// A service that calls no others.
+    pub fn leaf(name: &str, slots: usize, mean: f64) -> Service {
+        Service { name: name.to_owned(), slots, mean, calls: Vec::new(), resends: 0 }
+    }
+}
+
+/// A request that a target began to run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ran {
+    /// When it began.
+    pub at: Millis,
+    /// The node in front of the target.
+    pub node: NodeId,
+    /// The path.
+    pub path: String,
+    /// The digest of the request.
+    pub fingerprint: Fingerprint,
+    /// The idempotency key.
+    pub idempotency_key: Option<String>,
+    /// The key id its caller sent, as the test knows it.
+    pub key_id: Option<String>,
+    /// The number of the root request.
+    pub root: u64,
+}
+
+/// A fake target behind one node.
+#[derive(Debug)]
+pub struct Target {
+    /// How it behaves.
+    pub service: Service,
+    /// Factor on the service time.
+    pub slowdown: f64,
+    /// It crashes when it begins to run one of these.
+    pub poison: BTreeSet<Fingerprint>,
+    /// Whether its process is there.
+    pub up: bool,
+    /// How often it crashed.
+    pub crashes: u32,
+    pub(crate) waiting: VecDeque<CallKey>,
+    pub(crate) busy: BTreeSet<CallKey>,
+    pub(crate) progress: BTreeMap<CallKey, Progress>,
+}
+
+/// How far a target is with a request.
+#[derive(Debug, Clone)]
+pub(crate) struct Progress {
+    pub(crate) next_call: usize,
+    pub(crate) resends: u32,
+    pub(crate) run: u64,
+}
+
+impl Target {
+    /// A target that is up and idle.
+    pub fn new(service: Service) -> Target {
+        Target {
+            service,
+            slowdown: 1.0,
+            poison: BTreeSet::new(),
+            up: true,
+            crashes: 0,
+            waiting: VecDeque::new(),
+            busy: BTreeSet::new(),
+            progress: BTreeMap::new(),
+        }
+    }
+
+    /// Draws a service time.
+    pub(crate) fn draw(&self, rng: &mut Pcg64Mcg) -> Millis {
+        let uniform: f64 = rng.random_range(f64::EPSILON..1.0);
+        Millis((-uniform.ln() * self.service.mean * self.slowdown).round() as u64)
+    }
+
+    /// Forgets all work, as a process that ends does. Returns what it was at.
+    pub(crate) fn drop_work(&mut self) -> Vec<CallKey> {
+        self.waiting.clear();
+        self.busy.clear();
+        std::mem::take(&mut self.progress).into_keys().collect()
+    }
+
+    /// Drops one request.
+    pub(crate) fn cancel(&mut self, call: CallKey) -> bool {
+        self.waiting.retain(|&waiting| waiting != call);
+        self.busy.remove(&call);
+        self.progress.remove(&call).is_some()
+    }
+}
--- /dev/null
+++ b/crates/mustardpin-virtual/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the virtual fleet.
+
+mod path;
--- a/crates/mustardpin-world/src/command.rs
+++ b/crates/mustardpin-world/src/command.rs
@@ -11,7 +11,7 @@
     message::Message,
     platform,
     refusal::Refusal,
-    request::{Forward, Run, Ticket, Verdict},
+    request::{Forward, Pressure, Run, Ticket, Verdict},
 };
 
 /// A change of state worth a log line.
@@ -83,6 +83,8 @@
     Platform(platform::Ticket, platform::Operation),
     /// Answer an operator's proposal with the revision it was given, or why it was not accepted.
     Answer(ProposalTicket, Result<Revision, ChangeError>),
+    /// From now on, say this of the own target on every answer to a peer.
+    Publish(Pressure),
     /// Write a log line.
     Log(Change),
     /// Tell callers on idle connections to go elsewhere.
--- a/crates/mustardpin-world/src/lib.rs
+++ b/crates/mustardpin-world/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod command;
 pub mod config;
 pub mod event;
+pub mod home;
 pub mod id;
 pub mod message;
 pub mod options;
--- a/crates/mustardpin-world/src/table.rs
+++ b/crates/mustardpin-world/src/table.rs
@@ -33,8 +33,8 @@
     pub configuration: Configuration,
     /// How old the node's knowledge is.
     pub freshness: Freshness,
-    /// The epoch.
-    pub epoch: Epoch,
+    /// Who holds shares and homes.
+    pub epoch: Standing,
     /// Whether the node is leaving.
     pub leaving: bool,
 }
@@ -58,3 +58,14 @@
     /// Whether keyed requests may be served.
     pub fresh: bool,
 }
+
+/// The epoch a node is in, and how it came there.
+#[derive(Debug, Default)]
+pub struct Standing {
+    /// The epoch the node is in.
+    pub current: Epoch,
+    /// The epoch before it, as far as the node knows.
+    pub previous: Epoch,
+    /// When the node adopted the current epoch.
+    pub adopted: Option<Millis>,
+}
