Charge requests to their team's rate through keepers of token buckets

Cause: rate and burst bind across all instances together, and requests enter anywhere. Change: a team's rate is split into up to eight shards; rendezvous hashing gives each a keeper in the epoch; nodes draw tokens ahead of demand from the nearest keeper that has some, and hold them for a limited time that is set aside from the burst. A keeper that loses a shard hands its bucket over; without that its successor starts empty after twice the freshness window. 'Keeper grants without fresh knowledge' is not caught: the nodes that would draw there are not fresh themselves. Ruled out: the platform as counter (several hundred writes a second against 59,000 calls). Conclusion: eight keepers.

--- a/crates/mustardpin-virtual/tests/testsuite/main.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/main.rs
@@ -1,3 +1,5 @@
 //! Tests of the virtual fleet.
 
 mod path;
+mod rating;
+mod support;
--- /dev/null
+++ b/crates/mustardpin-virtual/tests/testsuite/rating.rs
@@ -0,0 +1,282 @@
+//! No team gets more than its rate and burst across all instances, and a team within its rate is
+//! not refused.
+
+use mustardpin_virtual::{Fleet, Request, Service, Site};
+use mustardpin_world::{
+    Millis, Options,
+    config::Row,
+    options::{Rating, Sharing},
+    refusal::Reason,
+    request::Verdict,
+};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+
+use crate::support::{fleet, key, put, put_epoch, route, seeds, team};
+
+const RATE: u32 = 200;
+const BURST: u32 = 400;
+
+/// A burst that leaves no room for an error in sharing.
+const SMALL_BURST: u32 = 40;
+
+/// The most requests beyond the rate in any interval. The bound is the burst.
+fn worst_excess(fleet: &Fleet, rate: u32) -> f64 {
+    let mut level: f64 = 0.0;
+    let mut worst: f64 = 0.0;
+    let mut last = Millis::ZERO;
+    for ran in &fleet.ran {
+        level = (level - (ran.at - last).0 as f64 * f64::from(rate) / 1_000.0).max(0.0) + 1.0;
+        last = ran.at;
+        worst = worst.max(level);
+    }
+    worst
+}
+
+fn refused(fleet: &Fleet) -> usize {
+    let of_rate = |verdict: &Option<Verdict>| {
+        matches!(verdict, Some(Verdict::Refuse(refusal))
+            if matches!(refusal.reason, Reason::RateExceeded | Reason::RateUnavailable))
+    };
+    fleet.received.iter().filter(|received| of_rate(&received.verdict)).count()
+}
+
+fn small_fleet(seed: u64, burst: u32, sharing: Sharing, max_shards: u8) -> Fleet {
+    let rating = Rating { sharing, max_shards, ..Rating::default() };
+    let options = Options { rating, ..Options::default() };
+    let mut fleet = fleet(seed, options, &Service::leaf("search", 200, 2.0), 4);
+    let rows = vec![team("garage", RATE, burst), key("garage"), Row::Route(route("search"))];
+    put(&mut fleet, rows);
+    let sites: Vec<Site> = fleet.sites().collect();
+    put_epoch(&mut fleet, 1, &sites);
+    fleet.run_for(Millis::from_secs(5));
+    fleet
+}
+
+/// Sends requests of the team at a rate, each to a site that `choose` names, for a length of time.
+fn load(
+    fleet: &mut Fleet,
+    rng: &mut Pcg64Mcg,
+    rate: f64,
+    length: Millis,
+    mut choose: impl FnMut(&mut Pcg64Mcg, Millis) -> Site,
+) {
+    let start = fleet.now;
+    let mut at = start.0 as f64;
+    while at < (start + length).0 as f64 {
+        let uniform: f64 = rng.random_range(f64::EPSILON..1.0);
+        at += -uniform.ln() * 1_000.0 / rate;
+        fleet.run_until(Millis(at as u64));
+        let now = fleet.now;
+        let site = choose(rng, now - start);
+        fleet.send(site, Request::get("/search", "garage-1.secret"));
+    }
+    fleet.run_for(Millis::from_secs(1));
+}
+
+/// The entry nodes that requests go to.
+#[derive(Debug, Clone, Copy)]
+enum Entry {
+    /// All alike.
+    Even,
+    /// Nine in ten to one node.
+    Skewed,
+    /// One node at a time, another every second.
+    Moving,
+}
+
+impl Entry {
+    fn choose(self, rng: &mut Pcg64Mcg, elapsed: Millis) -> Site {
+        match self {
+            Entry::Skewed if rng.random_range(0..10) < 9 => Site(0),
+            Entry::Even | Entry::Skewed => Site(rng.random_range(0..12)),
+            Entry::Moving => Site((elapsed.0 / 1_000 % 12) as usize),
+        }
+    }
+}
+
+#[test]
+fn ways_of_sharing_compared() {
+    let mut table = String::from("sharing, entry, refused of a team at 80% of its rate\n");
+    let ways = [
+        ("even", Sharing::Even, 8),
+        ("one keeper", Sharing::Keepers, 1),
+        ("eight keepers", Sharing::Keepers, 8),
+    ];
+    for (name, sharing, max_shards) in ways {
+        for entry in [Entry::Even, Entry::Skewed, Entry::Moving] {
+            let mut fleet = small_fleet(1, BURST, sharing, max_shards);
+            let mut rng = Pcg64Mcg::seed_from_u64(1);
+            let rate = f64::from(RATE) * 0.8;
+            load(&mut fleet, &mut rng, rate, Millis::from_secs(20), |rng, elapsed| {
+                entry.choose(rng, elapsed)
+            });
+            let share = refused(&fleet) as f64 / fleet.received.len() as f64;
+            table.push_str(&format!("{name}, {entry:?}, {:.2}%\n", share * 100.0));
+            if name == "eight keepers" {
+                assert!(share < 0.001, "{entry:?}: {share}");
+            }
+        }
+    }
+    insta::assert_snapshot!(table);
+}
+
+#[test]
+fn a_team_far_over_its_rate_gets_its_rate_and_burst() {
+    for seed in seeds(4) {
+        let mut fleet = small_fleet(seed, BURST, Sharing::Keepers, 8);
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let rate = f64::from(RATE) * 10.0;
+        let length = Millis::from_secs(10);
+        load(&mut fleet, &mut rng, rate, length, |rng, elapsed| Entry::Even.choose(rng, elapsed));
+        let worst = worst_excess(&fleet, RATE);
+        assert!(worst <= f64::from(BURST), "seed {seed}: {worst} beyond the rate");
+        let least = f64::from(RATE) * length.0 as f64 / 1_000.0 * 0.95;
+        assert!(fleet.ran.len() as f64 >= least, "seed {seed}: only {} ran", fleet.ran.len());
+    }
+}
+
+/// What happens to a fleet while a team floods it.
+#[derive(Debug, Clone, Copy)]
+enum Failure {
+    /// Two nodes die; the next epoch is without them; they come back in the one after.
+    Deaths,
+    /// A node is frozen while an epoch without it begins, and resumed later.
+    Freeze,
+    /// A data centre is cut off from all while an epoch without it begins, and joins again.
+    Cut,
+    /// A data centre is cut off from the platform alone while an epoch without it begins.
+    PlatformCut,
+    /// Epochs change every second and a half.
+    Churn,
+}
+
+const FLOOD: f64 = 8.0;
+
+fn flood_for(fleet: &mut Fleet, rng: &mut Pcg64Mcg, length: Millis) {
+    load(fleet, rng, f64::from(RATE) * FLOOD, length, |rng, _| Site(rng.random_range(0..12)));
+}
+
+fn without(fleet: &Fleet, gone: &[usize]) -> Vec<Site> {
+    fleet.sites().filter(|site| !gone.contains(&site.0)).collect()
+}
+
+fn strike(fleet: &mut Fleet, rng: &mut Pcg64Mcg, failure: Failure) {
+    let all: Vec<Site> = fleet.sites().collect();
+    let gone = [rng.random_range(0..6), rng.random_range(6..12)];
+    flood_for(fleet, rng, Millis(2_000));
+    match failure {
+        Failure::Deaths => {
+            gone.iter().for_each(|&site| fleet.kill(Site(site)));
+            flood_for(fleet, rng, Millis(2_000));
+            let left = without(fleet, &gone);
+            put_epoch(fleet, 2, &left);
+            flood_for(fleet, rng, Millis(8_000));
+            gone.iter().for_each(|&site| fleet.restart(Site(site)));
+            flood_for(fleet, rng, Millis(2_000));
+            put_epoch(fleet, 3, &all);
+        }
+        Failure::Freeze => {
+            fleet.freeze(Site(gone[0]));
+            flood_for(fleet, rng, Millis(1_000));
+            let left = without(fleet, &gone[..1]);
+            put_epoch(fleet, 2, &left);
+            flood_for(fleet, rng, Millis(8_000));
+            fleet.resume(Site(gone[0]));
+        }
+        Failure::Cut => {
+            fleet.network.cut("west", "north");
+            fleet.network.cut("west", "south");
+            fleet.network.cut_platform("west");
+            flood_for(fleet, rng, Millis(500));
+            let left = without(fleet, &[8, 9, 10, 11]);
+            put_epoch(fleet, 2, &left);
+            flood_for(fleet, rng, Millis(10_000));
+            fleet.network.heal();
+            flood_for(fleet, rng, Millis(2_000));
+            put_epoch(fleet, 3, &all);
+        }
+        Failure::PlatformCut => {
+            fleet.network.cut_platform("west");
+            flood_for(fleet, rng, Millis(100));
+            let left = without(fleet, &[8, 9, 10, 11]);
+            put_epoch(fleet, 2, &left);
+            fleet.run_for(Millis(500));
+            flood_for(fleet, rng, Millis(10_000));
+        }
+        Failure::Churn => {
+            for number in 2..8 {
+                let gone = [rng.random_range(0..12), rng.random_range(0..12)];
+                let left = without(fleet, &gone);
+                put_epoch(fleet, number, &left);
+                flood_for(fleet, rng, Millis(500));
+            }
+        }
+    }
+    flood_for(fleet, rng, Millis(10_000));
+}
+
+#[test]
+fn rate_and_burst_hold_through_failures() {
+    use Failure::{Churn, Cut, Deaths, Freeze, PlatformCut};
+
+    for failure in [Deaths, Freeze, Cut, PlatformCut, Churn] {
+        for seed in seeds(3) {
+            let mut fleet = small_fleet(seed, SMALL_BURST, Sharing::Keepers, 8);
+            let mut rng = Pcg64Mcg::seed_from_u64(seed);
+            strike(&mut fleet, &mut rng, failure);
+            let worst = worst_excess(&fleet, RATE);
+            let burst = f64::from(SMALL_BURST);
+            assert!(worst <= burst, "{failure:?}, seed {seed}: {worst} beyond the rate");
+        }
+    }
+}
+
+/// A team at half its rate loses no request to its limit when nodes leave or die, one at a time.
+#[test]
+fn a_team_within_its_rate_is_not_refused_when_keepers_change() {
+    let mut table = String::from("seed, change, refused of a team at half its rate\n");
+    for seed in seeds(3) {
+        for kill in [false, true] {
+            let mut fleet = small_fleet(seed, BURST, Sharing::Keepers, 8);
+            let mut rng = Pcg64Mcg::seed_from_u64(seed);
+            let rate = f64::from(RATE) / 2.0;
+            let gone = rng.random_range(1..12);
+            let entry = |rng: &mut Pcg64Mcg, _| Site((gone + rng.random_range(1..12)) % 12);
+            load(&mut fleet, &mut rng, rate, Millis(3_000), entry);
+            if kill {
+                fleet.kill(Site(gone));
+                load(&mut fleet, &mut rng, rate, Millis(4_000), entry);
+            }
+            let left = without(&fleet, &[gone]);
+            put_epoch(&mut fleet, 2, &left);
+            load(&mut fleet, &mut rng, rate, Millis(12_000), entry);
+            let share = refused(&fleet) as f64 / fleet.received.len() as f64;
+            let change = if kill { "killed" } else { "left out" };
+            table.push_str(&format!("{seed}, {change}, {:.2}%\n", share * 100.0));
+            assert!(share < 0.001, "seed {seed}, {change}: {share}");
+        }
+    }
+    insta::assert_snapshot!(table);
+}
+
+/// Tokens that nodes have drawn ahead and hold count towards the burst.
+#[test]
+fn bursts_after_short_pauses_stay_within_the_burst() {
+    for seed in seeds(3) {
+        let mut fleet = small_fleet(seed, SMALL_BURST, Sharing::Keepers, 8);
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        for _ in 0..100 {
+            let pause = Millis(rng.random_range(5..120));
+            fleet.run_for(pause);
+            let requests = rng.random_range(1..120);
+            for _ in 0..requests {
+                let site = Site(rng.random_range(0..12));
+                fleet.send(site, Request::get("/search", "garage-1.secret"));
+            }
+        }
+        fleet.run_for(Millis::from_secs(1));
+        let worst = worst_excess(&fleet, RATE);
+        assert!(worst <= f64::from(SMALL_BURST), "seed {seed}: {worst} beyond the rate");
+    }
+}
--- /dev/null
+++ b/crates/mustardpin-virtual/tests/testsuite/support.rs
@@ -0,0 +1,80 @@
+//! A builder of small fleets and of configuration rows.
+
+use mustardpin_virtual::{Fleet, Service, Site};
+use mustardpin_world::{
+    Millis, Options,
+    config::{Importance, Key, Route, Row, Team},
+    id::KeyDigest,
+    message::epoch::{Epoch, Member},
+    platform,
+};
+
+/// The seeds a test runs with: a few, or as many as `MUSTARDPIN_SEEDS` says.
+pub fn seeds(few: u64) -> std::ops::Range<u64> {
+    let many = std::env::var("MUSTARDPIN_SEEDS").ok().and_then(|text| text.parse().ok());
+    0..many.unwrap_or(few)
+}
+
+pub fn team(name: &str, rate: u32, burst: u32) -> Row {
+    Row::Team(Team { name: name.into(), rate, burst, weight: 1 })
+}
+
+/// The key `TEAM-1.secret` of a team.
+pub fn key(team: &str) -> Row {
+    Row::Key(Key {
+        id: format!("{team}-1").into(),
+        team: team.into(),
+        digest: KeyDigest::of(&format!("{team}-1.secret")),
+        withdrawn: false,
+    })
+}
+
+/// A repeatable route of normal importance, named after its service.
+pub fn route(service: &str) -> Route {
+    Route {
+        name: service.into(),
+        service: service.into(),
+        method: None,
+        path_prefix: format!("/{service}").into(),
+        importance: Importance::Normal,
+        repeatable: true,
+        open: false,
+        timeout: Millis::from_secs(5),
+        teams: Vec::new(),
+    }
+}
+
+/// Writes configuration rows into the platform.
+pub fn put(fleet: &mut Fleet, rows: Vec<Row>) {
+    let rows = rows.into_iter().map(|row| platform::Row::Configuration(row.path(), Some(row)));
+    fleet.platform.put(rows.collect());
+}
+
+/// Writes the nodes at these sites into the platform, as nodes and as the members of an epoch.
+pub fn put_epoch(fleet: &mut Fleet, number: u64, sites: &[Site]) {
+    let mut members = Vec::new();
+    let mut rows = Vec::new();
+    for &site in sites {
+        let announcement = fleet.world_at(site).identity().announcement.clone();
+        members.push(Member {
+            node: announcement.node,
+            data_centre: announcement.data_centre.clone(),
+            service: announcement.service.clone(),
+        });
+        rows.push(platform::Row::Node(announcement.node, Some(announcement)));
+    }
+    members.sort_by_key(|member| member.node);
+    rows.push(platform::Row::Epoch(Epoch { number, members, ..Epoch::default() }));
+    fleet.platform.put(rows);
+}
+
+/// Three data centres with so many nodes of one service in each.
+pub fn fleet(seed: u64, options: Options, service: &Service, nodes: usize) -> Fleet {
+    let mut fleet = Fleet::new(seed, options);
+    for data_centre in ["north", "south", "west"] {
+        for _ in 0..nodes {
+            fleet.add(data_centre, service.clone());
+        }
+    }
+    fleet
+}
--- a/crates/mustardpin-world/src/options.rs
+++ b/crates/mustardpin-world/src/options.rs
@@ -13,6 +13,8 @@
     pub queueing: Queueing,
     /// Options of the routing system.
     pub routing: Routing,
+    /// Options of the rating system.
+    pub rating: Rating,
 }
 
 /// Options of the membership system.
@@ -72,3 +74,40 @@
         Routing { max_hops: 3, default_timeout: Millis::from_secs(30) }
     }
 }
+
+/// How a team's rate is shared between nodes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Sharing {
+    /// Keepers hold parts of the rate; nodes draw from them what their requests need.
+    #[default]
+    Keepers,
+    /// Each node of the epoch has the same part of the rate. A baseline for measurements.
+    Even,
+}
+
+/// Options of the rating system.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Rating {
+    /// How a team's rate is shared between nodes.
+    pub sharing: Sharing,
+    /// A team's rate is split into at most this many shards.
+    pub max_shards: u8,
+    /// Tokens are drawn ahead for the demand of this length of time.
+    pub horizon: Millis,
+    /// A request waits this long for the next token of its team before it is refused.
+    pub patience: Millis,
+    /// A keeper that has not replied to a draw within this time counts as unreachable.
+    pub reply_within: Millis,
+}
+
+impl Default for Rating {
+    fn default() -> Rating {
+        Rating {
+            sharing: Sharing::Keepers,
+            max_shards: crate::table::share::MAX_SHARDS,
+            horizon: Millis(250),
+            patience: Millis(100),
+            reply_within: Millis(200),
+        }
+    }
+}
--- a/crates/mustardpin-world/src/refusal.rs
+++ b/crates/mustardpin-world/src/refusal.rs
@@ -78,6 +78,8 @@
     IdempotencyKeyMissing = "idempotency_key_missing", 428;
     /// The team has used up its rate and burst.
     RateExceeded = "rate_exceeded", 429;
+    /// No keeper of the team's rate can be reached.
+    RateUnavailable = "rate_unavailable", 503;
     /// The caller resends more often than the retry budget allows.
     ResendBudget = "resend_budget", 429;
     /// The root request has spent its allowance of retries.
--- a/crates/mustardpin-world/src/system.rs
+++ b/crates/mustardpin-world/src/system.rs
@@ -3,6 +3,7 @@
 mod completion;
 mod configuration;
 mod drain;
+mod epoch;
 mod finish;
 mod freshness;
 mod intake;
@@ -29,6 +30,7 @@
     pub(crate) last_ticket: platform::Ticket,
     pub(crate) freshness: freshness::State,
     pub(crate) queueing: queueing::State,
+    pub(crate) rating: rating::State,
 }
 
 /// The events of one tick, sorted by the system that reads them.
@@ -79,6 +81,7 @@
     configuration::run(world, tick);
     membership::run(world, tick);
     freshness::run(world, tick);
+    epoch::run(world, tick);
     completion::run(world, tick);
     intake::run(world, tick);
     rating::run(world, tick);
--- /dev/null
+++ b/crates/mustardpin-world/src/system/epoch.rs
@@ -0,0 +1,21 @@
+//! Follows the epoch that the platform holds.
+
+use crate::{
+    platform,
+    world::{Tick, World},
+};
+
+pub(super) fn run(world: &mut World, tick: &mut Tick) {
+    for (_, reply) in &tick.inbox.platform {
+        let platform::Reply::Changes { rows, .. } = reply else { continue };
+        for versioned in rows {
+            let platform::Row::Epoch(epoch) = &versioned.row else { continue };
+            let standing = &mut world.tables.epoch;
+            if epoch.number <= standing.current.number {
+                continue;
+            }
+            standing.previous = std::mem::replace(&mut standing.current, epoch.clone());
+            standing.adopted = Some(tick.now);
+        }
+    }
+}
--- a/crates/mustardpin-world/src/table.rs
+++ b/crates/mustardpin-world/src/table.rs
@@ -4,6 +4,7 @@
 pub mod counter;
 pub mod peer;
 pub mod route;
+pub mod share;
 pub mod target;
 pub mod team;
 pub mod tenant;
@@ -23,6 +24,8 @@
     pub peers: peer::Peers,
     /// Routes.
     pub routes: route::Routes,
+    /// Rate tokens.
+    pub shares: share::Shares,
     /// The own target.
     pub target: target::Target,
     /// Teams.
