Read settings from YAML and report all problems at once

A node needs its addresses, credentials, limits and options before it starts. The settings crate turns YAML into dotted keys, takes typed values out of them and lists every missing, unknown, malformed or clashing key with its remedy. Credentials never appear in messages.

--- /dev/null
+++ b/crates/mustardpin-settings/src/reader.rs
@@ -0,0 +1,306 @@
+//! Takes typed values out of a document and gathers every problem on the way.
+
+use std::{net::SocketAddr, ops::RangeInclusive};
+
+use compact_str::{CompactString, ToCompactString as _, format_compact};
+use mustardpin_world::Millis;
+
+use crate::{
+    document::{Document, Node},
+    error::Problem,
+};
+
+/// Stands in for the value of a credential in messages.
+const HIDDEN: &str = "(hidden)";
+
+/// The longest distance at which a known key is offered in place of an unknown one, in edits.
+const NEAREST_DISTANCE: usize = 6;
+
+/// Reads settings one key at a time.
+///
+/// A key that is missing or wrong gives a problem and a harmless value in its place, so that
+/// reading goes on and all problems are found at once.
+#[derive(Debug)]
+pub struct Reader {
+    document: Document,
+    known: Vec<&'static str>,
+    problems: Vec<Problem>,
+}
+
+impl Reader {
+    /// A reader of this document.
+    ///
+    /// ```
+    /// use mustardpin_settings::{document::Document, reader::Reader};
+    ///
+    /// let mut reader = Reader::new(Document::parse("limits:\n  connections: 9\n").unwrap());
+    /// assert_eq!(reader.count("limits.connections", 100, 1..=1_000), 9);
+    /// assert!(reader.finish().is_empty());
+    /// ```
+    pub fn new(document: Document) -> Reader {
+        Reader { document, known: Vec::new(), problems: Vec::new() }
+    }
+
+    /// All problems, with those of keys that nobody asked for.
+    pub fn finish(mut self) -> Vec<Problem> {
+        for (key, value) in self.document.rest() {
+            self.problems.push(Problem::Unknown {
+                key: key.clone(),
+                value: shown(key, value),
+                nearest: nearest(key, &self.known),
+            });
+        }
+        self.problems
+    }
+
+    /// Adds a problem.
+    pub fn report(&mut self, problem: Problem) {
+        self.problems.push(problem);
+    }
+
+    /// A text that has to be set: letters, digits, hyphens and underscores.
+    pub fn name(&mut self, key: &'static str) -> CompactString {
+        const EXPECTED: &str = "a name of 1 to 64 letters, digits, hyphens or underscores";
+        let Some(text) = self.required(key, EXPECTED) else { return CompactString::default() };
+        if !is_name(&text) {
+            self.malformed(key, &text, EXPECTED);
+        }
+        text
+    }
+
+    /// A secret that has to be set: at least 16 visible characters.
+    pub fn secret(&mut self, key: &'static str) -> CompactString {
+        const EXPECTED: &str = "a secret of 16 to 256 visible characters";
+        let Some(text) = self.required(key, EXPECTED) else { return CompactString::default() };
+        let visible = text.bytes().all(|byte| byte.is_ascii_graphic());
+        if !visible || !(16..=256).contains(&text.len()) {
+            self.malformed(key, HIDDEN, EXPECTED);
+        }
+        text
+    }
+
+    /// An address that has to be set.
+    pub fn address(&mut self, key: &'static str) -> SocketAddr {
+        const EXPECTED: &str = "an address such as 127.0.0.1:7000";
+        let Some(text) = self.required(key, EXPECTED) else { return unspecified() };
+        self.parse_address(key, &text)
+    }
+
+    /// An address that may be left out.
+    pub fn optional_address(&mut self, key: &'static str) -> Option<SocketAddr> {
+        let text = self.optional(key, "an address such as 127.0.0.1:7000")?;
+        Some(self.parse_address(key, &text))
+    }
+
+    /// A list of addresses that may be left out.
+    pub fn addresses(&mut self, key: &'static str) -> Vec<SocketAddr> {
+        const EXPECTED: &str = "a list of addresses such as [127.0.0.1:7000]";
+        let nodes = match self.take(key) {
+            None => return Vec::new(),
+            Some(Node::Sequence(nodes)) => nodes,
+            Some(node) => {
+                self.malformed(key, &node.to_compact_string(), EXPECTED);
+                return Vec::new();
+            }
+        };
+        let parse = |node: &Node| match node {
+            Node::Scalar(text) => self.parse_address(key, text),
+            node => {
+                self.malformed(key, &node.to_compact_string(), EXPECTED);
+                unspecified()
+            }
+        };
+        nodes.iter().map(parse).collect()
+    }
+
+    /// One of several words, each with its meaning. The first is the default.
+    pub fn choice<T: Copy>(&mut self, key: &'static str, choices: &[(&str, T)]) -> T {
+        let words: Vec<_> = choices.iter().map(|(word, _)| *word).collect();
+        let expected = format!("one of {}", words.join(", "));
+        let Some(text) = self.optional(key, &expected) else { return choices[0].1 };
+        if let Some((_, value)) = choices.iter().find(|(word, _)| *word == text) {
+            return *value;
+        }
+        self.malformed(key, &text, &expected);
+        choices[0].1
+    }
+
+    /// A number without a unit.
+    pub fn count(&mut self, key: &'static str, default: u64, range: RangeInclusive<u64>) -> u64 {
+        const EXPECTED: &str = "a whole number such as 64";
+        let Some(text) = self.optional(key, EXPECTED) else { return default };
+        match text.parse() {
+            Ok(number) => self.within(key, number, &text, range, "", default),
+            Err(_) => {
+                self.malformed(key, &text, EXPECTED);
+                default
+            }
+        }
+    }
+
+    /// A size such as `64KiB`, in bytes.
+    pub fn size(&mut self, key: &'static str, default: u64, range: RangeInclusive<u64>) -> u64 {
+        const EXPECTED: &str = "a size such as 512B, 64KiB or 8MiB";
+        let Some(text) = self.optional(key, EXPECTED) else { return default };
+        match parse_size(&text) {
+            Some(bytes) => self.within(key, bytes, &text, range, "B", default),
+            None => {
+                self.malformed(key, &text, EXPECTED);
+                default
+            }
+        }
+    }
+
+    /// A length of time such as `500ms`.
+    pub fn length(
+        &mut self,
+        key: &'static str,
+        default: Millis,
+        range: RangeInclusive<Millis>,
+    ) -> Millis {
+        const EXPECTED: &str = "a length of time such as 500ms, 3s or 10min";
+        let Some(text) = self.optional(key, EXPECTED) else { return default };
+        let range = range.start().0..=range.end().0;
+        match parse_length(&text) {
+            Some(length) => Millis(self.within(key, length.0, &text, range, "ms", default.0)),
+            None => {
+                self.malformed(key, &text, EXPECTED);
+                default
+            }
+        }
+    }
+
+    fn take(&mut self, key: &'static str) -> Option<Node> {
+        self.known.push(key);
+        self.document.take(key)
+    }
+
+    fn optional(&mut self, key: &'static str, expected: &str) -> Option<CompactString> {
+        match self.take(key)? {
+            Node::Scalar(text) => Some(text),
+            node => {
+                self.malformed(key, &node.to_compact_string(), expected);
+                None
+            }
+        }
+    }
+
+    fn required(&mut self, key: &'static str, expected: &str) -> Option<CompactString> {
+        let found = self.problems.len();
+        let text = self.optional(key, expected);
+        if text.is_none() && self.problems.len() == found {
+            self.report(Problem::Missing { key: key.into(), expected: expected.into() });
+        }
+        text
+    }
+
+    fn malformed(&mut self, key: &str, value: &str, expected: &str) {
+        self.report(Problem::Malformed {
+            key: key.into(),
+            value: value.into(),
+            expected: expected.into(),
+        });
+    }
+
+    fn within(
+        &mut self,
+        key: &'static str,
+        number: u64,
+        text: &str,
+        range: RangeInclusive<u64>,
+        unit: &str,
+        default: u64,
+    ) -> u64 {
+        if range.contains(&number) {
+            return number;
+        }
+        self.report(Problem::OutOfRange {
+            key: key.into(),
+            value: text.into(),
+            least: format_compact!("{}{unit}", range.start()),
+            most: format_compact!("{}{unit}", range.end()),
+        });
+        default
+    }
+
+    fn parse_address(&mut self, key: &str, text: &str) -> SocketAddr {
+        match text.parse::<SocketAddr>() {
+            Ok(address) if address.port() != 0 => address,
+            _ => {
+                self.malformed(key, text, "an address such as 127.0.0.1:7000");
+                unspecified()
+            }
+        }
+    }
+}
+
+/// Parses a length of time with its unit: `ms`, `s` or `min`.
+///
+/// ```
+/// use mustardpin_settings::reader::parse_length;
+/// use mustardpin_world::Millis;
+///
+/// assert_eq!(parse_length("3s"), Some(Millis(3_000)));
+/// assert_eq!(parse_length("3"), None);
+/// ```
+pub fn parse_length(text: &str) -> Option<Millis> {
+    let (digits, unit) = split_unit(text)?;
+    let factor = match unit {
+        "ms" => 1,
+        "s" => 1_000,
+        "min" => 60_000,
+        _ => return None,
+    };
+    digits.checked_mul(factor).map(Millis)
+}
+
+/// Parses a size with its unit: `B`, `KiB` or `MiB`. The result is in bytes.
+///
+/// ```
+/// assert_eq!(mustardpin_settings::reader::parse_size("64KiB"), Some(65_536));
+/// ```
+pub fn parse_size(text: &str) -> Option<u64> {
+    let (digits, unit) = split_unit(text)?;
+    let factor = match unit {
+        "B" => 1,
+        "KiB" => 1 << 10,
+        "MiB" => 1 << 20,
+        _ => return None,
+    };
+    digits.checked_mul(factor)
+}
+
+/// Whether a text can name a data centre, a service, a team, a route, a key or an exception.
+///
+/// ```
+/// assert!(mustardpin_settings::reader::is_name("slot-search"));
+/// assert!(!mustardpin_settings::reader::is_name("slot search"));
+/// ```
+pub fn is_name(text: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-' || byte == b'_';
+    (1..=64).contains(&text.len()) && text.bytes().all(allowed)
+}
+
+fn split_unit(text: &str) -> Option<(u64, &str)> {
+    let end = text.find(|character: char| !character.is_ascii_digit())?;
+    let digits = text[..end].parse().ok()?;
+    Some((digits, text[end..].trim_start()))
+}
+
+fn unspecified() -> SocketAddr {
+    SocketAddr::from(([0, 0, 0, 0], 0))
+}
+
+/// The value as it may stand in a message: nothing that may be a secret.
+fn shown(key: &str, value: &Node) -> CompactString {
+    if key.contains("credential") { HIDDEN.into() } else { value.to_compact_string() }
+}
+
+fn nearest(key: &str, known: &[&'static str]) -> Option<CompactString> {
+    known
+        .iter()
+        .map(|known| (strsim::damerau_levenshtein(key, known), *known))
+        .filter(|(distance, _)| *distance <= NEAREST_DISTANCE)
+        .min()
+        .map(|(_, known)| known.into())
+}
--- /dev/null
+++ b/crates/mustardpin-settings/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the settings.
+
+mod settings;
--- /dev/null
+++ b/crates/mustardpin-settings/tests/testsuite/settings.rs
@@ -0,0 +1,103 @@
+//! The example loads, and every kind of error names file, key, value and remedy.
+
+use std::path::Path;
+
+use mustardpin_settings::Settings;
+
+const EXAMPLE: &str = include_str!("../../../../settings.example.yaml");
+
+fn error(yaml: &str) -> String {
+    Settings::parse(Path::new("node.yaml"), yaml).unwrap_err().to_string()
+}
+
+/// The example with some lines replaced.
+fn example_with(replacements: &[(&str, &str)]) -> String {
+    replacements.iter().fold(EXAMPLE.to_owned(), |yaml, (from, to)| {
+        assert!(yaml.contains(from), "the example has no line {from:?}");
+        yaml.replacen(from, to, 1)
+    })
+}
+
+#[test]
+fn example_loads() {
+    let settings = Settings::parse(Path::new("settings.example.yaml"), EXAMPLE).unwrap();
+    insta::assert_debug_snapshot!(settings);
+}
+
+#[test]
+fn commented_lines_of_the_example_show_the_defaults() {
+    let uncommented: String = EXAMPLE
+        .lines()
+        .map(|line| match line.strip_prefix("# ") {
+            Some(rest) if rest.trim_start() != rest || rest.ends_with(':') => rest,
+            _ => line,
+        })
+        .map(|line| line.replacen("  # timeout", "  timeout", 1) + "\n")
+        .collect();
+    let mut all_set = Settings::parse(Path::new("settings.example.yaml"), &uncommented).unwrap();
+    assert!(all_set.statsd.take().is_some());
+    let defaults = Settings::parse(Path::new("settings.example.yaml"), EXAMPLE).unwrap();
+    assert_eq!(all_set, defaults);
+}
+
+#[test]
+fn all_problems_are_reported_at_once() {
+    insta::assert_snapshot!(error(
+        "data-center: north\nlog:\n  level: loud\nlimits:\n  body-size: 3\nfrobnicate: 1\n"
+    ));
+}
+
+#[test]
+fn each_kind_of_problem() {
+    let cases = [
+        ("unknown key", example_with(&[("service:", "servce:")])),
+        ("not a name", example_with(&[("data-centre: north", "data-centre: the north")])),
+        ("host name", example_with(&[("127.0.0.1:7000 ", "localhost:7000 ")])),
+        ("port zero", example_with(&[("127.0.0.1:7000 ", "127.0.0.1:0 ")])),
+        ("same address", example_with(&[("127.0.0.1:7001", "127.0.0.1:7000")])),
+        ("short secret", example_with(&[("change-me-fleet-credential", "hunter2")])),
+        ("misspelt secret", example_with(&[("fleet-credential:", "fleet-credentials:")])),
+        (
+            "section in place of a value",
+            example_with(&[("service: booking-ledger", "service: {a: 1}")]),
+        ),
+        ("list in place of a value", example_with(&[("service: booking-ledger", "service: [a]")])),
+        ("value in place of a list", example_with(&[("[127.0.0.1:7012, 127.0.0.1:7022]", "none")])),
+        ("wrong list item", example_with(&[("127.0.0.1:7022]", "everyone]")])),
+        ("length without unit", format!("{EXAMPLE}\nfreshness:\n  window: 2500\n")),
+        ("length out of range", format!("{EXAMPLE}\nfreshness:\n  window: 1min\n")),
+        (
+            "poll age above window",
+            format!("{EXAMPLE}\nfreshness:\n  window: 1s\n  poll-age: 1500ms\n"),
+        ),
+        ("size without unit", format!("{EXAMPLE}\nlimits:\n  body-size: 4096\n")),
+        ("size out of range", format!("{EXAMPLE}\nlimits:\n  body-size: 4096MiB\n")),
+        ("not a count", format!("{EXAMPLE}\nlimits:\n  connections: many\n")),
+        ("count out of range", format!("{EXAMPLE}\nlimits:\n  connections: 0\n")),
+        ("unknown word", format!("{EXAMPLE}\nlog:\n  format: xml\n")),
+    ];
+    let report: String =
+        cases.iter().map(|(name, yaml)| format!("# {name}\n{}\n", error(yaml))).collect();
+    insta::assert_snapshot!(report);
+}
+
+#[test]
+fn malformed_yaml_names_file_and_place() {
+    let error = Settings::parse(Path::new("node.yaml"), "a: [1,\nb: 2").unwrap_err();
+    let source = std::error::Error::source(&error).unwrap().to_string();
+    assert_eq!(error.to_string(), "settings file node.yaml is not well-formed YAML");
+    assert!(source.contains("line"), "{source}");
+}
+
+#[test]
+fn a_key_given_twice_is_refused() {
+    let error = Settings::parse(Path::new("node.yaml"), "service: a\nservice: b\n").unwrap_err();
+    let source = std::error::Error::source(&error).unwrap().to_string();
+    assert!(source.contains("service"), "{source}");
+}
+
+#[test]
+fn a_missing_file_is_named() {
+    let error = Settings::load(Path::new("no-such-file.yaml")).unwrap_err();
+    assert_eq!(error.to_string(), "cannot read settings file no-such-file.yaml");
+}
