Add stand-ins for the platform and targets, and a load generator

The product can only be run and tested as processes with something in the place of the platform, the targets and the callers. Each stand-in keeps tables that one control thread owns. Answers of targets prove themselves whole and their caller's own, and a target tells what it ran, so that the load generator can check the promises by itself: it exits non-zero on broken answers, keys seen by targets, non-repeatable requests run twice and withdrawn keys that go on working.

--- a/crates/mustardpin-settings/tests/testsuite/settings.rs
+++ b/crates/mustardpin-settings/tests/testsuite/settings.rs
@@ -7,7 +7,7 @@
 const EXAMPLE: &str = include_str!("../../../../settings.example.yaml");
 
 fn error(yaml: &str) -> String {
-    Settings::parse(Path::new("node.yaml"), yaml).unwrap_err().to_string()
+    Settings::parse(Path::new("node.yaml"), yaml).expect_err("the settings are wrong").to_string()
 }
 
 /// The example with some lines replaced.
--- /dev/null
+++ b/crates/mustardpin-standin/src/bin/load-generator.rs
@@ -0,0 +1,20 @@
+//! Sends load to nodes and checks every answer.
+
+use std::process::ExitCode;
+
+use mustardpin_standin::{
+    arguments,
+    load::{self, arguments::Arguments},
+};
+
+#[tokio::main(worker_threads = 3)]
+async fn main() -> ExitCode {
+    let arguments = match Arguments::parse(&mut lexopt::Parser::from_env()) {
+        Ok(Some(arguments)) => arguments,
+        Ok(None) => return ExitCode::SUCCESS,
+        Err(error) => return arguments::usage("load-generator", &error),
+    };
+    let report = load::run(arguments).await;
+    print!("{report}");
+    if report.broken().is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
--- /dev/null
+++ b/crates/mustardpin-standin/src/bin/platform-standin.rs
@@ -0,0 +1,21 @@
+//! Stands in for the platform.
+
+use std::process::ExitCode;
+
+use mustardpin_standin::{arguments, platform};
+
+#[tokio::main(worker_threads = 2)]
+async fn main() -> ExitCode {
+    let arguments = match platform::Arguments::parse(&mut lexopt::Parser::from_env()) {
+        Ok(Some(arguments)) => arguments,
+        Ok(None) => return ExitCode::SUCCESS,
+        Err(error) => return arguments::usage("platform-standin", &error),
+    };
+    match platform::run(arguments).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("platform-standin: cannot listen on {}: {error}", arguments.address);
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardpin-standin/src/http.rs
@@ -0,0 +1,156 @@
+//! HTTP as the stand-ins use it: a server, a client and bodies.
+
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use derive_more::{Display, Error, From};
+use futures::future::BoxFuture;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::{BodyExt as _, Full, combinators::BoxBody};
+use hyper::{body::Incoming, service::service_fn};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioIo},
+    server::conn::auto,
+};
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::net::{TcpListener, TcpStream};
+
+/// The largest JSON body that is read, in bytes.
+const JSON_SIZE_LIMIT: usize = 64 << 20;
+
+/// How long a helper call such as an announcement may take.
+pub const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The connection is closed in place of an answer, or in the middle of one.
+#[derive(Debug, Clone, Copy, Display, Error)]
+#[display("the connection is cut on purpose")]
+pub struct Cut;
+
+/// A body whose end may be a [`Cut`].
+pub type Body = BoxBody<Bytes, Cut>;
+
+/// A client that keeps connections open.
+pub type Caller = Client<HttpConnector, Full<Bytes>>;
+
+/// Why a JSON call failed.
+#[derive(Debug, Display, Error, From)]
+pub enum CallError {
+    /// The request could not be built.
+    #[display("the request is malformed")]
+    Request(http::Error),
+    /// No answer came.
+    #[display("no answer")]
+    Client(hyper_util::client::legacy::Error),
+    /// The answer broke off.
+    #[display("the answer broke off")]
+    Body(hyper::Error),
+    /// The answer or the question is not the JSON that it has to be.
+    #[display("unexpected JSON")]
+    Json(serde_json::Error),
+    /// Another status than 200.
+    #[display("status {_0}")]
+    #[from(skip)]
+    Status(#[error(not(source))] StatusCode),
+    /// No answer within [`CALL_TIMEOUT`].
+    #[display("no answer in time")]
+    Timeout(tokio::time::error::Elapsed),
+}
+
+/// Answers requests. Behind a trait object so that the server serves every stand-in.
+pub trait Front: Send + Sync + 'static {
+    /// The answer, or [`Cut`] to close the connection without one.
+    fn answer(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> BoxFuture<'static, Result<Response<Body>, Cut>>;
+}
+
+/// Accepts connections until the process ends.
+pub async fn serve(listener: TcpListener, front: Arc<dyn Front>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => drop(tokio::spawn(serve_connection(stream, Arc::clone(&front)))),
+            Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+        }
+    }
+}
+
+async fn serve_connection(stream: TcpStream, front: Arc<dyn Front>) {
+    let _nagle_stays_on = stream.set_nodelay(true);
+    let service = service_fn(move |request| Arc::clone(&front).answer(request));
+    let builder = auto::Builder::new(TokioExecutor::new());
+    let _cut_or_closed = builder.serve_connection(TokioIo::new(stream), service).await;
+}
+
+/// A client for HTTP/1.1, or for HTTP/2 without an upgrade.
+pub fn caller(http2: bool) -> Caller {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(Duration::from_secs(1)));
+    Client::builder(TokioExecutor::new()).http2_only(http2).build(connector)
+}
+
+/// A whole body of these bytes.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).map_err(|never: Infallible| match never {}).boxed()
+}
+
+/// An answer with a JSON body.
+pub fn json(status: StatusCode, value: &impl Serialize) -> Response<Body> {
+    match serde_json::to_vec(value) {
+        Ok(bytes) => {
+            let mut response = Response::new(full(bytes));
+            *response.status_mut() = status;
+            let json = header::HeaderValue::from_static("application/json");
+            response.headers_mut().insert(header::CONTENT_TYPE, json);
+            response
+        }
+        Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+    }
+}
+
+/// An answer with a text body.
+pub fn text(status: StatusCode, text: impl Into<Bytes>) -> Response<Body> {
+    let mut response = Response::new(full(text));
+    *response.status_mut() = status;
+    response
+}
+
+/// Reads a JSON body. The error is an answer with status 400 or 413.
+pub async fn read_json<T: DeserializeOwned>(body: Incoming) -> Result<T, Response<Body>> {
+    let limited = http_body_util::Limited::new(body, JSON_SIZE_LIMIT);
+    let bytes = match limited.collect().await {
+        Ok(collected) => collected.to_bytes(),
+        Err(error) => return Err(text(StatusCode::PAYLOAD_TOO_LARGE, error.to_string())),
+    };
+    serde_json::from_slice(&bytes).map_err(|error| text(StatusCode::BAD_REQUEST, error.to_string()))
+}
+
+/// Sends JSON and reads JSON.
+pub async fn call<T: DeserializeOwned>(
+    caller: &Caller,
+    method: &str,
+    address: SocketAddr,
+    path: &str,
+    body: Option<&(impl Serialize + Sync)>,
+) -> Result<T, CallError> {
+    let bytes = match body {
+        Some(body) => serde_json::to_vec(body)?,
+        None => Vec::new(),
+    };
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"))
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(bytes)))?;
+    let response = tokio::time::timeout(CALL_TIMEOUT, caller.request(request)).await??;
+    if !response.status().is_success() {
+        return Err(CallError::Status(response.status()));
+    }
+    let bytes = tokio::time::timeout(CALL_TIMEOUT, response.collect()).await??.to_bytes();
+    if bytes.is_empty() {
+        return Ok(serde_json::from_slice(b"null")?);
+    }
+    Ok(serde_json::from_slice(&bytes)?)
+}
--- /dev/null
+++ b/crates/mustardpin-standin/src/load/arguments.rs
@@ -0,0 +1,195 @@
+//! What the load generator is told when it starts.
+
+use std::{net::SocketAddr, path::PathBuf, str::FromStr, time::Duration};
+
+use compact_str::CompactString;
+
+use crate::arguments::{Error, millis, value};
+
+const HELP: &str = "\
+Sends open-loop load to nodes, checks every answer and prints what came back.
+
+Usage: load-generator --entry IP:PORT --team NAME,KEY,RATE --route 'WEIGHT METHOD PATH' [options]
+
+Options:
+  --entry IP:PORT        a node's address for callers; may be repeated, used in turn
+  --team NAME,KEY,RATE   a team, its tenant key (- for none) and its requests a second; repeated
+  --route 'WEIGHT METHOD PATH [once]'
+                         a route; `once` sends an idempotency key; may be repeated
+  --seconds N            how long to send (10)
+  --deadline-ms N        the time left that goes with each request (2000)
+  --retries N            sends a failed request again this many times at once (0)
+  --http2                speaks HTTP/2
+  --seed N               decides arrivals and routes (1)
+  --withdrawn TEAM=FILE  once FILE exists, the team's key counts as withdrawn
+  --inspect IP:PORT      a target stand-in to ask afterwards what it ran; may be repeated
+  --strict-cuts          requests cut off without an answer count as a broken promise
+  --help                 this text
+
+Exit codes: 0 no promise was broken; 1 a promise was broken; 2 wrong arguments.
+A promise is broken by an answer that is not whole or belongs to another request, by a key that a
+target saw, by a non-repeatable request that ran twice, and by a request that was sent more than
+3 s after its key was withdrawn and ran all the same.";
+
+/// A team that sends requests.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Team {
+    /// Its name.
+    pub name: CompactString,
+    /// Its tenant key.
+    pub key: Option<CompactString>,
+    /// Requests a second.
+    pub rate: f64,
+    /// Its key counts as withdrawn once this file exists.
+    pub withdrawn_mark: Option<PathBuf>,
+}
+
+impl FromStr for Team {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Team, String> {
+        let parts: Vec<_> = text.split(',').collect();
+        let [name, key, rate] = parts[..] else {
+            return Err("write a team as NAME,KEY,RATE".to_owned());
+        };
+        let rate = rate.parse().map_err(|_| format!("{rate} is not a rate"))?;
+        let key = (key != "-").then(|| key.into());
+        Ok(Team { name: name.into(), key, rate, withdrawn_mark: None })
+    }
+}
+
+/// A kind of request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Route {
+    /// How often it is drawn, relative to the others.
+    pub weight: f64,
+    /// The HTTP method.
+    pub method: CompactString,
+    /// The path, with a query if need be.
+    pub path: CompactString,
+    /// Whether it is non-repeatable and goes with an idempotency key.
+    pub once: bool,
+}
+
+impl FromStr for Route {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Route, String> {
+        let parts: Vec<_> = text.split_whitespace().collect();
+        let (weight, method, path, once) = match parts[..] {
+            [weight, method, path] => (weight, method, path, false),
+            [weight, method, path, "once"] => (weight, method, path, true),
+            _ => return Err("write a route as 'WEIGHT METHOD PATH [once]'".to_owned()),
+        };
+        let weight = weight.parse().map_err(|_| format!("{weight} is not a weight"))?;
+        Ok(Route { weight, method: method.into(), path: path.into(), once })
+    }
+}
+
+/// What the load generator is told when it starts.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Arguments {
+    /// Where callers reach nodes.
+    pub entries: Vec<SocketAddr>,
+    /// Who sends.
+    pub teams: Vec<Team>,
+    /// What is sent.
+    pub routes: Vec<Route>,
+    /// How long to send.
+    pub duration: Duration,
+    /// The time left that goes with each request.
+    pub deadline: Duration,
+    /// How often a failed request is sent again.
+    pub retries: u32,
+    /// Whether to speak HTTP/2.
+    pub http2: bool,
+    /// Decides arrivals and routes.
+    pub seed: u64,
+    /// Target stand-ins to ask what they ran.
+    pub inspected: Vec<SocketAddr>,
+    /// Whether a request without an answer counts as a broken promise.
+    pub strict_cuts: bool,
+}
+
+impl Default for Arguments {
+    fn default() -> Arguments {
+        Arguments {
+            entries: Vec::new(),
+            teams: Vec::new(),
+            routes: Vec::new(),
+            duration: Duration::from_secs(10),
+            deadline: Duration::from_secs(2),
+            retries: 0,
+            http2: false,
+            seed: 1,
+            inspected: Vec::new(),
+            strict_cuts: false,
+        }
+    }
+}
+
+impl Arguments {
+    /// Reads the arguments; `None` if only the help text was asked for.
+    pub fn parse(parser: &mut lexopt::Parser) -> Result<Option<Arguments>, Error> {
+        use lexopt::Arg::Long;
+
+        let mut arguments = Arguments::default();
+        let mut marks: Vec<String> = Vec::new();
+        while let Some(argument) = parser.next()? {
+            match argument {
+                Long("entry") => arguments.entries.push(value(parser)?),
+                Long("team") => arguments.teams.push(value(parser)?),
+                Long("route") => arguments.routes.push(value(parser)?),
+                Long("seconds") => arguments.duration = Duration::from_secs(value(parser)?),
+                Long("deadline-ms") => arguments.deadline = millis(parser)?,
+                Long("retries") => arguments.retries = value(parser)?,
+                Long("http2") => arguments.http2 = true,
+                Long("seed") => arguments.seed = value(parser)?,
+                Long("withdrawn") => marks.push(value(parser)?),
+                Long("inspect") => arguments.inspected.push(value(parser)?),
+                Long("strict-cuts") => arguments.strict_cuts = true,
+                Long("help") => {
+                    println!("{HELP}");
+                    return Ok(None);
+                }
+                argument => return Err(argument.unexpected().into()),
+            }
+        }
+        for mark in marks {
+            arguments.mark(mark)?;
+        }
+        arguments.check()?;
+        Ok(Some(arguments))
+    }
+
+    fn mark(&mut self, mark: String) -> Result<(), Error> {
+        let found = mark.split_once('=').and_then(|(name, file)| {
+            let team = self.teams.iter_mut().find(|team| team.name == name)?;
+            Some((team, file))
+        });
+        match found {
+            Some((team, file)) => team.withdrawn_mark = Some(file.into()),
+            None => {
+                return Err(Error::Malformed {
+                    option: "--withdrawn",
+                    value: mark,
+                    expected: "TEAM=FILE with a team of this load",
+                });
+            }
+        }
+        Ok(())
+    }
+
+    fn check(&self) -> Result<(), Error> {
+        if self.entries.is_empty() {
+            return Err(Error::Missing("--entry"));
+        }
+        if self.teams.is_empty() {
+            return Err(Error::Missing("--team"));
+        }
+        if self.routes.is_empty() {
+            return Err(Error::Missing("--route"));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/mustardpin-standin/src/load/inspect.rs
@@ -0,0 +1,74 @@
+//! Asks target stand-ins what they ran and checks it against the promises.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use compact_str::CompactString;
+
+use crate::{
+    http::{self, CallError, Caller},
+    load::arguments::Arguments,
+    target::run::{Report, Run},
+};
+
+/// What the targets ran.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Inspection {
+    /// Requests run.
+    pub ran: usize,
+    /// Requests declined.
+    pub declined: u64,
+    /// Runs cancelled.
+    pub cancelled: u64,
+    /// Headers in which a target saw a tenant key.
+    pub keys_seen: usize,
+    /// Non-repeatable requests that ran more than once.
+    pub run_twice: Vec<CompactString>,
+    /// Targets that did not answer.
+    pub silent: Vec<SocketAddr>,
+}
+
+/// Asks all targets named in the arguments.
+pub async fn inspect(arguments: &Arguments) -> Inspection {
+    let caller = http::caller(false);
+    let mut inspection = Inspection::default();
+    let mut runs = Vec::new();
+    for &address in &arguments.inspected {
+        match report(&caller, address).await {
+            Ok(report) => {
+                inspection.declined += report.declined;
+                inspection.cancelled += report.cancelled;
+                runs.extend(report.ran);
+            }
+            Err(_) => inspection.silent.push(address),
+        }
+    }
+    let keys: Vec<_> = arguments.teams.iter().filter_map(|team| team.key.as_deref()).collect();
+    inspection.ran = runs.len();
+    inspection.keys_seen = keys_seen(&runs, &keys);
+    inspection.run_twice = run_twice(&runs);
+    inspection
+}
+
+/// Asks one target what it ran.
+pub async fn report(caller: &Caller, address: SocketAddr) -> Result<Report, CallError> {
+    http::call(caller, "GET", address, "/standin/ran", None::<&()>).await
+}
+
+/// Headers in which a target saw one of the keys, or its secret part.
+pub fn keys_seen(runs: &[Run], keys: &[&str]) -> usize {
+    let secrets: Vec<_> =
+        keys.iter().map(|key| key.split_once('.').map_or(*key, |(_, secret)| secret)).collect();
+    let headers = runs.iter().flat_map(|run| &run.headers);
+    headers.filter(|header| secrets.iter().any(|secret| header.value.contains(secret))).count()
+}
+
+/// The idempotency keys that ran more than once on the same path.
+pub fn run_twice(runs: &[Run]) -> Vec<CompactString> {
+    let mut counts: BTreeMap<(&str, &str), u32> = BTreeMap::new();
+    for run in runs {
+        let Some(key) = &run.idempotency_key else { continue };
+        *counts.entry((&run.path, key)).or_default() += 1;
+    }
+    let twice = counts.into_iter().filter(|(_, count)| *count > 1);
+    twice.map(|((_, key), _)| key.into()).collect()
+}
--- /dev/null
+++ b/crates/mustardpin-standin/src/load/sender.rs
@@ -0,0 +1,162 @@
+//! Sends one request, again if need be, and judges the answer.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use compact_str::{CompactString, format_compact};
+use http::{HeaderMap, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::Incoming;
+
+use crate::{
+    control::Handle,
+    http::{Caller, caller},
+    load::{
+        arguments::{Arguments, Route, Team},
+        tally::{End, Event, RouteKey, Sample, TeamKey},
+    },
+    target::{answer, chain},
+};
+
+/// How long past its deadline a request is waited for.
+const SLACK: Duration = Duration::from_secs(1);
+
+/// How long a withdrawn key may go on working.
+const WITHDRAWAL_TARGET: Duration = Duration::from_secs(3);
+
+/// One request of the load.
+#[derive(Debug, Clone, Copy)]
+pub struct Job {
+    /// Who sends it.
+    pub team: TeamKey,
+    /// What it asks.
+    pub route: RouteKey,
+    /// Its number among the team's requests.
+    pub number: u64,
+    /// When it was due; latency counts from here.
+    pub due: Instant,
+}
+
+/// Sends requests to the entry nodes in turn.
+#[derive(Debug)]
+pub struct Sender {
+    arguments: Arc<Arguments>,
+    control: Handle<Event>,
+    caller: Caller,
+    next_entry: AtomicUsize,
+}
+
+impl Sender {
+    /// A sender to the entry nodes in the arguments.
+    pub fn new(arguments: Arc<Arguments>, control: Handle<Event>) -> Sender {
+        let caller = caller(arguments.http2);
+        Sender { arguments, control, caller, next_entry: AtomicUsize::new(0) }
+    }
+
+    /// Sends a request until it is answered or the retries are spent.
+    pub async fn run(&self, job: Job) {
+        let team = &self.arguments.teams[job.team.0];
+        let withdrawn = self.withdrawn_for(team);
+        let mut attempts = 0;
+        let end = loop {
+            attempts += 1;
+            let end = self.attempt(job).await;
+            if end.is_whole() || attempts > self.arguments.retries {
+                break end;
+            }
+        };
+        let end = match end {
+            End::Whole if withdrawn.is_some_and(|age| age > WITHDRAWAL_TARGET) => {
+                End::RanAfterWithdrawal
+            }
+            end => end,
+        };
+        let sample =
+            Sample { team: job.team, route: job.route, end, attempts, latency: job.due.elapsed() };
+        self.control.send(Event::Answered(sample));
+    }
+
+    /// How long the team's key has been withdrawn.
+    fn withdrawn_for(&self, team: &Team) -> Option<Duration> {
+        let metadata = std::fs::metadata(team.withdrawn_mark.as_ref()?).ok()?;
+        metadata.modified().ok()?.elapsed().ok()
+    }
+
+    /// Sends a request once, to the first entry node that accepts a connection.
+    async fn attempt(&self, job: Job) -> End {
+        let entries = &self.arguments.entries;
+        for _ in 0..entries.len() {
+            let index = self.next_entry.fetch_add(1, Ordering::Relaxed) % entries.len();
+            let Ok(request) = self.request(job, index) else { return End::NotConnected };
+            let limit = self.arguments.deadline + SLACK;
+            let exchange = tokio::time::timeout(limit, self.exchange(job, request)).await;
+            match exchange {
+                Ok(End::NotConnected) => continue,
+                Ok(end) => return end,
+                Err(_) => return End::TimedOut,
+            }
+        }
+        End::NotConnected
+    }
+
+    async fn exchange(&self, job: Job, request: Request<Full<Bytes>>) -> End {
+        match self.caller.request(request).await {
+            Ok(response) => self.judge(job, response).await,
+            Err(error) if error.is_connect() => End::NotConnected,
+            Err(_) => End::CutOff,
+        }
+    }
+
+    async fn judge(&self, job: Job, response: Response<Incoming>) -> End {
+        let (parts, body) = response.into_parts();
+        let Ok(body) = body.collect().await else { return End::CutOff };
+        if parts.status == StatusCode::OK {
+            return match answer::check(&body.to_bytes(), &self.name(job)) {
+                Ok(()) => End::Whole,
+                Err(flaw) => End::Flawed(flaw),
+            };
+        }
+        let status = parts.status.as_u16();
+        match text(&parts.headers, "mustardpin-reason") {
+            Some(reason) => {
+                let outcome = text(&parts.headers, "mustardpin-outcome").unwrap_or_default();
+                End::Refused { status, reason, outcome }
+            }
+            None => End::Failed { status },
+        }
+    }
+
+    fn request(&self, job: Job, entry: usize) -> http::Result<Request<Full<Bytes>>> {
+        let team = &self.arguments.teams[job.team.0];
+        let Route { method, path, once, .. } = &self.arguments.routes[job.route.0];
+        let entry = self.arguments.entries[entry];
+        let name = self.name(job);
+        let mut builder = Request::builder()
+            .method(method.as_str())
+            .uri(format!("http://{entry}{path}"))
+            .header("request-timeout-ms", self.arguments.deadline.as_millis().to_string())
+            .header(chain::REQUEST_HEADER, name.as_str());
+        if let Some(key) = &team.key {
+            builder = builder.header(header::AUTHORIZATION, format!("Bearer {key}"));
+        }
+        if *once {
+            builder = builder.header(chain::IDEMPOTENCY_HEADER, name.as_str());
+        }
+        builder.body(Full::default())
+    }
+
+    fn name(&self, job: Job) -> CompactString {
+        let team = &self.arguments.teams[job.team.0].name;
+        format_compact!("{team}-{}-{}", self.arguments.seed, job.number)
+    }
+}
+
+fn text(headers: &HeaderMap, name: &str) -> Option<CompactString> {
+    headers.get(name).and_then(|value| value.to_str().ok()).map(CompactString::from)
+}
--- /dev/null
+++ b/crates/mustardpin-standin/src/platform.rs
@@ -0,0 +1,57 @@
+//! The platform's stand-in: a transactional table and an object store over HTTP, in memory.
+
+pub mod front;
+pub mod table;
+
+use std::{net::SocketAddr, sync::Arc};
+
+use crate::{
+    arguments::{self, Error},
+    control, http,
+};
+
+const HELP: &str = "\
+Stands in for the platform: a transactional table and an object store, in memory.
+
+Usage: platform-standin --address IP:PORT
+
+Options:
+  --address IP:PORT  where it listens
+  --help             this text
+
+Changes of behaviour at run time: POST /standin/mode
+  {\"mode\": \"up|down|slow|error|lose-answer\", \"delay-ms\": 0}
+Counts of reads and writes: GET /standin/counts";
+
+/// What the program is told when it starts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Arguments {
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+impl Arguments {
+    /// Reads the arguments; `None` if only the help text was asked for.
+    pub fn parse(parser: &mut lexopt::Parser) -> Result<Option<Arguments>, Error> {
+        let mut address = None;
+        while let Some(argument) = parser.next()? {
+            match argument {
+                lexopt::Arg::Long("address") => address = Some(arguments::value(parser)?),
+                lexopt::Arg::Long("help") => {
+                    println!("{HELP}");
+                    return Ok(None);
+                }
+                argument => return Err(argument.unexpected().into()),
+            }
+        }
+        Ok(Some(Arguments { address: arguments::required(address, "--address")? }))
+    }
+}
+
+/// Serves until the process ends.
+pub async fn run(arguments: Arguments) -> std::io::Result<()> {
+    let listener = tokio::net::TcpListener::bind(arguments.address).await?;
+    let (handle, _thread) = control::start(table::Store::default());
+    http::serve(listener, Arc::new(front::Platform::new(handle))).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/mustardpin-standin/src/target.rs
@@ -0,0 +1,39 @@
+//! The target's stand-in: runs requests in slots, calls further services and tells what it ran.
+
+pub mod announce;
+pub mod answer;
+pub mod arguments;
+pub mod chain;
+pub mod front;
+pub mod run;
+
+use std::sync::Arc;
+
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::{
+    control, http,
+    target::{announce::Announcer, arguments::Arguments, front::Target, run::Event},
+};
+
+/// Serves until the process is told to stop and has finished what it was running.
+pub async fn run(arguments: Arguments) -> std::io::Result<()> {
+    let listener = tokio::net::TcpListener::bind(arguments.address).await?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let (handle, _thread) = control::start(run::Site::new(&arguments));
+    let caller = http::caller(false);
+    let target = Target::new(handle.clone(), caller.clone(), &arguments);
+    tokio::spawn(http::serve(listener, Arc::new(target)));
+    let announcer = Announcer::new(handle.clone(), caller, &arguments);
+    tokio::select! {
+        () = announcer.run() => {}
+        _ = terminate.recv() => {}
+    }
+    let (sender, idle) = tokio::sync::oneshot::channel();
+    handle.send(Event::Drain(sender));
+    announcer.announce().await;
+    let _idle_or_ending = idle.await;
+    // The last answers are still on their way through the sockets.
+    tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/mustardpin-standin/tests/testsuite/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the stand-ins.
+
+mod load;
+mod platform;
