--- /dev/null
+++ b/crates/mustardpin-wire/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the wire types: round trips, and decoders that face the network.
+
+mod platform;
--- a/crates/mustardpin-world/src/event.rs
+++ b/crates/mustardpin-world/src/event.rs
@@ -7,6 +7,7 @@
     id::{CallKey, NodeId, Revision},
     message::Message,
     platform,
+    refusal::Reason,
     request::{ForwardEnd, Pressure, Request, RunEnd},
 };
 
@@ -45,7 +46,9 @@
 pub enum Event {
     /// A request arrived.
     Arrived(Request),
-    /// The caller of a call has gone.
+    /// A request was refused before the world could be told of it.
+    Refused(Reason),
+    /// The caller of a call has gone, or its answer was broken off.
     CallerGone(CallKey),
     /// The own target ended a run.
     RunEnded(CallKey, RunEnd),
--- a/crates/mustardpin-world/src/refusal.rs
+++ b/crates/mustardpin-world/src/refusal.rs
@@ -64,6 +64,10 @@
     RouteUnknown = "route_unknown", 404;
     /// The call token is not one that this node issued for a call in progress.
     CallTokenInvalid = "call_token_invalid", 403;
+    /// The request cannot be read.
+    RequestMalformed = "request_malformed", 400;
+    /// The request body did not come in time.
+    BodyTimeout = "body_timeout", 408;
     /// The same non-repeatable request is in progress.
     InProgress = "in_progress", 409;
     /// The same non-repeatable request may have run before; its answer is lost.
@@ -94,6 +98,8 @@
     WrongHome = "wrong_home", 503;
     /// The node that would mirror the record of this request did not answer.
     MirrorUnavailable = "mirror_unavailable", 503;
+    /// The node has as many requests in progress as it may.
+    InProgressLimit = "in_progress_limit", 503;
     /// The node has no recent knowledge of keys and configuration.
     CutOff = "cut_off", 503;
     /// The node has no configuration yet.
--- a/crates/mustardpin-world/src/system.rs
+++ b/crates/mustardpin-world/src/system.rs
@@ -19,6 +19,7 @@
     id::{CallKey, NodeId},
     message::Message,
     platform,
+    refusal::Reason,
     request::{ForwardEnd, Pressure, Request, RunEnd},
     world::{Tick, World},
 };
@@ -35,6 +36,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Inbox {
     pub(crate) arrived: Vec<Request>,
+    pub(crate) refused: Vec<Reason>,
     pub(crate) callers_gone: Vec<CallKey>,
     pub(crate) runs_ended: Vec<(CallKey, RunEnd)>,
     pub(crate) forwards_ended: Vec<(CallKey, ForwardEnd, Option<Pressure>)>,
@@ -55,6 +57,7 @@
         for event in events {
             match event {
                 Event::Arrived(request) => inbox.arrived.push(request),
+                Event::Refused(reason) => inbox.refused.push(reason),
                 Event::CallerGone(call) => inbox.callers_gone.push(call),
                 Event::RunEnded(call, end) => inbox.runs_ended.push((call, end)),
                 Event::ForwardEnded { call, end, pressure } => {
--- a/crates/mustardpin-world/src/system/intake.rs
+++ b/crates/mustardpin-world/src/system/intake.rs
@@ -31,6 +31,9 @@
 }
 
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
+    for reason in std::mem::take(&mut tick.inbox.refused) {
+        world.tables.counters.refuse(reason);
+    }
     for request in std::mem::take(&mut tick.inbox.arrived) {
         world.tables.counters.work(Work::Accepted);
         match arrival(world, tick.now, &request) {
