--- /dev/null
+++ b/crates/mustardpin-node/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the node library.
+
+mod admin;
--- /dev/null
+++ b/crates/mustardpin-wire/src/admin/validation.rs
@@ -0,0 +1,125 @@
+//! Checks the values of a row that an operator wants to write.
+
+use std::ops::RangeInclusive;
+
+use compact_str::{CompactString, ToCompactString as _, format_compact};
+use mustardpin_world::{
+    Millis,
+    config::{Change, CutOffPolicy, Exception, Fleet, Key, Route, Row, Team},
+};
+
+use crate::admin::Error;
+
+const RATES: RangeInclusive<u32> = 1..=10_000_000;
+const WEIGHTS: RangeInclusive<u32> = 1..=1_000;
+const ALLOWANCES: RangeInclusive<u32> = 0..=100;
+const TIMEOUTS: RangeInclusive<Millis> = Millis(1)..=Millis::from_secs(3_600);
+const RETENTIONS: RangeInclusive<Millis> = Millis::from_secs(1)..=Millis::from_secs(86_400);
+const GRACES: RangeInclusive<Millis> = Millis::from_secs(1)..=Millis::from_secs(86_400);
+const REASON_LENGTHS: RangeInclusive<usize> = 3..=500;
+const NAME_LENGTHS: RangeInclusive<usize> = 1..=64;
+
+type Problem = Option<CompactString>;
+
+/// Whether a text can name a row or a change.
+pub(super) fn is_name(text: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-' || byte == b'_';
+    NAME_LENGTHS.contains(&text.len()) && text.bytes().all(allowed)
+}
+
+/// Checks a row by itself. Whether what it refers to exists is for the world to say.
+pub(super) fn check(row: &Row) -> Result<(), Error> {
+    let path = row.path();
+    let problem = name("name", &path.name).or_else(|| match row {
+        Row::Fleet(fleet) => check_fleet(fleet),
+        Row::Team(team) => check_team(team),
+        Row::Route(route) => check_route(route),
+        Row::Key(key) => check_key(key),
+        Row::Exception(exception) => check_exception(exception),
+    });
+    match problem {
+        None => Ok(()),
+        Some(problem) => Err(Error::Value { path: path.to_compact_string(), problem }),
+    }
+}
+
+fn check_fleet(fleet: &Fleet) -> Problem {
+    let grace = match fleet.cut_off {
+        CutOffPolicy::Refuse => None,
+        CutOffPolicy::Serve(grace) => within("cut-off", grace, GRACES),
+    };
+    grace
+        .or_else(|| within("retry-allowance", fleet.retry_allowance, ALLOWANCES))
+        .or_else(|| within("record-retention", fleet.record_retention, RETENTIONS))
+}
+
+fn check_team(team: &Team) -> Problem {
+    within("rate", team.rate, RATES)
+        .or_else(|| within("burst", team.burst, RATES))
+        .or_else(|| within("weight", team.weight, WEIGHTS))
+}
+
+fn check_route(route: &Route) -> Problem {
+    if !route.path_prefix.starts_with('/') || route.path_prefix.contains(['?', '#', ' ']) {
+        return Some(format_compact!(
+            "path: `{}` is not a path; write it from its first slash, without a query",
+            route.path_prefix
+        ));
+    }
+    if let Some(method) = &route.method
+        && !method.bytes().all(|byte| byte.is_ascii_uppercase())
+    {
+        return Some(format_compact!("method: `{method}` is not a method; write GET or POST"));
+    }
+    name("service", &route.service)
+        .or_else(|| route.teams.iter().find_map(|team| name("teams", team)))
+        .or_else(|| within("timeout", route.timeout, TIMEOUTS))
+}
+
+fn check_key(key: &Key) -> Problem {
+    name("team", &key.team)
+}
+
+fn check_exception(exception: &Exception) -> Problem {
+    let length = exception.reason.trim().len();
+    if !REASON_LENGTHS.contains(&length) {
+        return Some(format_compact!(
+            "reason: `{}` is not a reason; say why in {} to {} characters",
+            exception.reason,
+            REASON_LENGTHS.start(),
+            REASON_LENGTHS.end()
+        ));
+    }
+    match &exception.change {
+        Change::TeamRate { team, rate, burst } => name("team", team)
+            .or_else(|| within("rate", *rate, RATES))
+            .or_else(|| within("burst", *burst, RATES)),
+        Change::Importance { team, route, .. } => {
+            name("team", team).or_else(|| name("route", route))
+        }
+        Change::ServeCutOff { team, grace } => {
+            name("team", team).or_else(|| within("grace", *grace, GRACES))
+        }
+    }
+}
+
+fn name(key: &str, text: &str) -> Problem {
+    if is_name(text) {
+        return None;
+    }
+    Some(format_compact!(
+        "{key}: `{text}` is not a name; choose 1 to 64 letters, digits, hyphens or underscores"
+    ))
+}
+
+fn within<T: PartialOrd + std::fmt::Display>(
+    key: &str,
+    value: T,
+    range: RangeInclusive<T>,
+) -> Problem {
+    if range.contains(&value) {
+        return None;
+    }
+    let (least, most) = range.into_inner();
+    Some(format_compact!("{key}: `{value}` is out of range; choose from {least} to {most}"))
+}
--- a/crates/mustardpin-wire/src/lib.rs
+++ b/crates/mustardpin-wire/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here decides anything: bytes from outside become the world's types with `TryFrom`, and
 //! the world's types become answers and messages with `From`.
 
+pub mod admin;
 pub mod answer;
 pub mod config;
 pub mod forward;
