Add the operator commands

Operators drive a fleet by the command: check a settings file, show and change defaults, exceptions with reasons, tenant keys, status. Each change names the revision it was made for and a change id that stays the same while its outcome is unknown, so a lost answer is settled by sending it again.

--- /dev/null
+++ b/src/access.rs
@@ -0,0 +1,70 @@
+//! How a command reaches the administration API: addresses and the operator credential.
+
+use std::{env, fs, net::SocketAddr, path::PathBuf};
+
+use compact_str::CompactString;
+use lexopt::ValueExt as _;
+use mustardpin_settings::Settings;
+
+use crate::{client::Client, error::Error};
+
+/// The options that every operator command takes.
+pub const HELP: &str = "\
+Access:
+  --settings FILE         takes address and credential from the settings of a node
+  --admin IP:PORT         the administration API of a node; may be repeated, used in turn
+  --credential-file FILE  holds the operator credential
+  The credential may also stand in the variable MUSTARDPIN_OPERATOR_CREDENTIAL.";
+
+const CREDENTIAL_VARIABLE: &str = "MUSTARDPIN_OPERATOR_CREDENTIAL";
+
+/// What the arguments say about access.
+#[derive(Debug, Default)]
+pub struct Access {
+    settings: Option<PathBuf>,
+    addresses: Vec<SocketAddr>,
+    credential_file: Option<PathBuf>,
+}
+
+impl Access {
+    /// Takes an option if it is about access; `false` if it is not.
+    pub fn take(&mut self, name: &str, parser: &mut lexopt::Parser) -> Result<bool, Error> {
+        match name {
+            "settings" => self.settings = Some(parser.value()?.into()),
+            "admin" => self.addresses.push(parser.value()?.parse()?),
+            "credential-file" => self.credential_file = Some(parser.value()?.into()),
+            _ => return Ok(false),
+        }
+        Ok(true)
+    }
+
+    /// A client of the administration API.
+    pub fn client(self) -> Result<Client, Error> {
+        let mut addresses = self.addresses;
+        let mut credential = self.credential_file.map(read_credential).transpose()?;
+        if let Some(file) = &self.settings {
+            let settings = Settings::load(file)?;
+            addresses.push(settings.addresses.admin);
+            credential = credential.or(Some(settings.credentials.operator));
+        }
+        let credential = credential.or_else(|| env::var(CREDENTIAL_VARIABLE).ok().map(Into::into));
+        let Some(credential) = credential else {
+            return Err(Error::Usage(format!(
+                "no operator credential; give --settings, --credential-file or {CREDENTIAL_VARIABLE}"
+            )));
+        };
+        if addresses.is_empty() {
+            return Err(Error::Usage(
+                "no administration API; give --admin IP:PORT or --settings FILE".to_owned(),
+            ));
+        }
+        Ok(Client::new(addresses, credential))
+    }
+}
+
+fn read_credential(file: PathBuf) -> Result<CompactString, Error> {
+    match fs::read_to_string(&file) {
+        Ok(text) => Ok(text.trim().into()),
+        Err(source) => Err(Error::File { file, source }),
+    }
+}
--- /dev/null
+++ b/src/cmd/proposal.rs
@@ -0,0 +1,126 @@
+//! What all commands that change the configuration have in common.
+
+use compact_str::CompactString;
+use lexopt::{Arg, Parser, ValueExt as _};
+use mustardpin_wire::{admin::Configuration, config as wire};
+use mustardpin_world::config::{Path, Row};
+
+use crate::{
+    access::Access,
+    client::{Change, Client},
+    error::Error,
+};
+
+/// The options that every change takes.
+pub const HELP: &str = "\
+Changes:
+  --expected REVISION     the revision you have seen; without it, the one the node is at
+  --change-id ID          the id of a change whose answer was lost, to settle it";
+
+/// The arguments of an operator command.
+#[derive(Debug, Default)]
+pub struct Arguments {
+    /// How to reach the administration API.
+    pub access: Access,
+    /// Words in order.
+    pub words: Vec<String>,
+    /// Whether to print JSON.
+    pub json: bool,
+    /// Why, for an exception.
+    pub reason: Option<CompactString>,
+    /// The id of a key to issue.
+    pub id: Option<CompactString>,
+    expected: Option<u64>,
+    change_id: Option<CompactString>,
+}
+
+impl Arguments {
+    /// Reads the arguments; `None` if only the help text was asked for.
+    pub fn parse(parser: &mut Parser, help: &str) -> Result<Option<Arguments>, Error> {
+        let mut arguments = Arguments::default();
+        while let Some(argument) = parser.next()? {
+            let name = match argument {
+                Arg::Long("help") => {
+                    println!("{help}");
+                    return Ok(None);
+                }
+                Arg::Value(word) => {
+                    arguments.words.push(word.string()?);
+                    continue;
+                }
+                Arg::Long(name) => name.to_owned(),
+                argument => return Err(argument.unexpected().into()),
+            };
+            arguments.take(&name, parser)?;
+        }
+        Ok(Some(arguments))
+    }
+
+    fn take(&mut self, name: &str, parser: &mut Parser) -> Result<(), Error> {
+        match name {
+            "json" => self.json = true,
+            "reason" => self.reason = Some(parser.value()?.parse()?),
+            "id" => self.id = Some(parser.value()?.parse()?),
+            "expected" => self.expected = Some(parser.value()?.parse()?),
+            "change-id" => self.change_id = Some(parser.value()?.parse()?),
+            name if self.access.take(name, parser)? => {}
+            name => return Err(Arg::Long(name).unexpected().into()),
+        }
+        Ok(())
+    }
+
+    /// The words, for matching.
+    pub fn words(&self) -> Vec<&str> {
+        self.words.iter().map(String::as_str).collect()
+    }
+}
+
+/// The configuration, and the means to change it.
+#[derive(Debug)]
+pub struct Session {
+    /// The client.
+    pub client: Client,
+    /// The revision that a change expects.
+    pub expected: u64,
+    /// All rows, in the order of their paths.
+    pub rows: Vec<Row>,
+    change_id: Option<CompactString>,
+}
+
+impl Session {
+    /// Reads the configuration.
+    pub async fn open(arguments: Arguments) -> Result<Session, Error> {
+        let client = arguments.access.client()?;
+        let Configuration { revision, rows } = client.configuration().await?;
+        let rows = rows.into_iter().filter_map(|row| Row::try_from(row).ok()).collect();
+        Ok(Session {
+            client,
+            expected: arguments.expected.unwrap_or(revision),
+            rows,
+            change_id: arguments.change_id,
+        })
+    }
+
+    /// The row of this path.
+    pub fn row(&self, path: &Path) -> Option<&Row> {
+        self.rows.iter().find(|row| row.path() == *path)
+    }
+
+    /// Writes a row and gives the revision.
+    pub async fn write(&self, row: Row) -> Result<u64, Error> {
+        self.change(Change { rows: vec![row.into()], removals: Vec::new() }).await
+    }
+
+    /// Removes the row of this path and gives the revision.
+    pub async fn remove(&self, path: Path) -> Result<u64, Error> {
+        if self.row(&path).is_none() && self.change_id.is_none() {
+            return Err(Error::Missing(path.to_string().into()));
+        }
+        self.change(Change { rows: Vec::new(), removals: vec![wire::Path::from(path)] }).await
+    }
+
+    async fn change(&self, change: Change) -> Result<u64, Error> {
+        let acceptance = self.client.change(self.change_id.clone(), self.expected, change).await?;
+        Ok(acceptance.revision)
+    }
+}
