Agree on configuration, members, freshness and the epoch

Cause: the systems were stubs: nodes knew only the platform, a platform outage of one window cut all of them off, and no operator's change had a way in.

Change: SWIM-like exchanges with indirect probes and incarnations; ages of knowledge from the platform and from each data centre; epochs proposed through the platform by any node with news; operators' changes checked whole, written by one transaction and settled by reading back; deltas pushed and repaired by digests; leaving announced first. Exceptions apply to rate, importance and the cut-off policy (Tables::limits, importance, cut_off_policy). Standing::is_settled and may_use are for homes and shares.

Seen on the way, in a trial with nine nodes in three data centres: - Ages of the own data centre reported in a circle never became young, so all nodes were cut off 2.5 s into a platform outage. A direct reply from the own data centre now counts as news from it. - With the platform up, ages of other data centres pass the window often; judging contact by them wrote 45 rows in 10 s.

Conclusion: a killed node leaves the epoch of all others, a restarted one joins it, and an outage of 20 s leaves all nodes fresh.

--- a/crates/mustardpin-virtual/src/fleet.rs
+++ b/crates/mustardpin-virtual/src/fleet.rs
@@ -284,6 +284,7 @@
         node.up = true;
         node.exited = false;
         node.frozen = false;
+        node.next_tick = Millis::MAX;
         node.target.up = true;
         self.boot(site);
     }
--- a/crates/mustardpin-virtual/tests/testsuite/main.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the virtual fleet.
 
+mod membership;
 mod path;
--- a/crates/mustardpin-world/src/message/epoch.rs
+++ b/crates/mustardpin-world/src/message/epoch.rs
@@ -26,6 +26,31 @@
     pub members: Vec<Member>,
 }
 
+impl Epoch {
+    /// Whether a node is a member.
+    ///
+    /// ```
+    /// use mustardpin_world::{id::NodeId, message::epoch::Epoch};
+    /// assert!(!Epoch::default().contains(NodeId(1)));
+    /// ```
+    pub fn contains(&self, node: NodeId) -> bool {
+        self.members.binary_search_by_key(&node, |member| member.node).is_ok()
+    }
+}
+
+/// What one epoch changed in the epoch before it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Step {
+    /// The number of the epoch it leads to. It starts from the one before.
+    pub number: u64,
+    /// The platform's revision of the epoch it leads to.
+    pub revision: Revision,
+    /// Members that are no longer there.
+    pub removed: Vec<NodeId>,
+    /// Members that are new.
+    pub added: Vec<Member>,
+}
+
 /// A message about the epoch.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Message {
@@ -36,4 +61,6 @@
     },
     /// The sender's epoch.
     Have(Epoch),
+    /// The steps that lead to the sender's epoch, in order.
+    Steps(Vec<Step>),
 }
--- a/crates/mustardpin-world/src/options.rs
+++ b/crates/mustardpin-world/src/options.rs
@@ -7,6 +7,10 @@
 pub struct Options {
     /// Options of the membership system.
     pub membership: Membership,
+    /// Options of the epoch system.
+    pub epoch: Epoch,
+    /// Options of the configuration system.
+    pub configuration: Configuration,
     /// Options of the freshness system.
     pub freshness: Freshness,
     /// Options of the queueing system.
@@ -20,11 +24,52 @@
 pub struct Membership {
     /// The time between two exchanges with a random peer.
     pub gossip_period: Millis,
+    /// A peer that has not replied within this time is asked through others.
+    pub reply_timeout: Millis,
+    /// A peer that others can't reach either within this time is suspected.
+    pub probe_timeout: Millis,
+    /// A suspected peer that has not refuted within this time counts as dead.
+    pub suspicion: Millis,
+    /// A dead peer is forgotten after this time.
+    pub retention: Millis,
+    /// A leaving node stays at least this long, so that peers know before it goes.
+    pub leave_time: Millis,
 }
 
 impl Default for Membership {
     fn default() -> Membership {
-        Membership { gossip_period: Millis(500) }
+        Membership {
+            gossip_period: Millis(500),
+            reply_timeout: Millis(300),
+            probe_timeout: Millis(500),
+            suspicion: Millis::from_secs(2),
+            retention: Millis::from_secs(7_200),
+            leave_time: Millis::from_secs(3),
+        }
+    }
+}
+
+/// Options of the epoch system.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Epoch {
+    /// A difference between epoch and peers must last this long before a node proposes.
+    pub patience: Millis,
+    /// Proposals of different nodes are spread over this time for each member.
+    pub spread_per_member: Millis,
+    /// The shortest time between two epochs.
+    pub interval: Millis,
+    /// Added to the interval for each member, since an epoch's row grows with it.
+    pub interval_per_member: Millis,
+}
+
+impl Default for Epoch {
+    fn default() -> Epoch {
+        Epoch {
+            patience: Millis(500),
+            spread_per_member: Millis(20),
+            interval: Millis(1_000),
+            interval_per_member: Millis(5),
+        }
     }
 }
 
@@ -33,7 +78,8 @@
 pub struct Freshness {
     /// A node whose knowledge is older than this is cut off.
     pub window: Millis,
-    /// A node asks the platform for news once its knowledge is older than this.
+    /// A node asks the platform for news once its knowledge is older than this, and up to half as
+    /// much again by chance.
     pub poll_age: Millis,
 }
 
@@ -43,6 +89,21 @@
     }
 }
 
+/// Options of the configuration system.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Configuration {
+    /// An operator whose change has no known outcome after this time is told so.
+    pub proposal_timeout: Millis,
+    /// The time between two questions to the platform about the outcome of a change.
+    pub settle_period: Millis,
+}
+
+impl Default for Configuration {
+    fn default() -> Configuration {
+        Configuration { proposal_timeout: Millis::from_secs(5), settle_period: Millis(250) }
+    }
+}
+
 /// Options of the queueing system.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Queueing {
--- a/crates/mustardpin-world/src/system.rs
+++ b/crates/mustardpin-world/src/system.rs
@@ -3,21 +3,25 @@
 mod completion;
 mod configuration;
 mod drain;
+mod epoch;
 mod finish;
 mod freshness;
 mod intake;
 mod membership;
 mod permission;
+mod proposal;
 mod queueing;
 mod rating;
 mod recording;
+mod registration;
 mod routing;
 mod screening;
+mod validation;
 
 use crate::{
     event::{Event, Proposal, ProposalTicket, TargetReport},
     id::{CallKey, NodeId},
-    message::Message,
+    message::{self, Message},
     platform,
     request::{ForwardEnd, Pressure, Request, RunEnd},
     world::{Tick, World},
@@ -27,7 +31,13 @@
 #[derive(Debug, Default)]
 pub(crate) struct State {
     pub(crate) last_ticket: platform::Ticket,
+    pub(crate) configuration: configuration::State,
+    pub(crate) drain: drain::State,
+    pub(crate) epoch: epoch::State,
     pub(crate) freshness: freshness::State,
+    pub(crate) membership: membership::State,
+    pub(crate) proposal: proposal::State,
+    pub(crate) registration: registration::State,
     pub(crate) queueing: queueing::State,
 }
 
@@ -38,6 +48,9 @@
     pub(crate) callers_gone: Vec<CallKey>,
     pub(crate) runs_ended: Vec<(CallKey, RunEnd)>,
     pub(crate) forwards_ended: Vec<(CallKey, ForwardEnd, Option<Pressure>)>,
+    pub(crate) membership: Vec<(NodeId, message::membership::Message)>,
+    pub(crate) configuration: Vec<(NodeId, message::configuration::Message)>,
+    pub(crate) epoch: Vec<(NodeId, message::epoch::Message)>,
     pub(crate) messages: Vec<(NodeId, Message)>,
     pub(crate) undelivered: Vec<NodeId>,
     pub(crate) platform: Vec<(platform::Ticket, platform::Reply)>,
@@ -60,7 +73,7 @@
                 Event::ForwardEnded { call, end, pressure } => {
                     inbox.forwards_ended.push((call, end, pressure));
                 }
-                Event::Peer { from, message } => inbox.messages.push((from, message)),
+                Event::Peer { from, message } => inbox.sort_message(from, message),
                 Event::Undelivered { to } => inbox.undelivered.push(to),
                 Event::Platform(ticket, reply) => inbox.platform.push((ticket, reply)),
                 Event::Target(report) => inbox.reports.push(report),
@@ -72,13 +85,26 @@
         }
         inbox
     }
+
+    fn sort_message(&mut self, from: NodeId, message: Message) {
+        match message {
+            Message::Membership(message) => self.membership.push((from, message)),
+            Message::Configuration(message) => self.configuration.push((from, message)),
+            Message::Epoch(message) => self.epoch.push((from, message)),
+            message => self.messages.push((from, message)),
+        }
+    }
 }
 
 /// Runs every system once. Knowledge comes first, then what has ended, then what has arrived.
 pub(crate) fn run(world: &mut World, tick: &mut Tick) {
+    drain::run(world, tick);
     configuration::run(world, tick);
     membership::run(world, tick);
+    epoch::run(world, tick);
     freshness::run(world, tick);
+    proposal::run(world, tick);
+    registration::run(world, tick);
     completion::run(world, tick);
     intake::run(world, tick);
     rating::run(world, tick);
@@ -86,5 +112,5 @@
     screening::run(world, tick);
     recording::run(world, tick);
     queueing::run(world, tick);
-    drain::run(world, tick);
+    drain::leave(world, tick);
 }
--- a/crates/mustardpin-world/src/system/intake.rs
+++ b/crates/mustardpin-world/src/system/intake.rs
@@ -107,6 +107,7 @@
                 deadline: call.deadline,
             }
         }
+        Origin::Peer(_) if tables.leaving => return Err(Reason::Leaving),
         Origin::Peer(forwarded) => {
             let route = tables.routes.by_name(&forwarded.route).ok_or(Reason::RouteUnknown)?;
             let tenant = forwarded.key_id.as_ref().and_then(|id| tables.tenants.by_id(id));
@@ -137,7 +138,12 @@
         Ok(grant) => grant,
         Err(reason) => return refuse(world, tick, &request, reason),
     };
-    let charged = arrival.from.is_none() && arrival.parent.is_none() && grant.team.is_some();
+    let is_root = arrival.from.is_none() && arrival.parent.is_none();
+    let importance = match is_root {
+        true => world.tables.importance(grant.team, arrival.route),
+        false => arrival.importance,
+    };
+    let charged = is_root && grant.team.is_some();
     let stage = if charged { Stage::Rating } else { Stage::Routing };
     let call = world.tables.calls.insert(Call {
         ticket: request.ticket,
@@ -146,7 +152,7 @@
         tenant: grant.tenant,
         team: grant.team,
         route: arrival.route,
-        importance: arrival.importance,
+        importance,
         idempotency_key: request.idempotency_key,
         fingerprint: request.fingerprint,
         arrived: tick.now,
--- a/crates/mustardpin-world/src/system/permission.rs
+++ b/crates/mustardpin-world/src/system/permission.rs
@@ -3,6 +3,7 @@
 //! Asked when a request arrives and again right before the target gets its first byte.
 
 use crate::{
+    config::CutOffPolicy,
     id::{RouteKey, TeamKey, TenantKey},
     refusal::Reason,
     table::Tables,
@@ -25,17 +26,25 @@
     if route.open {
         return Ok(Grant { tenant: None, team: None });
     }
-    if !tables.freshness.fresh {
-        return Err(Reason::CutOff);
-    }
     let tenant = tenant.ok_or(Reason::KeyMissing)?;
     let key = tables.tenants.get(tenant).ok_or(Reason::KeyUnknown)?;
     if key.withdrawn {
         return Err(Reason::KeyWithdrawn);
     }
     let team = tables.teams.by_name(&key.team).ok_or(Reason::KeyUnknown)?;
+    if !tables.freshness.fresh && !goes_on(tables, team) {
+        return Err(Reason::CutOff);
+    }
     if !route.teams.is_empty() && !route.teams.contains(&key.team) {
         return Err(Reason::RouteForbidden);
     }
     Ok(Grant { tenant: Some(tenant), team: Some(team) })
 }
+
+/// Whether the node may go on for a team without fresh knowledge.
+fn goes_on(tables: &Tables, team: TeamKey) -> bool {
+    match tables.cut_off_policy(team) {
+        CutOffPolicy::Refuse => false,
+        CutOffPolicy::Serve(grace) => tables.freshness.is_with_own && tables.freshness.age < grace,
+    }
+}
--- /dev/null
+++ b/crates/mustardpin-world/src/system/proposal.rs
@@ -0,0 +1,192 @@
+//! Takes operators' changes to the platform and answers once their outcome is known.
+//!
+//! Each attempt first reads the platform: that shows whether the change stands already, what came
+//! in between, and what it refers to. Only then one transaction, guarded by the head, writes it
+//! whole. A lost answer is settled by reading again: the change's id stands in the head or not.
+
+use std::collections::VecDeque;
+
+use crate::{
+    clock::Millis,
+    command::Command,
+    config::{ChangeError, Record},
+    event::{Proposal, ProposalTicket},
+    id::Revision,
+    platform::{Guard, Operation, Reply, Row, Ticket},
+    system::{configuration, freshness, validation},
+    world::{Tick, World},
+};
+
+/// How many ids of changes the head row keeps.
+const RECENT: usize = 64;
+
+/// What a proposal waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Wait {
+    /// The time of the next attempt.
+    Until(Millis),
+    /// The platform's rows.
+    Read(Ticket),
+    /// The platform's answer to the transaction.
+    Write(Ticket),
+}
+
+/// A change whose outcome is not known.
+#[derive(Debug)]
+struct Open {
+    ticket: ProposalTicket,
+    proposal: Proposal,
+    since: Millis,
+    wait: Wait,
+}
+
+/// What the system remembers from tick to tick.
+#[derive(Debug, Default)]
+pub(crate) struct State {
+    open: VecDeque<Open>,
+}
+
+pub(super) fn run(world: &mut World, tick: &mut Tick) {
+    for (ticket, proposal) in std::mem::take(&mut tick.inbox.proposals) {
+        let wait = Wait::Until(tick.now);
+        world.systems.proposal.open.push_back(Open { ticket, proposal, since: tick.now, wait });
+    }
+    for _ in 0..world.systems.proposal.open.len() {
+        let Some(mut open) = world.systems.proposal.open.pop_front() else { break };
+        match advance(world, tick, &mut open) {
+            Some(answer) => tick.commands.push(Command::Answer(open.ticket, answer)),
+            None => world.systems.proposal.open.push_back(open),
+        }
+    }
+}
+
+/// Takes a proposal as far as it goes. Returns the answer for the operator once it is known.
+fn advance(
+    world: &mut World,
+    tick: &mut Tick,
+    open: &mut Open,
+) -> Option<Result<Revision, ChangeError>> {
+    let timeout = world.options.configuration.proposal_timeout;
+    if tick.now - open.since >= timeout {
+        return Some(Err(ChangeError::PlatformUnavailable));
+    }
+    tick.wake(open.since + timeout);
+    match open.wait {
+        Wait::Until(at) if tick.now < at => tick.wake(at),
+        Wait::Until(_) => open.wait = Wait::Read(freshness::poll(world, tick)),
+        Wait::Read(ticket) => match reply_to(tick, ticket)? {
+            Reply::Changes { .. } => return attempt(world, tick, open),
+            _ => pause(world, tick, open),
+        },
+        Wait::Write(ticket) => match reply_to(tick, ticket)? {
+            Reply::Accepted { revision } => {
+                let revision = *revision;
+                accept(world, tick, &open.proposal, revision);
+                return Some(Ok(revision));
+            }
+            _ => open.wait = Wait::Read(freshness::poll(world, tick)),
+        },
+    }
+    None
+}
+
+fn reply_to(tick: &Tick, ticket: Ticket) -> Option<&Reply> {
+    let replies = tick.inbox.platform.iter();
+    replies.filter(|(asked, _)| *asked == ticket).map(|(_, reply)| reply).next()
+}
+
+fn pause(world: &World, tick: &mut Tick, open: &mut Open) {
+    let at = tick.now + world.options.configuration.settle_period;
+    open.wait = Wait::Until(at);
+    tick.wake(at);
+}
+
+/// Checks a proposal against what the platform has just said, and writes it if it stands up.
+fn attempt(
+    world: &mut World,
+    tick: &mut Tick,
+    open: &mut Open,
+) -> Option<Result<Revision, ChangeError>> {
+    let configuration = &world.tables.configuration;
+    let proposal = &open.proposal;
+    if configuration.recent.contains(&proposal.id) {
+        return Some(Ok(revision_of(world, proposal)));
+    }
+    if proposal.expected != configuration.revision {
+        return Some(Err(conflict(world, proposal.expected)));
+    }
+    if let Err(error) = validation::check(&world.tables, proposal) {
+        return Some(Err(error));
+    }
+    if !may_accept(world) {
+        pause(world, tick, open);
+        return None;
+    }
+    let operation = transaction(world, proposal);
+    open.wait = Wait::Write(world.ask_platform(tick, operation));
+    None
+}
+
+/// Whether others know this node as one through which changes come.
+///
+/// While the platform is down, nodes go by news from the data centres of the epoch's members, so
+/// only those may accept a change.
+fn may_accept(world: &World) -> bool {
+    let epoch = &world.tables.epoch;
+    epoch.current.number == 0 || epoch.contains(world.identity.node())
+}
+
+fn transaction(world: &World, proposal: &Proposal) -> Operation {
+    let configuration = &world.tables.configuration;
+    let mut recent = configuration.recent.clone();
+    recent.push(proposal.id.clone());
+    let surplus = recent.len().saturating_sub(RECENT);
+    recent.drain(..surplus);
+    let written = proposal.rows.iter().map(|row| Row::Configuration(row.path(), Some(row.clone())));
+    let removed = proposal.removals.iter().map(|path| Row::Configuration(path.clone(), None));
+    let rows = written.chain(removed).chain([Row::Head(recent)]).collect();
+    let guards = vec![
+        (Guard::Head, configuration.head),
+        (Guard::Epoch, world.tables.epoch.current.revision),
+    ];
+    Operation::Transact { guards, rows }
+}
+
+/// Puts an accepted change in force here and tells peers at once.
+fn accept(world: &mut World, tick: &mut Tick, proposal: &Proposal, revision: Revision) {
+    let before = world.tables.configuration.revision;
+    let written = proposal.rows.iter().map(|row| (row.path(), Some(row.clone())));
+    let removed = proposal.removals.iter().map(|path| (path.clone(), None));
+    for (path, row) in written.chain(removed) {
+        world.tables.apply_record(Record { path, revision, row });
+    }
+    let configuration = &mut world.tables.configuration;
+    if revision > configuration.head {
+        configuration.head = revision;
+        configuration.recent.push(proposal.id.clone());
+    }
+    configuration.revision = configuration.revision.max(revision);
+    configuration::spread(world, tick, before);
+}
+
+/// The revision that a change was given: that of its records, unless later ones replaced them all.
+fn revision_of(world: &World, proposal: &Proposal) -> Revision {
+    let configuration = &world.tables.configuration;
+    if configuration.recent.last() == Some(&proposal.id) {
+        return configuration.head;
+    }
+    let written = proposal.rows.iter().map(|row| row.path());
+    let paths = written.chain(proposal.removals.iter().cloned());
+    let revisions = paths.filter_map(|path| configuration.records.get(&path));
+    revisions.map(|record| record.revision).min().unwrap_or(configuration.head)
+}
+
+fn conflict(world: &World, expected: Revision) -> ChangeError {
+    let configuration = &world.tables.configuration;
+    let changed = configuration.records.values().filter(|record| record.revision > expected);
+    ChangeError::Conflict {
+        expected,
+        actual: configuration.revision,
+        changed: changed.map(|record| record.path.clone()).collect(),
+    }
+}
--- a/crates/mustardpin-world/src/system/routing.rs
+++ b/crates/mustardpin-world/src/system/routing.rs
@@ -27,7 +27,8 @@
             Verdict::Refuse(Refusal::not_run(Reason::RouteUnknown)),
         );
     };
-    let own = route.service == *world.identity.service() && tables.target.present;
+    let takes_work = tables.target.present && !tables.target.report.draining && !tables.leaving;
+    let own = route.service == *world.identity.service() && takes_work;
     if own && call.tried.is_empty() {
         tables.calls.advance(key, Stage::Screening, tick.now);
         return;
--- a/crates/mustardpin-world/src/table.rs
+++ b/crates/mustardpin-world/src/table.rs
@@ -1,16 +1,18 @@
 //! The tables: one arena for each kind of entity, rows named by small `Copy` keys.
 
 pub mod call;
+pub mod configuration;
 pub mod counter;
+pub mod data_centre;
+pub mod epoch;
+pub mod exception;
 pub mod peer;
 pub mod route;
 pub mod target;
 pub mod team;
 pub mod tenant;
 
-use std::collections::BTreeMap;
-
-use crate::{clock::Millis, config, id::Revision, message::epoch::Epoch};
+use crate::clock::Millis;
 
 /// All tables of a world.
 #[derive(Debug, Default)]
@@ -19,6 +21,10 @@
     pub calls: call::Calls,
     /// What has been counted.
     pub counters: counter::Counters,
+    /// Data centres.
+    pub data_centres: data_centre::DataCentres,
+    /// Exceptions.
+    pub exceptions: exception::Exceptions,
     /// Other nodes.
     pub peers: peer::Peers,
     /// Routes.
@@ -30,42 +36,37 @@
     /// Tenant keys.
     pub tenants: tenant::Tenants,
     /// The configuration as agreed, from which the tables above are derived.
-    pub configuration: Configuration,
+    pub configuration: configuration::Configuration,
     /// How old the node's knowledge is.
     pub freshness: Freshness,
     /// Who holds shares and homes.
-    pub epoch: Standing,
+    pub epoch: epoch::Standing,
     /// Whether the node is leaving.
     pub leaving: bool,
 }
 
-/// The configuration as agreed.
-#[derive(Debug, Default)]
-pub struct Configuration {
-    /// The revision the node is at. Never falls.
-    pub revision: Revision,
-    /// Every row and every removal, by path.
-    pub records: BTreeMap<config::Path, config::Record>,
-    /// The fleet's defaults.
-    pub fleet: config::Fleet,
-}
-
 /// How old the node's knowledge is.
 #[derive(Debug, Default)]
 pub struct Freshness {
     /// The last point in time as of which the node knows what the platform held.
     pub platform_as_of: Option<Millis>,
-    /// Whether keyed requests may be served.
+    /// The age of what the node knows, as of this tick.
+    pub age: Millis,
+    /// Whether the age is within the window.
     pub fresh: bool,
+    /// Whether the node is in contact with its own data centre, so that a policy for cut-off data
+    /// centres holds for it.
+    pub is_with_own: bool,
 }
 
-/// The epoch a node is in, and how it came there.
-#[derive(Debug, Default)]
-pub struct Standing {
-    /// The epoch the node is in.
-    pub current: Epoch,
-    /// The epoch before it, as far as the node knows.
-    pub previous: Epoch,
-    /// When the node adopted the current epoch.
-    pub adopted: Option<Millis>,
+impl Freshness {
+    /// The age of what the node knows of the platform.
+    ///
+    /// ```
+    /// use mustardpin_world::{Millis, table::Freshness};
+    /// assert_eq!(Freshness::default().platform_age(Millis(9)), Millis::MAX);
+    /// ```
+    pub fn platform_age(&self, now: Millis) -> Millis {
+        self.platform_as_of.map_or(Millis::MAX, |as_of| now - as_of)
+    }
 }
--- a/crates/mustardpin-world/src/table/peer.rs
+++ b/crates/mustardpin-world/src/table/peer.rs
@@ -11,7 +11,7 @@
     request::Pressure,
 };
 
-/// What this node believes of a peer.
+/// What this node believes of a peer. Within an incarnation, a later state wins over an earlier.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub enum State {
     /// It answers.
@@ -25,6 +25,22 @@
     Dead,
 }
 
+impl State {
+    /// The state's name, as in logs.
+    ///
+    /// ```
+    /// assert_eq!(mustardpin_world::table::peer::State::Dead.name(), "dead");
+    /// ```
+    pub const fn name(self) -> &'static str {
+        match self {
+            State::Alive => "alive",
+            State::Suspect => "suspect",
+            State::Leaving => "leaving",
+            State::Dead => "dead",
+        }
+    }
+}
+
 /// Another node.
 #[derive(Debug, Clone)]
 pub struct Peer {
@@ -36,6 +52,10 @@
     pub state: State,
     /// Since when.
     pub since: Millis,
+    /// Whether it has replied to this node, and so knows it.
+    pub introduced: bool,
+    /// When its row in the platform was last seen to be written.
+    pub row_seen: Option<Millis>,
     /// Calls this node has passed to it that have not ended.
     pub in_flight: u32,
     /// What its last answer said of its target.
@@ -56,6 +76,8 @@
             incarnation: 0,
             state: State::Alive,
             since: now,
+            introduced: false,
+            row_seen: None,
             in_flight: 0,
             pressure: None,
             pressure_as_of: Millis::ZERO,
--- a/crates/mustardpin-world/src/world.rs
+++ b/crates/mustardpin-world/src/world.rs
@@ -1,18 +1,19 @@
 //! The world: the tables, and the tick that runs the systems over them.
 
 use compact_str::CompactString;
-use rand::SeedableRng as _;
+use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 
 use crate::{
     clock::Millis,
     command::Command,
     event::Event,
-    id::NodeId,
+    id::{NodeId, PeerKey},
+    message::Message,
     options::Options,
     platform::{Announcement, Operation, Ticket},
     system,
-    table::Tables,
+    table::{Tables, counter::Work, peer::Peer},
 };
 
 /// Who a node is: fixed while its process runs.
@@ -124,4 +125,41 @@
         tick.commands.push(Command::Platform(ticket, operation));
         ticket
     }
+
+    /// Sends a message to a peer.
+    pub(crate) fn send(&mut self, tick: &mut Tick, to: PeerKey, message: impl Into<Message>) {
+        let Some(peer) = self.tables.peers.get(to) else { return };
+        tick.commands.push(Command::Send {
+            to: peer.announcement.node,
+            address: peer.announcement.control_address.clone(),
+            message: message.into(),
+        });
+        self.tables.counters.work(Work::Messages);
+    }
+
+    /// Sends a message to the peer with this id, if the node knows it.
+    pub(crate) fn send_to(&mut self, tick: &mut Tick, to: NodeId, message: impl Into<Message>) {
+        if let Some(peer) = self.tables.peers.by_node(to) {
+            self.send(tick, peer, message);
+        }
+    }
+
+    /// Up to `count` different peers, drawn at random from those that fit.
+    pub(crate) fn sample(&mut self, count: usize, fits: impl Fn(&Peer) -> bool) -> Vec<PeerKey> {
+        let peers = self.tables.peers.iter();
+        let mut peers: Vec<PeerKey> =
+            peers.filter(|(_, peer)| fits(peer)).map(|(key, _)| key).collect();
+        let count = count.min(peers.len());
+        for index in 0..count {
+            let other = self.rng.random_range(index..peers.len());
+            peers.swap(index, other);
+        }
+        peers.truncate(count);
+        peers
+    }
+
+    /// A random length between zero and `longest`.
+    pub(crate) fn jitter(&mut self, longest: Millis) -> Millis {
+        Millis(self.rng.random_range(0..=longest.0))
+    }
 }
