--- a/crates/mustardpin-world/src/system/rating/drawing.rs
+++ b/crates/mustardpin-world/src/system/rating/drawing.rs
@@ -11,7 +11,7 @@
     request::Verdict,
     system::{
         finish,
-        rating::{keeping, policy, send, terms},
+        rating::{keeping, policy, terms},
     },
     table::{
         call::Stage,
@@ -216,7 +216,8 @@
     world.systems.rating.last_draw += 1;
     let draw = world.systems.rating.last_draw;
     let message = share::Message::Draw { draw, team: name, shard, wanted };
-    let sent = send(world, tick, keeper, message);
+    let sent = world.tables.peers.by_node(keeper).is_some();
+    world.send_to(tick, keeper, message);
     let source = &mut world.tables.shares.stocks[team].sources[usize::from(shard.0)];
     if sent {
         source.pending = Some((draw, tick.now, keeper));
