Prove rate and burst in a cut-off data centre that is served

Cause: with the policy Serve a data centre goes on spending its part of a team's rate while the others form a new epoch; the two together must stay within the rate. Change: the flood test cuts one of three data centres off for 24 s with a grace of 20 s. Conclusion: the rate holds through a served cut.

--- a/crates/mustardpin-virtual/tests/testsuite/rating.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/rating.rs
@@ -4,7 +4,7 @@
 use mustardpin_virtual::{Fleet, Request, Service, Site};
 use mustardpin_world::{
     Millis, Options,
-    config::Row,
+    config::{self, CutOffPolicy, Row},
     options::{Rating, Sharing},
     refusal::Reason,
     request::Verdict,
@@ -143,6 +143,9 @@
     Freeze,
     /// A data centre is cut off from all and joins again.
     Cut,
+    /// A data centre is cut off from all and goes on with the last known keys and shares, until
+    /// its grace is over.
+    CutAndServed,
     /// A data centre is cut off from the platform, and two others from each other.
     PlatformCut,
     /// Nodes stop and start one after another.
@@ -155,6 +158,12 @@
     load(fleet, rng, f64::from(RATE) * FLOOD, length, |rng, _| Site(rng.random_range(0..12)));
 }
 
+fn cut_west(fleet: &mut Fleet) {
+    fleet.network.cut("west", "north");
+    fleet.network.cut("west", "south");
+    fleet.network.cut_platform("west");
+}
+
 fn strike(fleet: &mut Fleet, rng: &mut Pcg64Mcg, failure: Failure) {
     let gone = [Site(rng.random_range(0..6)), Site(rng.random_range(6..12))];
     flood_for(fleet, rng, Millis(2_000));
@@ -170,12 +179,18 @@
             fleet.resume(gone[0]);
         }
         Failure::Cut => {
-            fleet.network.cut("west", "north");
-            fleet.network.cut("west", "south");
-            fleet.network.cut_platform("west");
+            cut_west(fleet);
             flood_for(fleet, rng, Millis(15_000));
             fleet.network.heal();
         }
+        Failure::CutAndServed => {
+            let cut_off = CutOffPolicy::Serve(Millis::from_secs(20));
+            put(fleet, vec![Row::Fleet(config::Fleet { cut_off, ..Default::default() })]);
+            flood_for(fleet, rng, Millis(3_000));
+            cut_west(fleet);
+            flood_for(fleet, rng, Millis(24_000));
+            fleet.network.heal();
+        }
         Failure::PlatformCut => {
             fleet.network.cut_platform("west");
             fleet.network.cut("north", "south");
@@ -197,9 +212,9 @@
 
 #[test]
 fn rate_and_burst_hold_through_failures() {
-    use Failure::{Churn, Cut, Deaths, Freeze, PlatformCut};
+    use Failure::{Churn, Cut, CutAndServed, Deaths, Freeze, PlatformCut};
 
-    for failure in [Deaths, Freeze, Cut, PlatformCut, Churn] {
+    for failure in [Deaths, Freeze, Cut, CutAndServed, PlatformCut, Churn] {
         for seed in seeds(3) {
             let mut fleet = small_fleet(seed, SMALL_BURST, Sharing::Keepers, 8);
             let mut rng = Pcg64Mcg::seed_from_u64(seed);
