--- a/crates/mustardpin-world/src/system/validation.rs
+++ b/crates/mustardpin-world/src/system/validation.rs
@@ -15,6 +15,10 @@
 
 /// The highest rate and burst of a team, in requests a second and requests.
 const MAX_RATE: u32 = 1_000_000;
+/// The smallest burst of a team, in requests.
+const MIN_BURST: u32 = 2;
+/// A burst is at least the rate divided by this, so that tokens may be held for 50 ms.
+const RATE_PER_BURST: u32 = 10;
 /// The highest weight of a team.
 const MAX_WEIGHT: u32 = 1_000;
 /// The longest time limit of a route.
@@ -122,11 +126,24 @@
 }
 
 fn check_team(team: &Team) -> Result<(), CompactString> {
-    check_count("rate", team.rate, MAX_RATE)?;
-    check_count("burst", team.burst, MAX_RATE)?;
+    check_rate(team.rate, team.burst)?;
     check_count("weight", team.weight, MAX_WEIGHT)
 }
 
+/// Tokens travel between nodes, for which a part of the burst is set aside: a burst that is too
+/// small for the rate leaves them no time.
+fn check_rate(rate: u32, burst: u32) -> Result<(), CompactString> {
+    check_count("rate", rate, MAX_RATE)?;
+    check_count("burst", burst, MAX_RATE)?;
+    let least = rate.div_ceil(RATE_PER_BURST).max(MIN_BURST);
+    if burst < least {
+        return Err(format_compact!(
+            "burst {burst} is too small for rate {rate}: choose at least {least}"
+        ));
+    }
+    Ok(())
+}
+
 fn check_route(rows: &Rows<'_>, route: &Route) -> Result<(), CompactString> {
     if route.service.trim().is_empty() {
         return Err("has no service".into());
@@ -151,8 +168,7 @@
     }
     match &exception.change {
         Change::TeamRate { team, rate, burst } => {
-            check_count("rate", *rate, MAX_RATE)?;
-            check_count("burst", *burst, MAX_RATE)?;
+            check_rate(*rate, *burst)?;
             check_reference(rows, Kind::Team, team)
         }
         Change::Importance { team, route, .. } => {
--- /dev/null
+++ b/crates/mustardpin-world/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the world's parts.
+
+mod share;
