--- /dev/null
+++ b/crates/mustardpin-virtual/src/experiment.rs
@@ -0,0 +1,187 @@
+//! Experiments on overload: a deployment, a policy and a cause, driven over virtual time.
+//!
+//! The same seed gives the same figures to the digit.
+
+mod deployment;
+mod policy;
+mod result;
+mod scenario;
+
+use mustardpin_world::{Millis, config::Importance};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+
+pub use crate::experiment::{
+    deployment::{Demand, Deployment},
+    policy::{Callers, Policy},
+    result::{Outcome, Sent},
+    scenario::Scenario,
+};
+use crate::{
+    fleet::{Fleet, Request, Site},
+    platform::PlatformMode,
+    target::{Reports, Service},
+};
+
+/// When the cause of the overload begins.
+pub const CAUSE_BEGINS: Millis = Millis::from_secs(10);
+/// When it ends.
+pub const CAUSE_ENDS: Millis = Millis::from_secs(40);
+/// When the experiment ends.
+pub const END: Millis = Millis::from_secs(60);
+/// The time callers wait for an answer.
+pub const TIMEOUT: Millis = Millis::from_secs(2);
+
+/// Runs one experiment.
+pub fn run(deployment: &Deployment, policy: &Policy, scenario: Scenario, seed: u64) -> Outcome {
+    let mut experiment = Experiment::new(deployment, policy, scenario, seed);
+    experiment.run();
+    Outcome::new(&experiment.fleet, experiment.sent, deployment.teams.len())
+}
+
+struct Experiment<'a> {
+    deployment: &'a Deployment,
+    policy: &'a Policy,
+    scenario: Scenario,
+    fleet: Fleet,
+    sent: Vec<Sent>,
+    rng: Pcg64Mcg,
+}
+
+impl<'a> Experiment<'a> {
+    fn new(
+        deployment: &'a Deployment,
+        policy: &'a Policy,
+        scenario: Scenario,
+        seed: u64,
+    ) -> Experiment<'a> {
+        let mut fleet = Fleet::new(seed, policy.options.clone());
+        fleet.keep_runs = false;
+        for (index, service) in deployment.targets() {
+            let service = Service {
+                resends: policy.callers.resends,
+                cancellable: policy.callers.cancellable,
+                cold: Millis::from_secs(2),
+                reports: scenario.reports(),
+                ..service.clone()
+            };
+            fleet.add(deployment.data_centre(index), service);
+        }
+        deployment.configure(&mut fleet);
+        let rng = Pcg64Mcg::seed_from_u64(seed ^ 0x0f0f);
+        Experiment { deployment, policy, scenario, fleet, sent: Vec::new(), rng }
+    }
+
+    fn run(&mut self) {
+        /// The fleet finds its peers and configuration before the first request.
+        const WARM_UP: Millis = Millis::from_secs(3);
+
+        self.fleet.run_until(WARM_UP);
+        while self.fleet.now < WARM_UP + END {
+            let now = self.fleet.now - WARM_UP;
+            if now == CAUSE_BEGINS {
+                self.begin_cause();
+            }
+            if now == CAUSE_ENDS {
+                self.end_cause();
+            }
+            self.send(now);
+            self.fleet.run_for(Millis(1));
+        }
+        self.fleet.run_for(TIMEOUT + TIMEOUT);
+    }
+
+    fn deep_sites(&self) -> Vec<Site> {
+        let targets = self.deployment.targets().enumerate();
+        targets
+            .filter(|(_, (_, service))| service.name == self.deployment.deep)
+            .map(|(index, _)| Site(index))
+            .collect()
+    }
+
+    fn begin_cause(&mut self) {
+        let sites = self.deep_sites();
+        if self.scenario.slows() {
+            for &site in &sites {
+                self.fleet.target(site).slowdown = 5.0;
+            }
+        }
+        if self.scenario.kills() {
+            for &site in sites.iter().step_by(2) {
+                self.fleet.crash_target(site);
+            }
+        }
+        if self.scenario.platform_out() {
+            self.fleet.platform.mode = PlatformMode::Down;
+        }
+    }
+
+    fn end_cause(&mut self) {
+        let sites = self.deep_sites();
+        for &site in &sites {
+            self.fleet.target(site).slowdown = 1.0;
+        }
+        if self.scenario.kills() {
+            for &site in sites.iter().step_by(2) {
+                self.fleet.restart_target(site);
+            }
+        }
+    }
+
+    /// Sends the requests of one millisecond.
+    fn send(&mut self, now: Millis) {
+        let is_cause = now >= CAUSE_BEGINS && now < CAUSE_ENDS;
+        let deployment = self.deployment;
+        for demand in &deployment.demand {
+            for (team, share) in deployment.team_shares() {
+                let factor = if is_cause { self.scenario.demand_factor(team) } else { 1.0 };
+                let rate = demand.rate * share * factor / 1_000.0;
+                for _ in 0..poisson(&mut self.rng, rate) {
+                    self.send_one(now, team, demand);
+                }
+            }
+        }
+    }
+
+    fn send_one(&mut self, now: Millis, team: usize, demand: &Demand) {
+        let site = Site(self.rng.random_range(0..self.deployment.targets().count()));
+        let number = self.sent.len() as u64;
+        let request = Request {
+            fingerprint: number,
+            timeout: Some(TIMEOUT),
+            resends: self.policy.callers.resends,
+            ..Request::get(demand.path, &deployment::key(team))
+        };
+        let root = self.fleet.send(site, request);
+        let is_deep = demand.is_deep;
+        self.sent.push(Sent { root, at: now, team, importance: demand.importance, is_deep });
+    }
+}
+
+/// Draws from a Poisson distribution with a small mean.
+fn poisson(rng: &mut Pcg64Mcg, mean: f64) -> u32 {
+    let floor = (-mean).exp();
+    let mut product: f64 = rng.random();
+    let mut count = 0;
+    while product > floor {
+        product *= rng.random::<f64>();
+        count += 1;
+    }
+    count
+}
+
+/// The importances that the experiments use, the one refused last at the front.
+pub const IMPORTANCES: [Importance; 4] =
+    [Importance::Critical, Importance::High, Importance::Normal, Importance::Low];
+
+impl Scenario {
+    fn reports(self) -> Reports {
+        match self {
+            Scenario::LateReports | Scenario::Everything | Scenario::EverythingNoPlatform => {
+                Reports::Late(Millis::from_secs(10))
+            }
+            Scenario::FalseReports => Reports::False,
+            _ => Reports::Prompt,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardpin-virtual/src/experiment/deployment.rs
@@ -0,0 +1,195 @@
+//! The two deployments, with a fifth of their slots.
+
+use mustardpin_world::{
+    config::{Importance, Key, Route, Row, Team},
+    id::KeyDigest,
+    platform,
+};
+
+use crate::{
+    experiment::{TIMEOUT, scenario::REST},
+    fleet::Fleet,
+    target::Service,
+};
+
+/// Requests of one kind.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Demand {
+    /// Their path; the route has the same name.
+    pub path: &'static str,
+    /// How much they matter.
+    pub importance: Importance,
+    /// Requests a second at rest, of all teams together.
+    pub rate: f64,
+    /// Whether they need the deep service.
+    pub is_deep: bool,
+}
+
+/// Services, routes, teams and demand.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Deployment {
+    /// Its name.
+    pub name: &'static str,
+    /// The service that the chains end in.
+    pub deep: &'static str,
+    /// Services and how many targets each has.
+    pub services: Vec<(Service, usize)>,
+    /// What callers send.
+    pub demand: Vec<Demand>,
+    /// The paths that only targets call, and the services behind them.
+    pub internal: Vec<(&'static str, &'static str)>,
+    /// The weights of the teams.
+    pub teams: Vec<u32>,
+}
+
+const DATA_CENTRES: [&str; 3] = ["one", "two", "three"];
+/// Eight teams, a few of them large.
+const TEAMS: [u32; 8] = [30, 25, 15, 10, 8, 6, 4, 2];
+
+/// The text of a team's key.
+pub(super) fn key(team: usize) -> String {
+    format!("team-{team}.secret")
+}
+
+fn calling(name: &str, slots: usize, mean: f64, path: &str) -> Service {
+    Service { calls: vec![path.to_owned()], ..Service::leaf(name, slots, mean) }
+}
+
+/// Three kinds of request that need the deep service, and one that does not.
+fn demand(paths: [&'static str; 4], deep: f64, other: f64) -> Vec<Demand> {
+    let [important, second, third, last] = paths;
+    vec![
+        Demand {
+            path: important,
+            importance: Importance::Critical,
+            rate: 0.15 * deep,
+            is_deep: true,
+        },
+        Demand { path: second, importance: Importance::High, rate: 0.25 * deep, is_deep: true },
+        Demand { path: third, importance: Importance::Normal, rate: 0.6 * deep, is_deep: true },
+        Demand { path: last, importance: Importance::Low, rate: other, is_deep: false },
+    ]
+}
+
+impl Deployment {
+    /// The Association: four services with three or four targets each.
+    pub fn association() -> Deployment {
+        let capacity = 4.0 * 20.0 / 0.050;
+        Deployment {
+            name: "Association",
+            deep: "ledger",
+            services: vec![
+                (calling("search", 50, 10.0, "/ledger"), 4),
+                (calling("counter", 30, 10.0, "/ledger"), 3),
+                (Service::leaf("ledger", 20, 50.0), 4),
+                (Service::leaf("archive", 10, 50.0), 3),
+            ],
+            demand: demand(["/book", "/lookup", "/search", "/certificate"], capacity * REST, 200.0),
+            internal: vec![("/ledger", "ledger")],
+            teams: TEAMS.to_vec(),
+        }
+    }
+
+    /// Nestwell: four services with three or four targets each.
+    pub fn nestwell() -> Deployment {
+        let capacity = 4.0 * 20.0 / 0.060;
+        Deployment {
+            name: "Nestwell",
+            deep: "matching",
+            services: vec![
+                (calling("profiles", 60, 15.0, "/matching"), 4),
+                (calling("bookings", 40, 20.0, "/matching"), 3),
+                (Service::leaf("matching", 20, 60.0), 4),
+                (Service::leaf("documents", 15, 80.0), 3),
+            ],
+            demand: demand(["/confirm", "/booking", "/profile", "/pack"], capacity * REST, 150.0),
+            internal: vec![("/matching", "matching")],
+            teams: TEAMS.to_vec(),
+        }
+    }
+
+    /// Requests a second that the deep service can run when nothing is wrong with it.
+    pub fn deep_capacity(&self) -> f64 {
+        self.services
+            .iter()
+            .filter(|(service, _)| service.name == self.deep)
+            .map(|(service, count)| (service.slots * count) as f64 / (service.mean / 1_000.0))
+            .sum()
+    }
+
+    /// The services of all targets, with the index of each among those of its service.
+    pub(super) fn targets(&self) -> impl Iterator<Item = (usize, &Service)> {
+        self.services
+            .iter()
+            .flat_map(|(service, count)| (0..*count).map(move |index| (index, service)))
+    }
+
+    pub(super) fn data_centre(&self, index: usize) -> &'static str {
+        DATA_CENTRES[index % DATA_CENTRES.len()]
+    }
+
+    /// The teams and their parts of the demand.
+    pub fn team_shares(&self) -> impl Iterator<Item = (usize, f64)> {
+        let sum: u32 = self.teams.iter().sum();
+        self.teams
+            .iter()
+            .enumerate()
+            .map(move |(team, &weight)| (team, f64::from(weight) / f64::from(sum)))
+    }
+
+    /// The service that runs a path.
+    fn service_of(&self, index: usize) -> &str {
+        // Bookings go to the deep service itself; the others to the services in order.
+        match index {
+            0 => self.deep,
+            1 => &self.services[1].0.name,
+            2 => &self.services[0].0.name,
+            _ => &self.services[3].0.name,
+        }
+    }
+
+    /// Writes configuration and announcements to the platform.
+    pub(super) fn configure(&self, fleet: &mut Fleet) {
+        let external =
+            self.demand.iter().enumerate().map(|(index, demand)| {
+                route(demand.path, self.service_of(index), demand.importance)
+            });
+        let internal =
+            self.internal.iter().map(|(path, service)| route(path, service, Importance::Normal));
+        let teams = self.teams.iter().enumerate().flat_map(|(index, &weight)| team(index, weight));
+        let rows = external.chain(internal).chain(teams);
+        let rows = rows.map(|row| platform::Row::Configuration(row.path(), Some(row))).collect();
+        fleet.platform.put(rows);
+        let announcements = fleet.sites().map(|site| {
+            let announcement = fleet.world_at(site).identity().announcement.clone();
+            platform::Row::Node(announcement.node, Some(announcement))
+        });
+        let announcements = announcements.collect();
+        fleet.platform.put(announcements);
+    }
+}
+
+fn route(path: &str, service: &str, importance: Importance) -> Row {
+    Row::Route(Route {
+        name: path.trim_start_matches('/').into(),
+        service: service.into(),
+        method: None,
+        path_prefix: path.into(),
+        importance,
+        repeatable: true,
+        open: false,
+        timeout: TIMEOUT,
+        teams: Vec::new(),
+    })
+}
+
+fn team(index: usize, weight: u32) -> [Row; 2] {
+    /// Far above what any team sends: these experiments leave rates out.
+    const NO_LIMIT: u32 = 1_000_000;
+
+    let name = format!("team-{index}");
+    let team = Team { name: name.as_str().into(), rate: NO_LIMIT, burst: NO_LIMIT, weight };
+    let digest = KeyDigest::of(&key(index));
+    let key = Key { id: name.as_str().into(), team: name.into(), digest, withdrawn: false };
+    [Row::Team(team), Row::Key(key)]
+}
--- /dev/null
+++ b/crates/mustardpin-virtual/src/experiment/result.rs
@@ -0,0 +1,186 @@
+//! What came of an experiment, from what callers sent and received.
+
+use mustardpin_world::{Millis, config::Importance, refusal::Reason, table::counter::Retry};
+
+use crate::{
+    experiment::{CAUSE_BEGINS, CAUSE_ENDS, END},
+    fleet::Fleet,
+};
+
+/// A root request that was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sent {
+    /// Its number.
+    pub root: u64,
+    /// When it was first sent, counted from the begin of the experiment.
+    pub at: Millis,
+    /// The index of its team.
+    pub team: usize,
+    /// How much it matters.
+    pub importance: Importance,
+    /// Whether it needs the deep service.
+    pub is_deep: bool,
+}
+
+/// A root request and how it went.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Row {
+    sent: Sent,
+    /// When the whole answer came, counted from when the request was first sent.
+    served: Option<Millis>,
+}
+
+/// What came of all root requests.
+#[derive(Debug, Clone)]
+pub struct Outcome {
+    rows: Vec<Row>,
+    teams: usize,
+    /// Refusals by all nodes, by reason.
+    pub refusals: Vec<(Reason, u64)>,
+    /// Repeats at all nodes, by reason.
+    pub retries: Vec<(Retry, u64)>,
+}
+
+impl Outcome {
+    pub(super) fn new(fleet: &Fleet, sent: Vec<Sent>, teams: usize) -> Outcome {
+        let rows = sent
+            .into_iter()
+            .map(|sent| {
+                let whole = fleet.answer_to(sent.root).filter(|received| received.is_whole());
+                Row { sent, served: whole.map(|received| received.at - received.sent) }
+            })
+            .collect();
+        let counters = || fleet.sites().map(|site| &fleet.world_at(site).tables().counters);
+        let refusals = Reason::ALL
+            .iter()
+            .map(|&reason| (reason, counters().map(|counters| counters.refusals(reason)).sum()))
+            .filter(|(_, count)| *count > 0)
+            .collect();
+        let retries = Retry::ALL
+            .iter()
+            .map(|&retry| (retry, counters().map(|counters| counters.retries(retry)).sum()))
+            .filter(|(_, count)| *count > 0)
+            .collect();
+        Outcome { rows, teams, refusals, retries }
+    }
+
+    /// Whole answers a second to requests that need the deep service, by the time they came.
+    pub fn goodput(&self, from: Millis, until: Millis) -> f64 {
+        let whole = self.rows.iter().filter(|row| {
+            let at = row.served.map(|served| row.sent.at + served);
+            row.sent.is_deep && at.is_some_and(|at| at >= from && at < until)
+        });
+        whole.count() as f64 * 1_000.0 / (until - from).0 as f64
+    }
+
+    /// Goodput while the cause lasts, without its first two seconds.
+    pub fn goodput_in_cause(&self) -> f64 {
+        self.goodput(CAUSE_BEGINS + Millis::from_secs(2), CAUSE_ENDS)
+    }
+
+    /// Goodput before the cause.
+    pub fn goodput_at_rest(&self) -> f64 {
+        self.goodput(Millis::from_secs(3), CAUSE_BEGINS)
+    }
+
+    /// The time from the end of the cause until goodput is at 95% of that at rest and stays there
+    /// for three seconds; `None` if that never happens.
+    pub fn recovery(&self) -> Option<Millis> {
+        const STEP: Millis = Millis(500);
+        const HELD: Millis = Millis::from_secs(3);
+        const RECOVERED: f64 = 0.95;
+
+        let rest = self.goodput_at_rest();
+        let mut from = CAUSE_ENDS;
+        while from + HELD <= END {
+            if self.goodput(from, from + HELD) >= RECOVERED * rest {
+                return Some(from - CAUSE_ENDS);
+            }
+            from = from + STEP;
+        }
+        None
+    }
+
+    /// Requests sent while the cause lasted and the share of them that was served.
+    fn served_of(&self, wanted: impl Fn(&Sent) -> bool) -> (usize, f64) {
+        let in_cause = self.rows.iter().filter(|row| {
+            row.sent.at >= CAUSE_BEGINS && row.sent.at < CAUSE_ENDS && wanted(&row.sent)
+        });
+        let (mut sent, mut served) = (0, 0);
+        for row in in_cause {
+            sent += 1;
+            served += usize::from(row.served.is_some());
+        }
+        (sent, served as f64 / sent.max(1) as f64)
+    }
+
+    /// The share of requests of one importance that was served while the cause lasted.
+    pub fn served_by_importance(&self, importance: Importance) -> f64 {
+        self.served_of(|sent| sent.importance == importance).1
+    }
+
+    /// The share of requests of one team that was served while the cause lasted.
+    pub fn served_by_team(&self, team: usize) -> f64 {
+        self.served_of(|sent| sent.team == team).1
+    }
+
+    /// The least share served of any team but one.
+    pub fn worst_team_but(&self, excluded: usize) -> f64 {
+        (0..self.teams)
+            .filter(|&team| team != excluded)
+            .map(|team| self.served_by_team(team))
+            .fold(1.0, f64::min)
+    }
+
+    /// The share of the requests of all teams but one that was not served.
+    pub fn refused_but(&self, excluded: usize) -> f64 {
+        1.0 - self.served_of(|sent| sent.team != excluded).1
+    }
+
+    /// What the worst-served team got of its max-min fair share of what was served at one
+    /// importance, given the weights of the teams.
+    pub fn worst_fair_share(&self, importance: Importance, weights: &[u32]) -> f64 {
+        let teams: Vec<(f64, f64)> = (0..self.teams)
+            .map(|team| {
+                let (sent, share) =
+                    self.served_of(|sent| sent.team == team && sent.importance == importance);
+                (sent as f64, sent as f64 * share)
+            })
+            .collect();
+        let total = teams.iter().map(|(_, served)| served).sum();
+        let offered: Vec<f64> = teams.iter().map(|(sent, _)| *sent).collect();
+        let fair = max_min(&offered, weights, total);
+        let ratios = teams.iter().zip(fair).map(|((_, served), fair)| served / fair.max(1.0));
+        ratios.fold(1.0, f64::min)
+    }
+
+    /// The latency of whole answers at a percentile while the cause lasted, resends included.
+    pub fn latency(&self, percentile: f64) -> Millis {
+        let mut latencies: Vec<Millis> = self
+            .rows
+            .iter()
+            .filter(|row| row.sent.at >= CAUSE_BEGINS && row.sent.at < CAUSE_ENDS)
+            .filter_map(|row| row.served)
+            .collect();
+        latencies.sort_unstable();
+        let index = (latencies.len() as f64 * percentile / 100.0) as usize;
+        latencies.get(index.min(latencies.len().saturating_sub(1))).copied().unwrap_or_default()
+    }
+}
+
+/// Weighted max-min shares of a total.
+fn max_min(offered: &[f64], weights: &[u32], total: f64) -> Vec<f64> {
+    let mut order: Vec<usize> = (0..offered.len()).collect();
+    let need = |team: usize| offered[team] / f64::from(weights[team]);
+    order.sort_by(|&one, &other| need(one).total_cmp(&need(other)));
+    let mut left = total;
+    let mut weight: f64 = weights.iter().copied().map(f64::from).sum();
+    let mut shares = vec![0.0; offered.len()];
+    for team in order {
+        let share = (left * f64::from(weights[team]) / weight).min(offered[team]);
+        shares[team] = share;
+        left -= share;
+        weight -= f64::from(weights[team]);
+    }
+    shares
+}
--- a/crates/mustardpin-virtual/src/fleet.rs
+++ b/crates/mustardpin-virtual/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap},
+    collections::{BTreeMap, BinaryHeap, HashMap},
     sync::Arc,
 };
 
@@ -47,6 +47,8 @@
     pub fingerprint: u64,
     /// The time the caller is willing to wait.
     pub timeout: Option<Millis>,
+    /// How often the caller sends the request again after a failure.
+    pub resends: u32,
 }
 
 impl Request {
@@ -69,6 +71,7 @@
             idempotency_key: Some(idempotency_key.to_owned()),
             fingerprint: mustardpin_world::home::hash_of(&[path, idempotency_key]),
             timeout: None,
+            resends: 0,
         }
     }
 }
@@ -101,14 +104,14 @@
 }
 
 /// Who waits for the answer to an arrived request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum Waiter {
     /// The caller of a root request.
     Caller { root: u64 },
     /// A node that forwarded its call.
     Node { site: Site, life: u32, call: CallKey },
     /// A target that made a call in the course of another.
-    Target { site: Site, life: u32, parent: CallKey, run: u64 },
+    Target { site: Site, life: u32, parent: CallKey, run: u64, index: usize },
 }
 
 /// A request a node is working on.
@@ -126,10 +129,11 @@
     Arrive { request: Request, origin: Origin, waiter: Waiter, root: u64 },
     Begin { life: u32, run: request::Run },
     ServiceOver { life: u32, call: CallKey, run: u64 },
-    ChildOver { life: u32, parent: CallKey, run: u64, whole: bool },
+    ChildOver { life: u32, parent: CallKey, run: u64, index: usize, status: u16 },
     RunDeadline { life: u32, call: CallKey },
     ForwardDeadline { life: u32, call: CallKey },
     Report { life: u32 },
+    Resend { root: u64 },
 }
 
 #[derive(Debug)]
@@ -147,6 +151,11 @@
     next_tick: Millis,
     tickets: BTreeMap<request::Ticket, Held>,
     calls: BTreeMap<CallKey, Held>,
+    by_waiter: HashMap<Waiter, CallKey>,
+    /// Retries left over from calls that are about to be answered.
+    leftover: BTreeMap<CallKey, u32>,
+    /// The statuses of the targets' answers to calls.
+    statuses: BTreeMap<CallKey, u16>,
     /// Calls passed on, and where they are there, once known.
     forwarded: BTreeMap<CallKey, Site>,
     held_back: Vec<Step>,
@@ -171,9 +180,14 @@
     /// Messages sent between worlds.
     pub messages: u64,
     nodes: Vec<Node>,
-    roots: BTreeMap<u64, (Site, Millis, Request)>,
-    queue: BinaryHeap<Reverse<(Millis, u64, usize)>>,
-    steps: BTreeMap<u64, Step>,
+    /// Whether [`Fleet::ran`] is written.
+    pub keep_runs: bool,
+    roots: Vec<(Site, Millis, Request)>,
+    last_received: HashMap<u64, usize>,
+    queue: BinaryHeap<Reverse<(Millis, u64, usize, usize)>>,
+    /// Steps named by the queue, and the places in it that are free.
+    steps: Vec<Option<Step>>,
+    free_steps: Vec<usize>,
     sequence: u64,
     options: Options,
     rng: Pcg64Mcg,
@@ -181,6 +195,8 @@
 }
 
 const REPORT_PERIOD: Millis = Millis(1_000);
+/// How long a caller or a target waits before it sends a failed request again.
+const RESEND_AFTER: Millis = Millis(50);
 
 impl Fleet {
     /// An empty fleet. The seed decides everything that is random in it.
@@ -195,9 +211,12 @@
             log: Vec::new(),
             messages: 0,
             nodes: Vec::new(),
-            roots: BTreeMap::new(),
+            keep_runs: true,
+            roots: Vec::new(),
+            last_received: HashMap::new(),
             queue: BinaryHeap::new(),
-            steps: BTreeMap::new(),
+            steps: Vec::new(),
+            free_steps: Vec::new(),
             sequence: 0,
             options,
             rng: Pcg64Mcg::seed_from_u64(seed),
@@ -222,6 +241,9 @@
             next_tick: Millis::MAX,
             tickets: BTreeMap::new(),
             calls: BTreeMap::new(),
+            by_waiter: HashMap::new(),
+            leftover: BTreeMap::new(),
+            statuses: BTreeMap::new(),
             forwarded: BTreeMap::new(),
             held_back: Vec::new(),
         });
@@ -259,6 +281,9 @@
             .into_values()
             .chain(std::mem::take(&mut node.tickets).into_values())
             .collect();
+        node.by_waiter.clear();
+        node.leftover.clear();
+        node.statuses.clear();
         node.pending.clear();
         node.held_back.clear();
         node.forwarded.clear();
@@ -279,7 +304,9 @@
         let data_centre = self.nodes[site.0].data_centre.clone();
         let service = self.nodes[site.0].target.service.name.clone();
         let world = self.world(site, life, &data_centre, &service);
+        let now = self.now;
         let node = &mut self.nodes[site.0];
+        node.target.started = now;
         node.world = world;
         node.up = true;
         node.exited = false;
@@ -321,6 +348,7 @@
     /// Starts the target at a site again.
     pub fn restart_target(&mut self, site: Site) {
         self.nodes[site.0].target.up = true;
+        self.nodes[site.0].target.started = self.now;
         let life = self.nodes[site.0].life;
         self.schedule(site, self.now, Step::Report { life });
     }
@@ -328,16 +356,21 @@
     /// Sends a root request to a node and returns its number.
     pub fn send(&mut self, site: Site, request: Request) -> u64 {
         let root = self.roots.len() as u64;
-        self.roots.insert(root, (site, self.now, request.clone()));
+        self.roots.push((site, self.now, request));
+        self.send_root(root);
+        root
+    }
+
+    fn send_root(&mut self, root: u64) {
+        let (site, _, request) = self.roots[root as usize].clone();
         let origin = Origin::Caller { key: request.key.as_deref().map(split_key) };
         let waiter = Waiter::Caller { root };
         self.schedule(site, self.now, Step::Arrive { request, origin, waiter, root });
-        root
     }
 
     /// The caller of a root request hangs up.
     pub fn hang_up(&mut self, root: u64) {
-        let Some((site, _, _)) = self.roots.get(&root) else { return };
+        let Some((site, _, _)) = self.roots.get(root as usize) else { return };
         let site = *site;
         let waiter = Waiter::Caller { root };
         if let Some(call) = self.call_of(site, waiter) {
@@ -357,12 +390,13 @@
 
     /// Lets virtual time pass up to a point.
     pub fn run_until(&mut self, end: Millis) {
-        while let Some(Reverse((at, _, _))) = self.queue.peek() {
+        while let Some(Reverse((at, ..))) = self.queue.peek() {
             if *at > end {
                 break;
             }
-            let Some(Reverse((at, sequence, site))) = self.queue.pop() else { break };
-            let Some(step) = self.steps.remove(&sequence) else { continue };
+            let Some(Reverse((at, _, site, place))) = self.queue.pop() else { break };
+            self.free_steps.push(place);
+            let Some(step) = self.steps[place].take() else { continue };
             self.now = at;
             self.take(Site(site), step);
         }
@@ -374,9 +408,9 @@
         self.run_until(self.now + length);
     }
 
-    /// What the caller of a root request received, if anything yet.
+    /// What the caller of a root request received last, if anything yet.
     pub fn answer_to(&self, root: u64) -> Option<&Received> {
-        self.received.iter().find(|received| received.root == root)
+        self.last_received.get(&root).map(|&index| &self.received[index])
     }
 
     fn world(&self, site: Site, life: u32, data_centre: &str, service: &str) -> World {
@@ -399,8 +433,12 @@
 
     fn schedule(&mut self, site: Site, at: Millis, step: Step) {
         self.sequence += 1;
-        self.steps.insert(self.sequence, step);
-        self.queue.push(Reverse((at, self.sequence, site.0)));
+        let place = self.free_steps.pop().unwrap_or_else(|| {
+            self.steps.push(None);
+            self.steps.len() - 1
+        });
+        self.steps[place] = Some(step);
+        self.queue.push(Reverse((at, self.sequence, site.0, place)));
     }
 
     fn tick_at(&mut self, site: Site, at: Millis) {
@@ -437,9 +475,10 @@
             }
             Step::Begin { life, run } => self.begin(site, life, run),
             Step::ServiceOver { life, call, run } => self.service_over(site, life, call, run),
-            Step::ChildOver { life, parent, run, whole } => {
-                self.child_over(site, life, parent, run, whole);
+            Step::ChildOver { life, parent, run, index, status } => {
+                self.child_over(site, life, parent, run, index, status);
             }
+            Step::Resend { root } => self.send_root(root),
             Step::RunDeadline { life, call } => self.run_deadline(site, life, call),
             Step::ForwardDeadline { life, call } => self.forward_deadline(site, life, call),
             Step::Report { life } => self.report(site, life),
@@ -464,21 +503,30 @@
         let life = self.nodes[site.0].life;
         match command {
             Command::Accepted(ticket, call) => {
-                if let Some(held) = self.nodes[site.0].tickets.remove(&ticket) {
-                    self.nodes[site.0].calls.insert(call, held);
+                let node = &mut self.nodes[site.0];
+                if let Some(held) = node.tickets.remove(&ticket) {
+                    node.by_waiter.insert(held.waiter, call);
+                    node.calls.insert(call, held);
                 }
             }
+            Command::ReturnRetries { call, retries } => {
+                self.nodes[site.0].leftover.insert(call, retries);
+            }
             Command::Reject(ticket, refusal) => {
                 if let Some(held) = self.nodes[site.0].tickets.remove(&ticket) {
-                    self.answer(site, held.waiter, Verdict::Refuse(refusal));
+                    self.answer(site, held.waiter, Verdict::Refuse(refusal), 503);
                 }
             }
             Command::Run(run) => self.schedule(site, self.now, Step::Begin { life, run }),
             Command::Forward(forward) => self.forward(site, forward),
             Command::Finish(call, verdict) => {
-                if let Some(held) = self.nodes[site.0].calls.remove(&call) {
-                    self.nodes[site.0].forwarded.remove(&call);
-                    self.answer(site, held.waiter, verdict);
+                let node = &mut self.nodes[site.0];
+                if let Some(held) = node.calls.remove(&call) {
+                    node.by_waiter.remove(&held.waiter);
+                    node.forwarded.remove(&call);
+                    let status = node.statuses.remove(&call).unwrap_or(200);
+                    self.return_retries(site, call, held.waiter);
+                    self.answer(site, held.waiter, verdict, status);
                 }
             }
             Command::Cancel(call) => self.cancel(site, call),
@@ -548,21 +596,38 @@
                     self.deliver_later(sender, Millis(1), event);
                 }
             }
-            Waiter::Target { site: target, life, parent, run } => {
+            Waiter::Target { site: target, life, parent, run, index } => {
                 let _ = site;
-                let step = Step::ChildOver { life, parent, run, whole: false };
+                let step = Step::ChildOver { life, parent, run, index, status: 502 };
                 self.schedule(target, self.now, step);
             }
         }
     }
 
-    fn answer(&mut self, site: Site, waiter: Waiter, verdict: Verdict) {
+    fn return_retries(&mut self, site: Site, call: CallKey, waiter: Waiter) {
+        let Some(retries) = self.nodes[site.0].leftover.remove(&call) else { return };
+        let Waiter::Node { site: sender, life, call } = waiter else { return };
+        if self.nodes[sender.0].life != life {
+            return;
+        }
+        if let Some(delay) = self.delay(site, sender) {
+            self.deliver_later(sender, delay, Event::RetriesReturned { call, retries });
+        }
+    }
+
+    fn answer(&mut self, site: Site, waiter: Waiter, verdict: Verdict, status: u16) {
         match waiter {
+            Waiter::Caller { root } if status >= 500 && verdict == Verdict::Pass => {
+                self.receive(root, None);
+            }
             Waiter::Caller { root } => self.receive(root, Some(verdict)),
             Waiter::Node { site: sender, life, call } => {
+                if verdict == Verdict::Pass {
+                    self.nodes[sender.0].statuses.insert(call, status);
+                }
                 let pressure = self.nodes[site.0].pressure;
                 let end = match verdict {
-                    Verdict::Pass => ForwardEnd::Answered { status: 200 },
+                    Verdict::Pass => ForwardEnd::Answered { status },
                     Verdict::Replay(answer) => ForwardEnd::Answered { status: answer.status },
                     Verdict::Refuse(refusal) => ForwardEnd::Refused(refusal),
                 };
@@ -575,18 +640,29 @@
                     self.deliver_later(sender, delay.unwrap_or(Millis(100)), event);
                 }
             }
-            Waiter::Target { site: target, life, parent, run } => {
-                let whole = matches!(verdict, Verdict::Pass | Verdict::Replay(_));
-                let step = Step::ChildOver { life, parent, run, whole };
+            Waiter::Target { site: target, life, parent, run, index } => {
+                let status = match verdict {
+                    Verdict::Pass => status,
+                    Verdict::Replay(answer) => answer.status,
+                    Verdict::Refuse(refusal) => refusal.reason.status(),
+                };
+                let step = Step::ChildOver { life, parent, run, index, status };
                 self.schedule(target, self.now, step);
             }
         }
     }
 
     fn receive(&mut self, root: u64, verdict: Option<Verdict>) {
-        let Some((site, sent, _)) = self.roots.get(&root) else { return };
+        let Some((site, sent, request)) = self.roots.get_mut(root as usize) else { return };
         let received = Received { root, site: *site, sent: *sent, at: self.now, verdict };
+        let resend = !received.is_whole() && request.resends > 0;
+        request.resends -= u32::from(resend);
+        let site = *site;
+        self.last_received.insert(root, self.received.len());
         self.received.push(received);
+        if resend {
+            self.schedule(site, self.now + RESEND_AFTER, Step::Resend { root });
+        }
     }
 
     fn forward(&mut self, site: Site, forward: request::Forward) {
@@ -623,7 +699,8 @@
     }
 
     fn cancel(&mut self, site: Site, call: CallKey) {
-        if self.nodes[site.0].target.cancel(call) {
+        if self.nodes[site.0].target.progress.contains_key(&call) {
+            self.nodes[site.0].target.cancel(call);
             self.deliver_later(site, Millis(0), Event::RunEnded(call, RunEnd::Cancelled));
             self.start_waiting(site);
             return;
@@ -639,8 +716,7 @@
     }
 
     fn call_of(&self, site: Site, waiter: Waiter) -> Option<CallKey> {
-        let calls = &self.nodes[site.0].calls;
-        calls.iter().find(|(_, held)| held.waiter == waiter).map(|(&call, _)| call)
+        self.nodes[site.0].by_waiter.get(&waiter).copied()
     }
 
     fn calls_forwarded_to(&self, site: Site) -> Vec<(Site, CallKey)> {
@@ -665,16 +741,9 @@
             return self.deliver_later(site, Millis(0), event);
         }
         let Some(held) = self.nodes[site.0].calls.get(&run.call).cloned() else { return };
-        let key_id = self.roots.get(&held.root).and_then(|(_, _, request)| request.key.clone());
-        self.ran.push(Ran {
-            at: now,
-            node: self.nodes[site.0].world.identity().node(),
-            path: held.request.path.clone(),
-            fingerprint: Fingerprint(held.request.fingerprint),
-            idempotency_key: held.request.idempotency_key.clone(),
-            key_id: key_id.map(|key| split_key(&key).0.to_string()),
-            root: held.root,
-        });
+        if self.keep_runs {
+            self.note_run(site, &held);
+        }
         let fingerprint = Fingerprint(held.request.fingerprint);
         if self.nodes[site.0].target.poison.contains(&fingerprint) {
             let event = Event::RunEnded(run.call, RunEnd::Broken);
@@ -685,12 +754,27 @@
         let number = self.sequence;
         let target = &mut self.nodes[site.0].target;
         let resends = target.service.resends;
-        target.progress.insert(run.call, Progress { next_call: 0, resends, run: number });
+        let progress = Progress { next_call: 0, open: 0, resends, run: number };
+        target.progress.insert(run.call, progress);
         target.waiting.push_back(run.call);
         self.schedule(site, run.deadline, Step::RunDeadline { life, call: run.call });
         self.start_waiting(site);
     }
 
+    fn note_run(&mut self, site: Site, held: &Held) {
+        let root = self.roots.get(held.root as usize);
+        let key_id = root.and_then(|(_, _, request)| request.key.clone());
+        self.ran.push(Ran {
+            at: self.now,
+            node: self.nodes[site.0].world.identity().node(),
+            path: held.request.path.clone(),
+            fingerprint: Fingerprint(held.request.fingerprint),
+            idempotency_key: held.request.idempotency_key.clone(),
+            key_id: key_id.map(|key| split_key(&key).0.to_string()),
+            root: held.root,
+        });
+    }
+
     fn start_waiting(&mut self, site: Site) {
         loop {
             let node = &mut self.nodes[site.0];
@@ -702,7 +786,7 @@
             let Some(progress) = node.target.progress.get(&call) else { continue };
             let run = progress.run;
             let life = node.life;
-            let time = node.target.draw(&mut self.rng);
+            let time = node.target.draw(self.now, &mut self.rng);
             self.schedule(site, self.now + time, Step::ServiceOver { life, call, run });
         }
     }
@@ -711,7 +795,14 @@
         if !self.is_running(site, life, call, run) {
             return;
         }
-        self.next_child(site, call);
+        let calls = self.nodes[site.0].target.service.calls.len();
+        if calls == 0 {
+            return self.end_run(site, call, 200);
+        }
+        let parallel = self.nodes[site.0].target.service.parallel;
+        for index in 0..if parallel { calls } else { 1 } {
+            self.call_child(site, call, index);
+        }
     }
 
     fn is_running(&self, site: Site, life: u32, call: CallKey, run: u64) -> bool {
@@ -720,30 +811,27 @@
             && node.target.progress.get(&call).is_some_and(|progress| progress.run == run)
     }
 
-    /// Makes the target's next call, or ends the run if it has made them all.
-    fn next_child(&mut self, site: Site, call: CallKey) {
-        let node = &self.nodes[site.0];
-        let Some(progress) = node.target.progress.get(&call) else { return };
-        let Some(path) = node.target.service.calls.get(progress.next_call).cloned() else {
-            return self.end_run(site, call, 200);
-        };
-        let (run, life) = (progress.run, node.life);
-        let (Some(held), Some(token)) = (node.calls.get(&call), self.token_of(site, call)) else {
-            return;
+    /// Makes one of the target's calls.
+    fn call_child(&mut self, site: Site, call: CallKey, index: usize) {
+        let token = self.token_of(site, call);
+        let node = &mut self.nodes[site.0];
+        let Some(progress) = node.target.progress.get_mut(&call) else { return };
+        let (Some(held), Some(token)) = (node.calls.get(&call), token) else {
+            return self.end_run(site, call, 500);
         };
-        let root = held.root;
+        progress.open += 1;
+        let (run, life, root) = (progress.run, node.life, held.root);
+        let path = node.target.service.calls[index].clone();
+        let parent_fingerprint = held.request.fingerprint.to_string();
         let request = Request {
             method: "GET".to_owned(),
-            path: path.clone(),
             key: None,
             idempotency_key: held.request.idempotency_key.clone(),
-            fingerprint: mustardpin_world::home::hash_of(&[
-                &path,
-                &held.request.fingerprint.to_string(),
-            ]),
-            timeout: None,
+            fingerprint: mustardpin_world::home::hash_of(&[&path, &parent_fingerprint]),
+            path,
+            ..Request::default()
         };
-        let waiter = Waiter::Target { site, life, parent: call, run };
+        let waiter = Waiter::Target { site, life, parent: call, run, index };
         let origin = Origin::Target { token };
         self.schedule(site, self.now, Step::Arrive { request, origin, waiter, root });
     }
@@ -752,26 +840,46 @@
         self.nodes[site.0].world.tables().calls.get(call).map(|call| call.token)
     }
 
-    fn child_over(&mut self, site: Site, life: u32, parent: CallKey, run: u64, whole: bool) {
+    fn child_over(
+        &mut self,
+        site: Site,
+        life: u32,
+        parent: CallKey,
+        run: u64,
+        index: usize,
+        status: u16,
+    ) {
         if !self.is_running(site, life, parent, run) {
             return;
         }
-        let Some(progress) = self.nodes[site.0].target.progress.get_mut(&parent) else { return };
-        if whole {
-            progress.next_call += 1;
-            return self.next_child(site, parent);
+        let target = &mut self.nodes[site.0].target;
+        let Some(progress) = target.progress.get_mut(&parent) else { return };
+        progress.open -= 1;
+        if status >= 400 {
+            if progress.resends == 0 {
+                let status = if matches!(status, 429 | 503 | 504) { 503 } else { 502 };
+                return self.end_run(site, parent, status);
+            }
+            progress.resends -= 1;
+            return self.call_child(site, parent, index);
+        }
+        progress.next_call += 1;
+        let next = progress.next_call;
+        if next == target.service.calls.len() {
+            return self.end_run(site, parent, 200);
         }
-        if progress.resends == 0 {
-            return self.end_run(site, parent, 502);
+        if !target.service.parallel {
+            self.call_child(site, parent, next);
         }
-        progress.resends -= 1;
-        self.next_child(site, parent);
     }
 
     fn end_run(&mut self, site: Site, call: CallKey, status: u16) {
         let node = &mut self.nodes[site.0];
         node.target.progress.remove(&call);
         node.target.busy.remove(&call);
+        if node.calls.contains_key(&call) {
+            node.statuses.insert(call, status);
+        }
         let answer = Answer { status, headers: Vec::new(), body: call_body(call) };
         let end = RunEnd::Answered { status, answer: Some(Arc::new(answer)) };
         self.deliver_later(site, Millis(0), Event::RunEnded(call, end));
@@ -789,6 +897,7 @@
             draining: false,
             running: Some(node.target.busy.len() as u32),
         };
+        let report = self.nodes[site.0].target.say(self.now, report, &mut self.rng);
         self.deliver_later(site, Millis(0), Event::Target(report));
         self.schedule(site, self.now + REPORT_PERIOD, Step::Report { life });
     }
--- a/crates/mustardpin-virtual/src/lib.rs
+++ b/crates/mustardpin-virtual/src/lib.rs
@@ -4,6 +4,7 @@
 //! them. The same seed and the same calls give the same history. The history that checks look at
 //! is what targets ran and what callers received, not what a world believes.
 
+pub mod experiment;
 mod fleet;
 mod network;
 mod platform;
@@ -13,5 +14,5 @@
     fleet::{Fleet, Received, Request, Site},
     network::{Delay, Network},
     platform::{Platform, PlatformMode},
-    target::{Ran, Service, Target},
+    target::{COLD_FACTOR, Ran, Reports, Service, Target},
 };
--- a/crates/mustardpin-virtual/src/target.rs
+++ b/crates/mustardpin-virtual/src/target.rs
@@ -4,6 +4,7 @@
 
 use mustardpin_world::{
     Millis,
+    event::TargetReport,
     id::{CallKey, NodeId},
     request::Fingerprint,
 };
@@ -23,12 +24,45 @@
     pub calls: Vec<String>,
     /// How often it sends a failed call again.
     pub resends: u32,
+    /// Whether it makes its calls all at once.
+    pub parallel: bool,
+    /// Whether it stops work that is cancelled.
+    pub cancellable: bool,
+    /// For this long after its start it is slower by [`COLD_FACTOR`].
+    pub cold: Millis,
+    /// What it reports of its slots and load.
+    pub reports: Reports,
+}
+
+/// How much slower a cold target is.
+pub const COLD_FACTOR: f64 = 4.0;
+
+/// What a target reports of its slots and load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Reports {
+    /// The truth, at once.
+    #[default]
+    Prompt,
+    /// What was true this long ago.
+    Late(Millis),
+    /// Anything.
+    False,
 }
 
 impl Service {
     /// A service that calls no others.
     pub fn leaf(name: &str, slots: usize, mean: f64) -> Service {
-        Service { name: name.to_owned(), slots, mean, calls: Vec::new(), resends: 0 }
+        Service {
+            name: name.to_owned(),
+            slots,
+            mean,
+            calls: Vec::new(),
+            resends: 0,
+            parallel: false,
+            cancellable: true,
+            cold: Millis::ZERO,
+            reports: Reports::Prompt,
+        }
     }
 }
 
@@ -62,8 +96,11 @@
     pub poison: BTreeSet<Fingerprint>,
     /// Whether its process is there.
     pub up: bool,
+    /// When its process started.
+    pub started: Millis,
     /// How often it crashed.
     pub crashes: u32,
+    past: VecDeque<(Millis, TargetReport)>,
     pub(crate) waiting: VecDeque<CallKey>,
     pub(crate) busy: BTreeSet<CallKey>,
     pub(crate) progress: BTreeMap<CallKey, Progress>,
@@ -72,7 +109,10 @@
 /// How far a target is with a request.
 #[derive(Debug, Clone)]
 pub(crate) struct Progress {
+    /// Calls that were served.
     pub(crate) next_call: usize,
+    /// Calls without an answer yet.
+    pub(crate) open: usize,
     pub(crate) resends: u32,
     pub(crate) run: u64,
 }
@@ -85,17 +125,44 @@
             slowdown: 1.0,
             poison: BTreeSet::new(),
             up: true,
+            started: Millis::ZERO,
             crashes: 0,
+            past: VecDeque::new(),
             waiting: VecDeque::new(),
             busy: BTreeSet::new(),
             progress: BTreeMap::new(),
         }
     }
 
+    /// What it reports in place of the truth.
+    pub(crate) fn say(
+        &mut self,
+        now: Millis,
+        truth: TargetReport,
+        rng: &mut Pcg64Mcg,
+    ) -> TargetReport {
+        match self.service.reports {
+            Reports::Prompt => truth,
+            Reports::Late(lag) => {
+                self.past.push_back((now, truth));
+                while self.past.get(1).is_some_and(|(at, _)| *at + lag <= now) {
+                    self.past.pop_front();
+                }
+                self.past.front().map(|(_, report)| report.clone()).unwrap_or_default()
+            }
+            Reports::False => {
+                let slots = Some(rng.random_range(1..=1_000));
+                let running = Some(rng.random_range(0..=1_000));
+                TargetReport { slots, running, ..truth }
+            }
+        }
+    }
+
     /// Draws a service time.
-    pub(crate) fn draw(&self, rng: &mut Pcg64Mcg) -> Millis {
+    pub(crate) fn draw(&self, now: Millis, rng: &mut Pcg64Mcg) -> Millis {
         let uniform: f64 = rng.random_range(f64::EPSILON..1.0);
-        Millis((-uniform.ln() * self.service.mean * self.slowdown).round() as u64)
+        let cold = if now < self.started + self.service.cold { COLD_FACTOR } else { 1.0 };
+        Millis((-uniform.ln() * self.service.mean * self.slowdown * cold).round() as u64)
     }
 
     /// Forgets all work, as a process that ends does. Returns what it was at.
@@ -105,10 +172,13 @@
         std::mem::take(&mut self.progress).into_keys().collect()
     }
 
-    /// Drops one request.
-    pub(crate) fn cancel(&mut self, call: CallKey) -> bool {
+    /// Drops one request, if the target stops cancelled work.
+    pub(crate) fn cancel(&mut self, call: CallKey) {
+        if !self.service.cancellable {
+            return;
+        }
         self.waiting.retain(|&waiting| waiting != call);
         self.busy.remove(&call);
-        self.progress.remove(&call).is_some()
+        self.progress.remove(&call);
     }
 }
--- a/crates/mustardpin-world/src/command.rs
+++ b/crates/mustardpin-world/src/command.rs
@@ -66,6 +66,14 @@
     Run(Run),
     /// Pass the call to a peer.
     Forward(Forward),
+    /// Say on the answer to the peer that passed the call on how many of its retries are left.
+    /// Comes before the call's [`Command::Finish`].
+    ReturnRetries {
+        /// The call.
+        call: CallKey,
+        /// How many are left.
+        retries: u32,
+    },
     /// Answer the caller. The call is over and its key is free.
     Finish(CallKey, Verdict),
     /// Stop the run or the forwarded call. Its end follows as an event.
--- a/crates/mustardpin-world/src/event.rs
+++ b/crates/mustardpin-world/src/event.rs
@@ -58,6 +58,13 @@
         /// What the peer's answer said of its service.
         pressure: Option<Pressure>,
     },
+    /// A peer gave back retries that were lent with a call. Comes before the call's end.
+    RetriesReturned {
+        /// The call.
+        call: CallKey,
+        /// How many were left.
+        retries: u32,
+    },
     /// A message from a peer.
     Peer {
         /// Who sent it.
--- a/crates/mustardpin-world/src/options.rs
+++ b/crates/mustardpin-world/src/options.rs
@@ -9,8 +9,14 @@
     pub membership: Membership,
     /// Options of the freshness system.
     pub freshness: Freshness,
+    /// Options of the limit system.
+    pub limit: Limit,
+    /// Options of the pressure system.
+    pub pressure: Pressure,
     /// Options of the queueing system.
     pub queueing: Queueing,
+    /// Options of the retry system.
+    pub retry: Retry,
     /// Options of the routing system.
     pub routing: Routing,
 }
@@ -43,18 +49,127 @@
     }
 }
 
+/// How many requests may run on the own target at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum LimitAlgorithm {
+    /// Found from measured latency and the number of requests in flight.
+    #[default]
+    Adaptive,
+    /// The same at all times.
+    Fixed(u32),
+    /// As many as come.
+    Unlimited,
+}
+
+/// Options of the limit system.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Limit {
+    /// How the limit is found.
+    pub algorithm: LimitAlgorithm,
+    /// The limit of a target that has just come. A report of fewer slots lowers it.
+    pub initial: u32,
+    /// The limit never falls below this.
+    pub least: u32,
+    /// The limit never grows above this.
+    pub most: u32,
+}
+
+impl Default for Limit {
+    fn default() -> Limit {
+        Limit { algorithm: LimitAlgorithm::Adaptive, initial: 8, least: 2, most: 10_000 }
+    }
+}
+
+/// Options of the pressure system.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Pressure {
+    /// Whether requests are refused early when services below refuse them.
+    pub early_refusal: bool,
+    /// Whether work whose caller has gone or whose deadline has passed is cancelled.
+    pub cancellation: bool,
+}
+
+impl Default for Pressure {
+    fn default() -> Pressure {
+        Pressure { early_refusal: true, cancellation: true }
+    }
+}
+
+/// Which request leaves the queue next, and which is refused when the queue is full.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Discipline {
+    /// By importance, then by weighted fair shares between teams.
+    #[default]
+    Fair,
+    /// In the order of arrival.
+    Fifo,
+    /// In the order of arrival; drops requests while the time in the queue stays high.
+    Codel,
+}
+
 /// Options of the queueing system.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Queueing {
-    /// Requests that may wait for the target.
+    /// The order of the queue.
+    pub discipline: Discipline,
+    /// Requests that may wait for the target at most.
     pub capacity: usize,
-    /// Requests that may run on the target before its own limit is known.
-    pub initial_limit: u32,
+    /// No more requests may wait than the target runs in this time.
+    pub wait: Millis,
+    /// Whether requests that cannot finish by their deadline leave the queue unrun.
+    pub drop_late: bool,
 }
 
 impl Default for Queueing {
     fn default() -> Queueing {
-        Queueing { capacity: 256, initial_limit: 32 }
+        Queueing {
+            discipline: Discipline::Fair,
+            capacity: 1_024,
+            wait: Millis(250),
+            drop_late: true,
+        }
+    }
+}
+
+/// Who may repeat requests, and how often.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum RetryPolicy {
+    /// One allowance for each root request, and a ratio of successes for each route.
+    #[default]
+    Chain,
+    /// A ratio of successes for each route, by each node for itself.
+    Ratio,
+    /// Every repeat is let through; the system itself repeats nothing.
+    Unbounded,
+}
+
+/// Options of the retry system.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Retry {
+    /// Who may repeat requests.
+    pub policy: RetryPolicy,
+    /// Repeats for each hundred successes on a route.
+    pub ratio_percent: u32,
+    /// Repeats that a route may save up.
+    pub ratio_burst: u32,
+    /// How long a failed root request is remembered, to recognise when it is sent again.
+    pub resend_window: Millis,
+    /// Resent root requests for each hundred that were not resent, by team.
+    pub resend_percent: u32,
+    /// Resent root requests that a team may save up at each node.
+    pub resend_burst: u32,
+}
+
+impl Default for Retry {
+    fn default() -> Retry {
+        Retry {
+            policy: RetryPolicy::Chain,
+            ratio_percent: 10,
+            ratio_burst: 10,
+            resend_window: Millis::from_secs(30),
+            resend_percent: 10,
+            resend_burst: 10,
+        }
     }
 }
 
--- a/crates/mustardpin-world/src/system.rs
+++ b/crates/mustardpin-world/src/system.rs
@@ -3,14 +3,19 @@
 mod completion;
 mod configuration;
 mod drain;
+mod ejection;
 mod finish;
 mod freshness;
 mod intake;
+mod limit;
 mod membership;
 mod permission;
+mod pressure;
 mod queueing;
 mod rating;
 mod recording;
+mod resend;
+mod retry;
 mod routing;
 mod screening;
 
@@ -18,17 +23,35 @@
     event::{Event, Proposal, ProposalTicket, TargetReport},
     id::{CallKey, NodeId},
     message::Message,
+    options::Options,
     platform,
     request::{ForwardEnd, Pressure, Request, RunEnd},
     world::{Tick, World},
 };
 
 /// What the systems remember from tick to tick beside the tables.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct State {
     pub(crate) last_ticket: platform::Ticket,
     pub(crate) freshness: freshness::State,
+    pub(crate) limit: limit::State,
+    pub(crate) pressure: pressure::State,
     pub(crate) queueing: queueing::State,
+    pub(crate) retry: retry::State,
+}
+
+impl State {
+    /// The state before the first tick, with the policies that the options choose.
+    pub(crate) fn new(options: &Options) -> State {
+        State {
+            last_ticket: platform::Ticket::default(),
+            freshness: freshness::State::default(),
+            limit: limit::State::new(&options.limit),
+            pressure: pressure::State::default(),
+            queueing: queueing::State::new(&options.queueing),
+            retry: retry::State::new(&options.retry),
+        }
+    }
 }
 
 /// The events of one tick, sorted by the system that reads them.
@@ -38,6 +61,7 @@
     pub(crate) callers_gone: Vec<CallKey>,
     pub(crate) runs_ended: Vec<(CallKey, RunEnd)>,
     pub(crate) forwards_ended: Vec<(CallKey, ForwardEnd, Option<Pressure>)>,
+    pub(crate) retries_returned: Vec<(CallKey, u32)>,
     pub(crate) messages: Vec<(NodeId, Message)>,
     pub(crate) undelivered: Vec<NodeId>,
     pub(crate) platform: Vec<(platform::Ticket, platform::Reply)>,
@@ -60,6 +84,9 @@
                 Event::ForwardEnded { call, end, pressure } => {
                     inbox.forwards_ended.push((call, end, pressure));
                 }
+                Event::RetriesReturned { call, retries } => {
+                    inbox.retries_returned.push((call, retries));
+                }
                 Event::Peer { from, message } => inbox.messages.push((from, message)),
                 Event::Undelivered { to } => inbox.undelivered.push(to),
                 Event::Platform(ticket, reply) => inbox.platform.push((ticket, reply)),
@@ -79,6 +106,10 @@
     configuration::run(world, tick);
     membership::run(world, tick);
     freshness::run(world, tick);
+    limit::run(world, tick);
+    ejection::run(world, tick);
+    pressure::run(world, tick);
+    retry::run(world, tick);
     completion::run(world, tick);
     intake::run(world, tick);
     rating::run(world, tick);
@@ -86,5 +117,6 @@
     screening::run(world, tick);
     recording::run(world, tick);
     queueing::run(world, tick);
+    pressure::publish(world, tick);
     drain::run(world, tick);
 }
--- a/crates/mustardpin-world/src/system/completion.rs
+++ b/crates/mustardpin-world/src/system/completion.rs
@@ -1,18 +1,18 @@
 //! Ends calls whose run or forwarded request has ended, or tries them elsewhere.
 
 use crate::{
-    command::Command,
     id::CallKey,
     refusal::{Outcome, Reason, Refusal},
     request::{ForwardEnd, RunEnd, Verdict},
     system::finish,
-    table::call::Stage,
     world::{Tick, World},
 };
 
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
     for call in std::mem::take(&mut tick.inbox.callers_gone) {
-        abandon(world, tick, call);
+        if world.options.pressure.cancellation {
+            finish::abandon(world, tick, call);
+        }
     }
     for (call, end) in std::mem::take(&mut tick.inbox.runs_ended) {
         run_ended(world, tick, call, end);
@@ -28,19 +28,6 @@
     }
 }
 
-/// The caller has gone: what runs is cancelled, what waits is dropped.
-fn abandon(world: &mut World, tick: &mut Tick, key: CallKey) {
-    let Some(call) = world.tables.calls.get_mut(key) else { return };
-    call.abandoned = true;
-    match call.stage {
-        Stage::Running | Stage::Forwarded => tick.commands.push(Command::Cancel(key)),
-        _ => {
-            let refusal = Refusal::not_run(Reason::CallerGone);
-            finish::run(world, tick, key, Verdict::Refuse(refusal));
-        }
-    }
-}
-
 fn run_ended(world: &mut World, tick: &mut Tick, key: CallKey, end: RunEnd) {
     let verdict = match end {
         RunEnd::Answered { .. } => Verdict::Pass,
--- a/crates/mustardpin-world/src/system/finish.rs
+++ b/crates/mustardpin-world/src/system/finish.rs
@@ -2,28 +2,86 @@
 
 use crate::{
     command::Command,
-    id::CallKey,
+    id::{CallKey, PeerKey},
+    refusal::{Reason, Refusal},
     request::Verdict,
-    table::{call::Stage, counter::Work},
+    system::{pressure, resend},
+    table::{
+        Tables,
+        call::{Call, Stage},
+        counter::Work,
+    },
     world::{Tick, World},
 };
 
 pub(super) fn run(world: &mut World, tick: &mut Tick, key: CallKey, verdict: Verdict) {
+    let Some(call) = world.tables.calls.remove(key) else { return };
     let tables = &mut world.tables;
-    let Some(call) = tables.calls.remove(key) else { return };
-    match call.stage {
+    release(tables, call.stage, call.peer);
+    match &verdict {
+        Verdict::Pass => tables.counters.work(Work::Answered),
+        Verdict::Replay(_) => tables.counters.work(Work::Replayed),
+        Verdict::Refuse(refusal) => tables.counters.refuse(refusal.reason),
+    }
+    return_to_parent(tables, key, &call, &verdict);
+    resend::finished(world, tick.now, &call, &verdict);
+    if call.from.is_some() && call.retry_allowance > 0 {
+        tick.commands.push(Command::ReturnRetries { call: key, retries: call.retry_allowance });
+    }
+    tick.commands.push(Command::Finish(key, verdict));
+    abandon_children(world, tick, &call);
+}
+
+/// Frees the place that a call held at the own target or at a peer.
+pub(super) fn release(tables: &mut Tables, stage: Stage, peer: Option<PeerKey>) {
+    match stage {
         Stage::Running => tables.target.running = tables.target.running.saturating_sub(1),
         Stage::Forwarded => {
-            if let Some(peer) = call.peer.and_then(|peer| tables.peers.get_mut(peer)) {
+            if let Some(peer) = peer.and_then(|peer| tables.peers.get_mut(peer)) {
                 peer.in_flight = peer.in_flight.saturating_sub(1);
             }
         }
         _ => {}
     }
-    match &verdict {
-        Verdict::Pass => tables.counters.work(Work::Answered),
-        Verdict::Replay(_) => tables.counters.work(Work::Replayed),
-        Verdict::Refuse(refusal) => tables.counters.refuse(refusal.reason),
+}
+
+/// Gives what is left of its allowance back to the call that made this one.
+fn return_to_parent(tables: &mut Tables, key: CallKey, call: &Call, verdict: &Verdict) {
+    let Some(parent) = call.parent.and_then(|parent| tables.calls.get_mut(parent)) else { return };
+    parent.retry_allowance += call.retry_allowance;
+    parent.lineage.children.retain(|child| *child != key);
+    if let Verdict::Refuse(refusal) = verdict
+        && pressure::is_shed(refusal.reason)
+    {
+        parent.lineage.shed_below = true;
+    }
+}
+
+/// Nobody waits any more for the calls that a call has made.
+fn abandon_children(world: &mut World, tick: &mut Tick, call: &Call) {
+    if !world.options.pressure.cancellation {
+        return;
+    }
+    for &child in &call.lineage.children {
+        abandon(world, tick, child);
+    }
+}
+
+/// Nobody waits for a call any more: what runs is cancelled, what waits is dropped.
+pub(super) fn abandon(world: &mut World, tick: &mut Tick, key: CallKey) {
+    let Some(call) = world.tables.calls.get_mut(key) else { return };
+    if call.abandoned {
+        return;
+    }
+    call.abandoned = true;
+    match call.stage {
+        Stage::Running | Stage::Forwarded => {
+            world.tables.counters.work(Work::Cancelled);
+            tick.commands.push(Command::Cancel(key));
+        }
+        _ => {
+            let refusal = Refusal::not_run(Reason::CallerGone);
+            run(world, tick, key, Verdict::Refuse(refusal));
+        }
     }
-    tick.commands.push(Command::Finish(key, verdict));
 }
--- a/crates/mustardpin-world/src/system/intake.rs
+++ b/crates/mustardpin-world/src/system/intake.rs
@@ -6,10 +6,10 @@
     clock::Millis,
     command::Command,
     config::Importance,
-    id::{CallKey, NodeId, RouteKey, TenantKey},
+    id::{CallKey, NodeId, RouteKey, TeamKey, TenantKey},
     refusal::{Reason, Refusal},
     request::{CallToken, Origin, Request},
-    system::permission,
+    system::{permission, resend, retry},
     table::{
         call::{Call, Stage},
         counter::Work,
@@ -35,15 +35,15 @@
         world.tables.counters.work(Work::Accepted);
         match arrival(world, tick.now, &request) {
             Ok(arrival) => open(world, tick, request, arrival),
-            Err(reason) => refuse(world, tick, &request, reason),
+            Err(reason) => refuse(world, tick, &request, Refusal::not_run(reason)),
         }
     }
 }
 
 /// Refuses a request for which no call was opened.
-fn refuse(world: &mut World, tick: &mut Tick, request: &Request, reason: Reason) {
-    world.tables.counters.refuse(reason);
-    tick.commands.push(Command::Reject(request.ticket, Refusal::not_run(reason)));
+fn refuse(world: &mut World, tick: &mut Tick, request: &Request, refusal: Refusal) {
+    world.tables.counters.refuse(refusal.reason);
+    tick.commands.push(Command::Reject(request.ticket, refusal));
 }
 
 fn arrival(world: &World, now: Millis, request: &Request) -> Result<Arrival, Reason> {
@@ -135,7 +135,11 @@
 fn open(world: &mut World, tick: &mut Tick, request: Request, arrival: Arrival) {
     let grant = match permission::check(&world.tables, arrival.route, arrival.tenant) {
         Ok(grant) => grant,
-        Err(reason) => return refuse(world, tick, &request, reason),
+        Err(reason) => return refuse(world, tick, &request, Refusal::not_run(reason)),
+    };
+    let retry_allowance = match allowance(world, tick.now, &request, &arrival, grant.team) {
+        Ok(allowance) => allowance,
+        Err(refusal) => return refuse(world, tick, &request, refusal),
     };
     let charged = arrival.from.is_none() && arrival.parent.is_none() && grant.team.is_some();
     let stage = if charged { Stage::Rating } else { Stage::Routing };
@@ -151,7 +155,7 @@
         fingerprint: request.fingerprint,
         arrived: tick.now,
         deadline: arrival.deadline,
-        retry_allowance: arrival.retry_allowance,
+        retry_allowance,
         depth: arrival.depth,
         hops: arrival.hops,
         stage,
@@ -160,6 +164,31 @@
         peer: None,
         tried: Default::default(),
         abandoned: false,
+        lineage: Default::default(),
     });
     tick.commands.push(Command::Accepted(request.ticket, call));
+    if let Some(parent) = arrival.parent.and_then(|parent| world.tables.calls.get_mut(parent)) {
+        parent.lineage.children.push(call);
+    }
+}
+
+/// The repeats that a request may cause, or why it may not run.
+fn allowance(
+    world: &mut World,
+    now: Millis,
+    request: &Request,
+    arrival: &Arrival,
+    team: Option<TeamKey>,
+) -> Result<u32, Refusal> {
+    if let Some(parent) = arrival.parent {
+        return retry::adopt(world, parent, request).map_err(Refusal::not_run);
+    }
+    let (None, Some(team)) = (arrival.from, team) else { return Ok(arrival.retry_allowance) };
+    let identity = resend::Identity {
+        team,
+        route: arrival.route,
+        idempotency_key: request.idempotency_key.as_deref(),
+        fingerprint: request.fingerprint,
+    };
+    resend::admit(world, now, identity)
 }
--- /dev/null
+++ b/crates/mustardpin-world/src/system/limit/fixed.rs
@@ -0,0 +1,13 @@
+//! The same limit at all times.
+
+use crate::system::limit::Algorithm;
+
+/// A limit that never changes.
+#[derive(Debug)]
+pub(super) struct Fixed(pub(super) u32);
+
+impl Algorithm for Fixed {
+    fn limit(&self) -> u32 {
+        self.0
+    }
+}
--- /dev/null
+++ b/crates/mustardpin-world/src/system/queueing/fair.rs
@@ -0,0 +1,122 @@
+//! By importance, then by weighted fair shares between teams.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use crate::{
+    clock::Millis,
+    config::Importance,
+    id::TeamKey,
+    system::queueing::{Discipline, Entry, Next},
+};
+
+/// What one request of a team of weight one adds to the team's service tag.
+const COST: u64 = 1 << 20;
+
+type Team = Option<TeamKey>;
+
+/// The requests of one team at one importance.
+#[derive(Debug, Default)]
+struct Lane {
+    queue: VecDeque<Entry>,
+    /// The service the team has had. The team with the least is next.
+    tag: u64,
+}
+
+/// The requests of one importance: start-time fair queueing between teams.
+#[derive(Debug, Default)]
+struct Level {
+    lanes: BTreeMap<Team, Lane>,
+    /// Teams with requests, by their tags.
+    ready: BTreeSet<(u64, Team)>,
+    /// The tag of the team that was last served.
+    virtual_time: u64,
+    len: usize,
+}
+
+impl Level {
+    fn push(&mut self, entry: Entry) {
+        let lane = self.lanes.entry(entry.team).or_default();
+        if lane.queue.is_empty() {
+            lane.tag = lane.tag.max(self.virtual_time);
+            self.ready.insert((lane.tag, entry.team));
+        }
+        lane.queue.push_back(entry);
+        self.len += 1;
+    }
+
+    fn pop(&mut self) -> Option<Entry> {
+        let (tag, team) = self.ready.pop_first()?;
+        let lane = self.lanes.get_mut(&team)?;
+        let entry = lane.queue.pop_front()?;
+        self.len -= 1;
+        self.virtual_time = tag;
+        lane.tag = tag + COST / u64::from(entry.weight);
+        if !lane.queue.is_empty() {
+            self.ready.insert((lane.tag, team));
+        }
+        Some(entry)
+    }
+
+    /// Takes out the request that would be served last.
+    fn evict(&mut self) -> Option<Entry> {
+        let (_, &(tag, team)) = self
+            .ready
+            .iter()
+            .filter_map(|place| {
+                let queue = &self.lanes.get(&place.1)?.queue;
+                let ahead = queue.len() as u64 - 1;
+                Some((place.0 + ahead * COST / u64::from(queue.front()?.weight), place))
+            })
+            .max()?;
+        let lane = self.lanes.get_mut(&team)?;
+        let entry = lane.queue.pop_back()?;
+        self.len -= 1;
+        if lane.queue.is_empty() {
+            self.ready.remove(&(tag, team));
+        }
+        Some(entry)
+    }
+
+    fn retain(&mut self, keep: &mut dyn FnMut(&Entry) -> bool) {
+        for (&team, lane) in &mut self.lanes {
+            let before = lane.queue.len();
+            lane.queue.retain(&mut *keep);
+            self.len -= before - lane.queue.len();
+            if lane.queue.is_empty() {
+                self.ready.remove(&(lane.tag, team));
+            }
+        }
+        let virtual_time = self.virtual_time;
+        self.lanes.retain(|_, lane| !lane.queue.is_empty() || lane.tag > virtual_time);
+    }
+}
+
+/// A queue in which the most important requests go first and the teams share what is left.
+#[derive(Debug, Default)]
+pub(super) struct Fair {
+    levels: [Level; Importance::ALL.len()],
+}
+
+impl Discipline for Fair {
+    fn push(&mut self, entry: Entry) {
+        self.levels[entry.importance as usize].push(entry);
+    }
+
+    fn evict(&mut self) -> Option<Entry> {
+        self.levels.iter_mut().find(|level| level.len > 0)?.evict()
+    }
+
+    fn pop(&mut self, _now: Millis) -> Option<Next> {
+        self.levels.iter_mut().rev().find_map(Level::pop).map(Next::Run)
+    }
+
+    fn retain(&mut self, keep: &mut dyn FnMut(&Entry) -> bool) {
+        for level in &mut self.levels {
+            level.retain(keep);
+        }
+    }
+
+    fn len(&self) -> usize {
+        self.levels.iter().map(|level| level.len).sum()
+    }
+}
--- /dev/null
+++ b/crates/mustardpin-world/src/system/resend.rs
@@ -0,0 +1,111 @@
+//! Recognises root requests that callers send again after a failure, and limits them by team.
+//!
+//! Non-repeatable requests are left alone: they run at most once and a repeat gets the recorded
+//! answer.
+
+use crate::{
+    clock::Millis,
+    home,
+    id::{RouteKey, TeamKey},
+    refusal::{Reason, Refusal},
+    request::{Fingerprint, Verdict},
+    system::pressure,
+    table::{call::Call, counter::Retry},
+    world::World,
+};
+
+/// How long a caller should wait before it sends a refused request again.
+const RETRY_AFTER: Millis = Millis(1_000);
+
+/// What makes two root requests the same.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Identity<'a> {
+    pub(super) team: TeamKey,
+    pub(super) route: RouteKey,
+    pub(super) idempotency_key: Option<&'a str>,
+    pub(super) fingerprint: Fingerprint,
+}
+
+/// Returns the allowance of repeats with which a root request starts, or refuses it. A resend
+/// starts without any: its caller has repeated in place of the system.
+pub(super) fn admit(
+    world: &mut World,
+    now: Millis,
+    identity: Identity<'_>,
+) -> Result<u32, Refusal> {
+    let allowance = world.tables.configuration.fleet.retry_allowance;
+    let Some(most) = world.systems.retry.resends(allowance) else { return Ok(allowance) };
+    let Some(hash) = hash(world, identity) else { return Ok(allowance) };
+    let options = &world.options.retry;
+    let failed = &mut world.tables.failed;
+    failed.forget(now - options.resend_window);
+    let burst = f64::from(options.resend_burst);
+    let is_resend = failed.get_mut(hash).is_some();
+    let Some(tokens) = failed.tokens(identity.team, burst) else { return Ok(allowance) };
+    if !is_resend {
+        *tokens = (*tokens + f64::from(options.resend_percent) / 100.0).min(burst);
+        return Ok(allowance);
+    }
+    let refusal = Refusal::not_run(Reason::ResendBudget).after(RETRY_AFTER);
+    if *tokens < 1.0 {
+        return Err(refusal);
+    }
+    let Some(row) = failed.get_mut(hash) else { return Ok(allowance) };
+    if row.resends >= most {
+        return Err(refusal.after(row.at + options.resend_window - now));
+    }
+    row.resends += 1;
+    if let Some(tokens) = failed.tokens(identity.team, burst) {
+        *tokens -= 1.0;
+    }
+    world.tables.counters.retry(Retry::Resent);
+    Ok(0)
+}
+
+/// Remembers a root request that failed, or forgets it if it was served.
+pub(super) fn finished(world: &mut World, now: Millis, call: &Call, verdict: &Verdict) {
+    let Some(team) = call.team else { return };
+    if call.from.is_some() || call.parent.is_some() {
+        return;
+    }
+    let identity = Identity {
+        team,
+        route: call.route,
+        idempotency_key: call.idempotency_key.as_deref(),
+        fingerprint: call.fingerprint,
+    };
+    let Some(hash) = hash(world, identity) else { return };
+    let failed = match verdict {
+        Verdict::Pass => call.lineage.failed,
+        Verdict::Replay(_) => false,
+        Verdict::Refuse(refusal) if is_worth_resending(refusal.reason) => true,
+        Verdict::Refuse(_) => return,
+    };
+    if failed {
+        world.tables.failed.put(hash, now);
+    } else {
+        world.tables.failed.remove(hash);
+    }
+}
+
+/// Whether callers tend to send a request again that was refused for this reason.
+fn is_worth_resending(reason: Reason) -> bool {
+    let failed = matches!(
+        reason,
+        Reason::CallerGone
+            | Reason::NoTarget
+            | Reason::PeerFailed
+            | Reason::RetryAllowance
+            | Reason::TargetFailed
+    );
+    failed || pressure::is_shed(reason)
+}
+
+/// The hash of an identity; `None` if the route is non-repeatable or gone.
+fn hash(world: &World, identity: Identity<'_>) -> Option<u64> {
+    let route = world.tables.routes.get(identity.route).filter(|route| route.repeatable)?;
+    let team = &world.tables.teams.get(identity.team)?.name;
+    let fingerprint = identity.fingerprint.0.to_string();
+    let last = identity.idempotency_key.unwrap_or(&fingerprint);
+    Some(home::hash_of(&[team, &route.name, last]))
+}
--- /dev/null
+++ b/crates/mustardpin-world/src/system/retry/ratio.rs
@@ -0,0 +1,29 @@
+//! A ratio of successes, by each node for itself.
+
+use crate::system::retry::{Budget, Policy};
+
+/// Repeats cost one that successes have earned; nothing limits them along the chain.
+#[derive(Debug)]
+pub(super) struct Ratio;
+
+fn pay(budget: Budget<'_>) -> bool {
+    if *budget.tokens < 1.0 {
+        return false;
+    }
+    *budget.tokens -= 1.0;
+    true
+}
+
+impl Policy for Ratio {
+    fn repeat(&self, budget: Budget<'_>) -> bool {
+        pay(budget)
+    }
+
+    fn nested(&self, budget: Budget<'_>) -> bool {
+        pay(budget)
+    }
+
+    fn resends(&self, _allowance: u32) -> Option<u32> {
+        Some(u32::MAX)
+    }
+}
--- a/crates/mustardpin-world/src/table.rs
+++ b/crates/mustardpin-world/src/table.rs
@@ -2,7 +2,10 @@
 
 pub mod call;
 pub mod counter;
+pub mod demand;
+pub mod health;
 pub mod peer;
+pub mod resend;
 pub mod route;
 pub mod target;
 pub mod team;
@@ -19,8 +22,12 @@
     pub calls: call::Calls,
     /// What has been counted.
     pub counters: counter::Counters,
+    /// What is asked of each route, and what comes of it.
+    pub demand: demand::Demand,
     /// Other nodes.
     pub peers: peer::Peers,
+    /// Root requests that failed a short time ago.
+    pub failed: resend::Failed,
     /// Routes.
     pub routes: route::Routes,
     /// The own target.
--- a/crates/mustardpin-world/src/table/call.rs
+++ b/crates/mustardpin-world/src/table/call.rs
@@ -35,6 +35,23 @@
 
 const STAGES: usize = 7;
 
+/// What links a call to the calls around it, and what it has cost so far.
+#[derive(Debug, Clone, Default)]
+pub struct Lineage {
+    /// Calls that the own target made in the course of this one and that are in progress.
+    pub children: SmallVec<[CallKey; 4]>,
+    /// The identities of all calls that the own target made in the course of this one.
+    pub nested: SmallVec<[u64; 4]>,
+    /// Retries lent to the peer that has the call.
+    pub lent: u32,
+    /// Whether the own target was tried and failed.
+    pub own_tried: bool,
+    /// Whether the target answered with a server error.
+    pub failed: bool,
+    /// Whether a call below it was refused because of load.
+    pub shed_below: bool,
+}
+
 /// A request this node has taken in.
 #[derive(Debug, Clone)]
 pub struct Call {
@@ -78,6 +95,8 @@
     pub tried: SmallVec<[PeerKey; 4]>,
     /// Whether the caller has gone.
     pub abandoned: bool,
+    /// What links it to the calls around it.
+    pub lineage: Lineage,
 }
 
 /// The table of calls.
--- a/crates/mustardpin-world/src/table/counter.rs
+++ b/crates/mustardpin-world/src/table/counter.rs
@@ -19,11 +19,24 @@
     /// The connection broke; the request is repeatable.
     #[display("broken")]
     Broken,
+    /// The target's code made the same call again.
+    #[display("nested")]
+    Nested,
+    /// The caller sent a failed root request again.
+    #[display("resent")]
+    Resent,
 }
 
 impl Retry {
     /// Every reason to retry.
-    pub const ALL: [Retry; 4] = [Retry::NotSent, Retry::Declined, Retry::Refused, Retry::Broken];
+    pub const ALL: [Retry; 6] = [
+        Retry::NotSent,
+        Retry::Declined,
+        Retry::Refused,
+        Retry::Broken,
+        Retry::Nested,
+        Retry::Resent,
+    ];
 }
 
 /// Work done.
--- /dev/null
+++ b/crates/mustardpin-world/src/table/health.rs
@@ -0,0 +1,74 @@
+//! How a target does on the traffic path: failures, ejection and its return.
+
+use crate::clock::Millis;
+
+/// Failures in a row after which a target is ejected.
+const EJECT_AFTER: u32 = 3;
+/// How long the first ejection lasts. Each later one lasts twice as long as the one before.
+const FIRST_EJECTION: Millis = Millis(500);
+/// The longest ejection.
+const LONGEST_EJECTION: Millis = Millis::from_secs(8);
+
+/// Whether requests may be sent to a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Standing {
+    /// As many as it has room for.
+    #[default]
+    Open,
+    /// One, to see whether it has recovered.
+    Probe,
+    /// None.
+    Ejected,
+}
+
+/// What was seen of a target on the traffic path.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Health {
+    /// Failures in a row.
+    pub failures: u32,
+    /// No request goes there before this point.
+    pub ejected_until: Millis,
+}
+
+impl Health {
+    /// Whether requests may be sent now, given how many are on their way already.
+    ///
+    /// ```
+    /// use mustardpin_world::{Millis, table::health::{Health, Standing}};
+    ///
+    /// let mut health = Health::default();
+    /// for _ in 0..3 {
+    ///     health.fail(Millis(0));
+    /// }
+    /// assert_eq!(health.standing(Millis(10), 0), Standing::Ejected);
+    /// assert_eq!(health.standing(Millis(500), 0), Standing::Probe);
+    /// assert_eq!(health.standing(Millis(500), 1), Standing::Ejected);
+    /// health.succeed();
+    /// assert_eq!(health.standing(Millis(500), 1), Standing::Open);
+    /// ```
+    pub fn standing(&self, now: Millis, in_flight: u32) -> Standing {
+        if self.failures < EJECT_AFTER {
+            return Standing::Open;
+        }
+        if now < self.ejected_until || in_flight > 0 {
+            return Standing::Ejected;
+        }
+        Standing::Probe
+    }
+
+    /// Takes a success in: the target is open again.
+    pub fn succeed(&mut self) {
+        *self = Health::default();
+    }
+
+    /// Takes a failure in. Enough of them in a row eject the target.
+    pub fn fail(&mut self, now: Millis) {
+        self.failures = self.failures.saturating_add(1);
+        if self.failures < EJECT_AFTER || now < self.ejected_until {
+            return;
+        }
+        let doublings = (self.failures - EJECT_AFTER).min(4);
+        let length = Millis(FIRST_EJECTION.0 << doublings).min(LONGEST_EJECTION);
+        self.ejected_until = now + length;
+    }
+}
--- a/crates/mustardpin-world/src/table/peer.rs
+++ b/crates/mustardpin-world/src/table/peer.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use compact_str::CompactString;
 use slotmap::SlotMap;
 
 use crate::{
@@ -9,6 +10,7 @@
     id::{NodeId, PeerKey},
     platform::Announcement,
     request::Pressure,
+    table::health::Health,
 };
 
 /// What this node believes of a peer.
@@ -42,10 +44,8 @@
     pub pressure: Option<Pressure>,
     /// When it said so.
     pub pressure_as_of: Millis,
-    /// Failures in a row on the traffic path.
-    pub failures: u32,
-    /// No request goes there before this point.
-    pub ejected_until: Millis,
+    /// How it does on the traffic path.
+    pub health: Health,
 }
 
 impl Peer {
@@ -59,8 +59,7 @@
             in_flight: 0,
             pressure: None,
             pressure_as_of: Millis::ZERO,
-            failures: 0,
-            ejected_until: Millis::ZERO,
+            health: Health::default(),
         }
     }
 }
@@ -70,6 +69,7 @@
 pub struct Peers {
     rows: SlotMap<PeerKey, Peer>,
     by_node: BTreeMap<NodeId, PeerKey>,
+    by_place: BTreeMap<CompactString, BTreeMap<CompactString, Vec<PeerKey>>>,
 }
 
 impl Peers {
@@ -79,8 +79,10 @@
         if let Some(&key) = self.by_node.get(&node) {
             return key;
         }
+        let Announcement { service, data_centre, .. } = peer.announcement.clone();
         let key = self.rows.insert(peer);
         self.by_node.insert(node, key);
+        self.by_place.entry(service).or_default().entry(data_centre).or_default().push(key);
         key
     }
 
@@ -99,10 +101,26 @@
         self.by_node.get(&node).copied()
     }
 
+    /// The peers of a service in one data centre, in the order in which they were found.
+    pub fn at(&self, service: &str, data_centre: &str) -> &[PeerKey] {
+        let places = self.by_place.get(service);
+        places.and_then(|places| places.get(data_centre)).map_or(&[], Vec::as_slice)
+    }
+
+    /// The data centres in which peers of a service were found.
+    pub fn data_centres(&self, service: &str) -> impl Iterator<Item = &CompactString> {
+        self.by_place.get(service).into_iter().flat_map(BTreeMap::keys)
+    }
+
     /// Forgets a peer.
     pub fn remove(&mut self, key: PeerKey) -> Option<Peer> {
         let peer = self.rows.remove(key)?;
-        self.by_node.remove(&peer.announcement.node);
+        let Announcement { node, service, data_centre, .. } = &peer.announcement;
+        self.by_node.remove(node);
+        let places = self.by_place.get_mut(service);
+        if let Some(keys) = places.and_then(|places| places.get_mut(data_centre)) {
+            keys.retain(|&other| other != key);
+        }
         Some(peer)
     }
 
--- a/crates/mustardpin-world/src/table/target.rs
+++ b/crates/mustardpin-world/src/table/target.rs
@@ -1,6 +1,6 @@
 //! The own target: the one behind this node.
 
-use crate::event::TargetReport;
+use crate::{clock::Millis, config::Importance, event::TargetReport, table::health::Health};
 
 /// What the node knows of its target.
 #[derive(Debug, Default)]
@@ -13,4 +13,12 @@
     pub running: u32,
     /// Requests waiting for it.
     pub queued: u32,
+    /// How many requests may run on it at once.
+    pub limit: u32,
+    /// How long a run takes, as measured.
+    pub latency: Millis,
+    /// Requests below this importance find no place in the queue at present.
+    pub least_importance: Importance,
+    /// How it does on the traffic path.
+    pub health: Health,
 }
--- a/crates/mustardpin-world/src/world.rs
+++ b/crates/mustardpin-world/src/world.rs
@@ -83,11 +83,12 @@
     /// assert!(!commands.is_empty(), "it asks the platform for its configuration");
     /// ```
     pub fn new(identity: Identity, options: Options, seed: u64) -> World {
+        let systems = system::State::new(&options);
         World {
             identity,
             options,
             tables: Tables::default(),
-            systems: system::State::default(),
+            systems,
             rng: Pcg64Mcg::seed_from_u64(seed),
         }
     }
