--- a/crates/mustardpin-settings/src/settings.rs
+++ b/crates/mustardpin-settings/src/settings.rs
@@ -302,11 +302,7 @@
         queueing: options::Queueing {
             capacity: reader.count("queueing.capacity", queueing.capacity as u64, 0..=65_536)
                 as usize,
-            initial_limit: reader.count(
-                "queueing.initial-limit",
-                queueing.initial_limit.into(),
-                1..=10_000,
-            ) as u32,
+            ..queueing
         },
         routing: options::Routing {
             max_hops: reader.count("routing.max-hops", routing.max_hops.into(), 1..=8) as u8,
--- a/crates/mustardpin-world/src/system.rs
+++ b/crates/mustardpin-world/src/system.rs
@@ -3,17 +3,22 @@
 mod completion;
 mod configuration;
 mod drain;
+mod ejection;
 mod epoch;
 mod finish;
 mod freshness;
 mod intake;
+mod limit;
 mod membership;
 mod permission;
+mod pressure;
 mod proposal;
 mod queueing;
 mod rating;
 mod recording;
 mod registration;
+mod resend;
+mod retry;
 mod routing;
 mod screening;
 mod validation;
@@ -22,6 +27,7 @@
     event::{Event, Proposal, ProposalTicket, TargetReport},
     id::{CallKey, NodeId},
     message::{self, Message},
+    options::Options,
     platform,
     refusal::Reason,
     request::{ForwardEnd, Pressure, Request, RunEnd},
@@ -29,18 +35,42 @@
 };
 
 /// What the systems remember from tick to tick beside the tables.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct State {
     pub(crate) last_ticket: platform::Ticket,
     pub(crate) configuration: configuration::State,
     pub(crate) drain: drain::State,
     pub(crate) epoch: epoch::State,
     pub(crate) freshness: freshness::State,
+    pub(crate) limit: limit::State,
     pub(crate) membership: membership::State,
+    pub(crate) pressure: pressure::State,
     pub(crate) proposal: proposal::State,
-    pub(crate) registration: registration::State,
     pub(crate) queueing: queueing::State,
     pub(crate) rating: rating::State,
+    pub(crate) registration: registration::State,
+    pub(crate) retry: retry::State,
+}
+
+impl State {
+    /// The state before the first tick, with the policies that the options choose.
+    pub(crate) fn new(options: &Options) -> State {
+        State {
+            last_ticket: platform::Ticket::default(),
+            configuration: configuration::State::default(),
+            drain: drain::State::default(),
+            epoch: epoch::State::default(),
+            freshness: freshness::State::default(),
+            limit: limit::State::new(&options.limit),
+            membership: membership::State::default(),
+            pressure: pressure::State::default(),
+            proposal: proposal::State::default(),
+            queueing: queueing::State::new(&options.queueing),
+            rating: rating::State::default(),
+            registration: registration::State::default(),
+            retry: retry::State::new(&options.retry),
+        }
+    }
 }
 
 /// The events of one tick, sorted by the system that reads them.
@@ -55,6 +85,7 @@
     pub(crate) configuration: Vec<(NodeId, message::configuration::Message)>,
     pub(crate) epoch: Vec<(NodeId, message::epoch::Message)>,
     pub(crate) share: Vec<(NodeId, message::share::Message)>,
+    pub(crate) retries_returned: Vec<(CallKey, u32)>,
     pub(crate) messages: Vec<(NodeId, Message)>,
     pub(crate) undelivered: Vec<NodeId>,
     pub(crate) platform: Vec<(platform::Ticket, platform::Reply)>,
@@ -79,6 +110,9 @@
                     inbox.forwards_ended.push((call, end, pressure));
                 }
                 Event::Peer { from, message } => inbox.sort_message(from, message),
+                Event::RetriesReturned { call, retries } => {
+                    inbox.retries_returned.push((call, retries));
+                }
                 Event::Undelivered { to } => inbox.undelivered.push(to),
                 Event::Platform(ticket, reply) => inbox.platform.push((ticket, reply)),
                 Event::Target(report) => inbox.reports.push(report),
@@ -111,6 +145,10 @@
     freshness::run(world, tick);
     proposal::run(world, tick);
     registration::run(world, tick);
+    limit::run(world, tick);
+    ejection::run(world, tick);
+    pressure::run(world, tick);
+    retry::run(world, tick);
     completion::run(world, tick);
     intake::run(world, tick);
     rating::run(world, tick);
@@ -118,5 +156,6 @@
     screening::run(world, tick);
     recording::run(world, tick);
     queueing::run(world, tick);
+    pressure::publish(world, tick);
     drain::leave(world, tick);
 }
