--- a/crates/mustardpin-settings/src/settings.rs
+++ b/crates/mustardpin-settings/src/settings.rs
@@ -125,22 +125,33 @@
 /// What one process may use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
-    /// Connections from callers at once.
+    /// Connections at once, on each port.
     pub connections: usize,
+    /// Requests in progress at once.
+    pub requests: usize,
     /// The size of a request's headers, in bytes.
     pub header_size: usize,
     /// The size of a request's body, in bytes.
     pub body_size: usize,
     /// The size of a body that is kept in memory so that it can be sent again, in bytes.
     pub replay_size: usize,
+    /// The size of all request bodies kept in memory at once, in bytes.
+    pub kept_size: usize,
     /// The size of an answer that is recorded for repeats, in bytes.
     pub record_size: usize,
-    /// How long a caller may take to send its headers.
+    /// How long a new connection may take to send its first headers.
     pub header_timeout: Millis,
+    /// How long a sender may pause within a request's body.
+    pub body_timeout: Millis,
     /// How long a connection may be idle.
     pub idle_timeout: Millis,
     /// The node takes its target for lost when it has not announced itself for this long.
     pub announce_timeout: Millis,
+    /// How long a leaving node goes on accepting requests on idle connections before it closes
+    /// them.
+    pub close_linger: Millis,
+    /// How long connections may take to end once a leaving node has finished all requests.
+    pub exit_grace: Millis,
     /// Threads for traffic.
     pub traffic_threads: usize,
 }
@@ -251,17 +262,21 @@
 
 fn read_limits(reader: &mut Reader) -> Limits {
     let seconds = |least, most| Millis::from_secs(least)..=Millis::from_secs(most);
+    let timeouts = Millis(100)..=Millis::from_secs(120);
     Limits {
         connections: reader.count("limits.connections", 4_096, 1..=100_000) as usize,
-        header_size: reader.size("limits.header-size", 32 * KIB, KIB..=MIB) as usize,
-        body_size: reader.size("limits.body-size", 16 * MIB, KIB..=1_024 * MIB) as usize,
+        requests: reader.count("limits.requests", 2_048, 1..=100_000) as usize,
+        header_size: reader.size("limits.header-size", 16 * KIB, 8 * KIB..=MIB) as usize,
+        body_size: reader.size("limits.body-size", 8 * MIB, KIB..=1_024 * MIB) as usize,
         replay_size: reader.size("limits.replay-size", 64 * KIB, 0..=16 * MIB) as usize,
+        kept_size: reader.size("limits.kept-size", 64 * MIB, MIB..=1_024 * MIB) as usize,
         record_size: reader.size("limits.record-size", 64 * KIB, 0..=MIB) as usize,
         header_timeout: reader.length(
             "limits.header-timeout",
             Millis::from_secs(10),
-            Millis(100)..=Millis::from_secs(120),
+            timeouts.clone(),
         ),
+        body_timeout: reader.length("limits.body-timeout", Millis::from_secs(10), timeouts),
         idle_timeout: reader.length(
             "limits.idle-timeout",
             Millis::from_secs(60),
@@ -269,10 +284,16 @@
         ),
         announce_timeout: reader.length(
             "limits.announce-timeout",
-            Millis::from_secs(4),
+            Millis::from_secs(3),
             seconds(1, 60),
         ),
-        traffic_threads: reader.count("limits.traffic-threads", 3, 1..=64) as usize,
+        close_linger: reader.length(
+            "limits.close-linger",
+            Millis::from_secs(1),
+            Millis::ZERO..=Millis::from_secs(60),
+        ),
+        exit_grace: reader.length("limits.exit-grace", Millis::from_secs(5), seconds(1, 600)),
+        traffic_threads: reader.count("limits.traffic-threads", 2, 1..=64) as usize,
     }
 }
 
--- /dev/null
+++ b/tests/testsuite/fleet.rs
@@ -0,0 +1,375 @@
+//! A small fleet: the platform's stand-in, and nodes with their targets, as processes.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Command, Output},
+    sync::atomic::{AtomicU32, Ordering},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full};
+use hyper::Request;
+use mustardpin_standin::{
+    http::{self, Caller},
+    load::inspect,
+    target::run::Run,
+};
+use mustardpin_wire::admin::status::Status;
+use serde_json::{Value, json};
+
+use crate::process::{Process, free_address, program};
+
+/// The operator credential of every test fleet.
+const CREDENTIAL: &str = "test-operator-credential";
+
+/// How long a fleet may take to be ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A node in its slot, with its target.
+#[derive(Debug)]
+pub struct Slot {
+    /// Where callers reach the node.
+    pub callers: SocketAddr,
+    /// Where operators reach the node.
+    pub admin: SocketAddr,
+    /// Where the target listens.
+    pub target: SocketAddr,
+    /// The node process.
+    pub node: Process,
+    settings: PathBuf,
+    _target: Process,
+}
+
+/// What a test wants of a slot.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// The data centre.
+    pub data_centre: &'static str,
+    /// The service.
+    pub service: &'static str,
+    /// More arguments of the target.
+    pub target: Vec<String>,
+    /// More lines of the node's settings.
+    pub settings: String,
+}
+
+/// A slot with nothing special.
+pub fn slot(data_centre: &'static str, service: &'static str) -> Plan {
+    Plan { data_centre, service, target: Vec::new(), settings: String::new() }
+}
+
+impl Plan {
+    /// The same slot with more arguments of the target.
+    pub fn target(mut self, arguments: &[&str]) -> Plan {
+        self.target.extend(arguments.iter().map(|text| (*text).to_owned()));
+        self
+    }
+}
+
+/// A running fleet.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The slots, in the order of their plans.
+    pub slots: Vec<Slot>,
+    /// The platform's stand-in.
+    pub platform: SocketAddr,
+    platform_process: Process,
+    directory: PathBuf,
+    caller: Caller,
+}
+
+/// What came back from a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reply {
+    /// The HTTP status; 0 if the connection broke or none could be made.
+    pub status: u16,
+    /// The outcome that the system gave.
+    pub outcome: String,
+    /// The reason that the system gave.
+    pub reason: String,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Fleet {
+    /// Starts a fleet with the routes and the team that the tests use.
+    pub async fn start(plans: &[Plan]) -> Fleet {
+        let platform = free_address();
+        Fleet::start_with_platform(plans, platform, platform).await
+    }
+
+    /// The same, with nodes that reach the platform's stand-in through another address.
+    pub async fn start_with_platform(
+        plans: &[Plan],
+        platform: SocketAddr,
+        seen: SocketAddr,
+    ) -> Fleet {
+        let directory = scratch_directory();
+        let mut command = Command::new(program("platform-standin"));
+        command.args(["--address", &platform.to_string()]);
+        let platform_process = Process::start(&mut command, &directory, "platform");
+        let mut fleet = Fleet {
+            slots: Vec::new(),
+            platform,
+            platform_process,
+            directory,
+            caller: http::caller(false),
+        };
+        for plan in plans {
+            let slot = fleet.start_slot(plan, seen);
+            fleet.slots.push(slot);
+        }
+        fleet.wait_until_ready().await;
+        fleet.configure();
+        fleet.wait_until_in_force().await;
+        fleet
+    }
+
+    fn start_slot(&self, plan: &Plan, platform: SocketAddr) -> Slot {
+        let name = format!("{}-{}-{}", plan.data_centre, plan.service, self.slots.len());
+        let [callers, local, control, traffic, admin, target] =
+            std::array::from_fn(|_| free_address());
+        let settings = self.directory.join(format!("{name}.yaml"));
+        let seeds: Vec<_> = self.slots.iter().map(|slot| slot.control_of()).collect();
+        let yaml = format!(
+            "data-centre: {}\nservice: {}\naddresses:\n  callers: {callers}\n  local: {local}\n  \
+             control: {control}\n  traffic: {traffic}\n  admin: {admin}\n\
+             fleet-credential: test-fleet-credential\noperator-credential: {CREDENTIAL}\n\
+             platform:\n  address: {platform}\n  timeout: 1s\nseeds: [{}]\n{}",
+            plan.data_centre,
+            plan.service,
+            seeds.join(", "),
+            plan.settings,
+        );
+        fs::write(&settings, yaml).expect("the scratch directory can be written");
+        let node = start_node(&settings, &self.directory, &name);
+        let mut command = Command::new(program("target-standin"));
+        command
+            .args(["--address", &target.to_string(), "--node", &local.to_string()])
+            .args(["--service", plan.service, "--announce-ms", "200"])
+            .args(&plan.target);
+        let target_process =
+            Process::start(&mut command, &self.directory, &format!("{name}-target"));
+        Slot {
+            callers,
+            admin,
+            target,
+            node,
+            settings,
+            _target: target_process,
+        }
+    }
+
+    /// Runs the command with access to the nodes of these slots.
+    pub fn command(&self, slots: &[usize], arguments: &[&str]) -> Output {
+        let mut command = Command::new(program("mustardpin"));
+        command.args(arguments).env("MUSTARDPIN_OPERATOR_CREDENTIAL", CREDENTIAL);
+        for &slot in slots {
+            command.args(["--admin", &self.slots[slot].admin.to_string()]);
+        }
+        command.output().expect("the command runs")
+    }
+
+    /// Runs the command, which has to succeed, and gives what it printed.
+    pub fn operate(&self, arguments: &[&str]) -> String {
+        let all: Vec<_> = (0..self.slots.len()).collect();
+        let output = self.command(&all, arguments);
+        let errors = String::from_utf8_lossy(&output.stderr);
+        assert!(output.status.success(), "{arguments:?}: {errors}");
+        String::from_utf8_lossy(&output.stdout).trim().to_owned()
+    }
+
+    /// Issues a key of the team that the tests use.
+    pub async fn issue_key(&self, id: &str) -> String {
+        let key = self.operate(&["keys", "issue", "garages", "--id", id]);
+        self.wait_until_in_force().await;
+        key
+    }
+
+    /// Changes how the platform's stand-in behaves.
+    pub async fn set_platform(&self, mode: &str, delay: Duration) {
+        let mode = json!({ "mode": mode, "delay-ms": delay.as_millis() as u64 });
+        let path = "/standin/mode";
+        let set: Result<Value, _> =
+            http::call(&self.caller, "POST", self.platform, path, Some(&mode)).await;
+        set.expect("the platform's stand-in runs");
+    }
+
+    /// Everything that the targets ran.
+    pub async fn ran(&self) -> Vec<Run> {
+        let mut runs = Vec::new();
+        for slot in &self.slots {
+            let report = inspect::report(&self.caller, slot.target).await;
+            runs.extend(report.expect("the target's stand-in runs").ran);
+        }
+        runs
+    }
+
+    /// The state of a node.
+    pub async fn status(&self, slot: usize) -> Option<Status> {
+        let request = Request::builder()
+            .uri(format!("http://{}/admin/status", self.slots[slot].admin))
+            .header("authorization", format!("Bearer {CREDENTIAL}"))
+            .body(Full::default())
+            .expect("a well-formed request");
+        let response = self.caller.request(request).await.ok()?;
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        serde_json::from_slice(&body).ok()
+    }
+
+    /// Waits until a condition on a node's state holds.
+    pub async fn wait_for(&self, slot: usize, what: &str, holds: impl Fn(&Status) -> bool) {
+        let started = Instant::now();
+        let mut last = None;
+        while started.elapsed() < READY_TIMEOUT {
+            last = self.status(slot).await;
+            if last.as_ref().is_some_and(&holds) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(30)).await;
+        }
+        panic!("slot {slot}: {what} does not come true: {last:#?}\n{}", self.logs());
+    }
+
+    /// The last lines that every process wrote.
+    pub fn logs(&self) -> String {
+        let files = fs::read_dir(&self.directory).expect("the scratch directory is there");
+        let mut text = String::new();
+        for file in files.flatten() {
+            let log = fs::read_to_string(file.path()).unwrap_or_default();
+            let lines: Vec<_> = log.lines().rev().take(5).collect();
+            text += &format!("{}: {lines:#?}\n", file.path().display());
+        }
+        text
+    }
+
+    async fn wait_until_ready(&self) {
+        let nodes = self.slots.len();
+        for slot in 0..nodes {
+            self.wait_for(slot, "the fleet is ready", |status| {
+                let alive = status.peers.iter().filter(|peer| peer.state == "alive");
+                status.target.present
+                    && status.view.fresh
+                    && status.view.members as usize == nodes
+                    && alive.count() + 1 == nodes
+            })
+            .await;
+        }
+    }
+
+    /// Waits until every node is at the latest revision of any.
+    pub async fn wait_until_in_force(&self) {
+        let mut revisions = Vec::new();
+        for slot in 0..self.slots.len() {
+            revisions.extend(self.status(slot).await.map(|status| status.view.revision));
+        }
+        let latest = revisions.into_iter().max().unwrap_or(0);
+        for slot in 0..self.slots.len() {
+            self.wait_for(slot, "the change is in force", |status| status.view.revision >= latest)
+                .await;
+        }
+    }
+
+    fn configure(&self) {
+        let search = "search service=search method=GET path=/slots repeatable=true timeout=8s";
+        let ledger = "free service=ledger method=GET path=/ledger repeatable=true timeout=8s";
+        let book = "book service=ledger method=POST path=/bookings importance=critical timeout=8s";
+        let help = "help service=ledger method=GET path=/help repeatable=true open=true";
+        for route in [search, ledger, book, help] {
+            let words: Vec<_> =
+                ["defaults", "set", "route"].into_iter().chain(route.split(' ')).collect();
+            self.operate(&words);
+        }
+        self.operate(&["defaults", "set", "team", "garages", "rate=2000", "burst=2000"]);
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.platform_process.kill();
+        if std::thread::panicking() {
+            eprintln!("{}", self.logs());
+        }
+        let _left_behind = fs::remove_dir_all(&self.directory);
+    }
+}
+
+impl Slot {
+    fn control_of(&self) -> String {
+        let settings = fs::read_to_string(&self.settings).expect("the settings are there");
+        let line = settings.lines().find_map(|line| line.trim().strip_prefix("control: "));
+        line.expect("the settings name it").to_owned()
+    }
+}
+
+fn start_node(settings: &std::path::Path, directory: &std::path::Path, name: &str) -> Process {
+    let mut command = Command::new(program("mustardpin"));
+    command.args(["node", "--settings"]).arg(settings);
+    Process::start(&mut command, directory, name)
+}
+
+fn scratch_directory() -> PathBuf {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let name = format!("mustardpin-test-{}-{number}", std::process::id());
+    let directory = std::env::temp_dir().join(name);
+    fs::create_dir_all(&directory).expect("a scratch directory");
+    directory
+}
+
+/// A request of a caller.
+#[derive(Debug, Clone)]
+pub struct Ask<'a> {
+    /// The HTTP method.
+    pub method: &'a str,
+    /// The path with its query.
+    pub path: &'a str,
+    /// The tenant key.
+    pub key: Option<&'a str>,
+    /// The idempotency key.
+    pub idempotency_key: Option<&'a str>,
+}
+
+impl<'a> Ask<'a> {
+    /// A repeatable request.
+    pub fn get(path: &'a str, key: &'a str) -> Ask<'a> {
+        Ask { method: "GET", path, key: Some(key), idempotency_key: None }
+    }
+
+    /// A non-repeatable request.
+    pub fn book(key: &'a str, idempotency_key: &'a str) -> Ask<'a> {
+        let idempotency_key = Some(idempotency_key);
+        Ask { method: "POST", path: "/bookings", key: Some(key), idempotency_key }
+    }
+
+    /// Sends it and waits for the whole answer.
+    pub async fn send(&self, caller: &Caller, address: SocketAddr) -> Reply {
+        let mut builder =
+            Request::builder().method(self.method).uri(format!("http://{address}{}", self.path));
+        if let Some(key) = self.key {
+            builder = builder.header("authorization", format!("Bearer {key}"));
+        }
+        if let Some(key) = self.idempotency_key {
+            builder = builder.header("idempotency-key", key);
+        }
+        let request = builder.body(Full::default()).expect("a well-formed request");
+        let broken =
+            Reply { status: 0, outcome: String::new(), reason: String::new(), body: Bytes::new() };
+        let Ok(response) = caller.request(request).await else { return broken };
+        let (parts, body) = response.into_parts();
+        let Ok(body) = body.collect().await else { return broken };
+        let text = |name| {
+            let value = parts.headers.get(name).and_then(|value| value.to_str().ok());
+            value.unwrap_or_default().to_owned()
+        };
+        Reply {
+            status: parts.status.as_u16(),
+            outcome: text("mustardpin-outcome"),
+            reason: text("mustardpin-reason"),
+            body: body.to_bytes(),
+        }
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,1 +1,12 @@
-//! Tests of the whole product, a module per feature.
+//! Tests of the whole product as separate processes on loopback, a module per feature.
+
+mod command;
+mod fleet;
+mod keys;
+mod kill;
+mod operators;
+mod pause;
+mod platform;
+mod process;
+mod relay;
+mod stop;
--- /dev/null
+++ b/tests/testsuite/platform.rs
@@ -0,0 +1,76 @@
+//! Outages of the platform stop nothing, and lost answers are settled.
+
+use std::time::{Duration, Instant};
+
+use mustardpin_standin::http;
+
+use crate::{
+    fleet::{Ask, Fleet, slot},
+    process::free_address,
+    relay::Relay,
+};
+
+/// Longer than the largest window of freshness.
+const OUTAGE: Duration = Duration::from_secs(4);
+
+async fn serves_during(mode: &str) {
+    let plans = [slot("north", "search"), slot("south", "search")];
+    let fleet = Fleet::start(&plans).await;
+    let key = fleet.issue_key("garage-1").await;
+    fleet.set_platform(mode, OUTAGE).await;
+    let started = Instant::now();
+    while started.elapsed() < OUTAGE {
+        for slot in &fleet.slots {
+            let reply = Ask::get("/slots", &key).send(&http::caller(false), slot.callers).await;
+            assert_eq!((reply.status, reply.reason.as_str()), (200, ""), "{}", fleet.logs());
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn down() {
+    serves_during("down").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn slow() {
+    serves_during("slow").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answer_is_settled() {
+    let fleet = Fleet::start(&[slot("north", "search"), slot("south", "search")]).await;
+    fleet.set_platform("lose-answer", Duration::ZERO).await;
+    let output = fleet.operate(&["defaults", "set", "team", "garages", "rate=1234"]);
+    assert!(output.starts_with("accepted as revision"), "{output}");
+    fleet.set_platform("up", Duration::ZERO).await;
+    fleet.wait_until_in_force().await;
+    let shown = fleet.operate(&["defaults", "show"]);
+    assert!(shown.contains("1234/s"), "{shown}");
+}
+
+/// Cut off from everyone, a node refuses keyed requests unrun and goes on with routes open to all.
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_off() {
+    let platform = free_address();
+    let relay = Relay::start(platform).await;
+    let fleet =
+        Fleet::start_with_platform(&[slot("north", "ledger")], platform, relay.address()).await;
+    let key = fleet.issue_key("garage-1").await;
+    let address = fleet.slots[0].callers;
+    let caller = http::caller(false);
+    assert_eq!(Ask::get("/ledger", &key).send(&caller, address).await.status, 200);
+
+    relay.cut();
+    fleet.wait_for(0, "the node is cut off", |status| !status.view.fresh).await;
+    let reply = Ask::get("/ledger", &key).send(&caller, address).await;
+    let found = (reply.status, reply.reason.as_str(), reply.outcome.as_str());
+    assert_eq!(found, (503, "cut_off", "not-run"));
+    let open = Ask { method: "GET", path: "/help", key: None, idempotency_key: None };
+    assert_eq!(open.send(&caller, address).await.status, 200);
+
+    relay.mend();
+    fleet.wait_for(0, "the node has news again", |status| status.view.fresh).await;
+    assert_eq!(Ask::get("/ledger", &key).send(&caller, address).await.status, 200);
+}
--- /dev/null
+++ b/tests/testsuite/stop.rs
@@ -0,0 +1,46 @@
+//! A graceful stop cuts off no request.
+
+use std::time::Duration;
+
+use futures::future::join_all;
+use mustardpin_standin::{http, target::answer};
+use tokio::{io::AsyncWriteExt as _, net::TcpStream};
+
+use crate::fleet::{Ask, Fleet, slot};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn under_load_with_slow_bodies_and_idle_connections() {
+    let plans = [slot("north", "search"), slot("north", "search"), slot("south", "search")];
+    let mut fleet = Fleet::start(&plans).await;
+    let key = fleet.issue_key("garage-1").await;
+    let addresses: Vec<_> = fleet.slots.iter().map(|slot| slot.callers).collect();
+    let mut idle = TcpStream::connect(addresses[0]).await.expect("the node listens");
+    idle.write_all(b"GET /slots HTTP/1.1\r\n").await.expect("half a request is sent");
+
+    let slow_ask = |index: usize| {
+        let key = key.clone();
+        let address = addresses[index % addresses.len()];
+        tokio::spawn(async move {
+            let ask = Ask::get("/slots?bytes=64000&pace-ms=100", &key);
+            ask.send(&http::caller(index.is_multiple_of(2)), address).await
+        })
+    };
+    let slow: Vec<_> = (0..24).map(slow_ask).collect();
+    fleet.wait_for(0, "slow answers are on their way", |status| status.calls > 0).await;
+    fleet.slots[0].node.signal("TERM");
+    // The others go on, and send nothing more to the one that leaves.
+    for _ in 0..20 {
+        for &address in &addresses[1..] {
+            let reply = Ask::get("/slots", &key).send(&http::caller(false), address).await;
+            assert_eq!((reply.status, reply.reason.as_str()), (200, ""));
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    for reply in join_all(slow).await {
+        let reply = reply.expect("the task ends");
+        assert_eq!((reply.status, reply.reason.as_str()), (200, ""), "{}", fleet.logs());
+        assert_eq!(answer::check(&reply.body, "/slots"), Ok(()));
+    }
+    let status = fleet.slots[0].node.wait();
+    assert_eq!(status.code(), Some(0), "{}", fleet.logs());
+}
