--- a/crates/mustardpin-settings/src/settings.rs
+++ b/crates/mustardpin-settings/src/settings.rs
@@ -297,44 +297,53 @@
     }
 }
 
+/// Options that no key names keep their defaults.
 fn read_options(reader: &mut Reader) -> Options {
-    let Options { membership, freshness, queueing, routing } = Options::default();
-    Options {
-        membership: options::Membership {
-            gossip_period: reader.length(
-                "membership.gossip-period",
-                membership.gossip_period,
-                Millis(50)..=Millis::from_secs(10),
-            ),
-        },
-        freshness: options::Freshness {
-            window: reader.length(
-                "freshness.window",
-                freshness.window,
-                Millis(500)..=Millis(3_000),
-            ),
-            poll_age: reader.length(
-                "freshness.poll-age",
-                freshness.poll_age,
-                Millis(100)..=Millis(2_500),
-            ),
-        },
-        queueing: options::Queueing {
-            capacity: reader.count("queueing.capacity", queueing.capacity as u64, 0..=65_536)
-                as usize,
-            initial_limit: reader.count(
-                "queueing.initial-limit",
-                queueing.initial_limit.into(),
-                1..=10_000,
-            ) as u32,
-        },
-        routing: options::Routing {
-            max_hops: reader.count("routing.max-hops", routing.max_hops.into(), 1..=8) as u8,
-            default_timeout: reader.length(
-                "routing.default-timeout",
-                routing.default_timeout,
-                Millis(10)..=Millis::from_secs(600),
-            ),
-        },
-    }
+    let mut options = Options::default();
+    read_membership(reader, &mut options.membership);
+    read_agreement(reader, &mut options);
+    read_work(reader, &mut options);
+    options
+}
+
+fn read_membership(reader: &mut Reader, membership: &mut options::Membership) {
+    let mut length = |key, value: &mut Millis, least, most| {
+        *value = reader.length(key, *value, Millis(least)..=Millis(most));
+    };
+    length("membership.gossip-period", &mut membership.gossip_period, 50, 10_000);
+    length("membership.reply-timeout", &mut membership.reply_timeout, 10, 10_000);
+    length("membership.probe-timeout", &mut membership.probe_timeout, 10, 10_000);
+    length("membership.suspicion", &mut membership.suspicion, 100, 60_000);
+    length("membership.retention", &mut membership.retention, 60_000, 86_400_000);
+    length("membership.leave-time", &mut membership.leave_time, 0, 60_000);
+}
+
+fn read_agreement(reader: &mut Reader, options: &mut Options) {
+    let mut length = |key, value: &mut Millis, least, most| {
+        *value = reader.length(key, *value, Millis(least)..=Millis(most));
+    };
+    let Options { epoch, configuration, freshness, .. } = options;
+    length("epoch.patience", &mut epoch.patience, 0, 60_000);
+    length("epoch.spread-per-member", &mut epoch.spread_per_member, 0, 1_000);
+    length("epoch.interval", &mut epoch.interval, 100, 600_000);
+    length("epoch.interval-per-member", &mut epoch.interval_per_member, 0, 1_000);
+    length("configuration.proposal-timeout", &mut configuration.proposal_timeout, 500, 9_000);
+    length("configuration.settle-period", &mut configuration.settle_period, 50, 5_000);
+    length("freshness.window", &mut freshness.window, 500, 3_000);
+    length("freshness.poll-age", &mut freshness.poll_age, 100, 2_500);
+}
+
+fn read_work(reader: &mut Reader, options: &mut Options) {
+    let Options { queueing, routing, .. } = options;
+    let capacity = queueing.capacity as u64;
+    queueing.capacity = reader.count("queueing.capacity", capacity, 0..=65_536) as usize;
+    let initial_limit = queueing.initial_limit.into();
+    queueing.initial_limit =
+        reader.count("queueing.initial-limit", initial_limit, 1..=10_000) as u32;
+    routing.max_hops = reader.count("routing.max-hops", routing.max_hops.into(), 1..=8) as u8;
+    routing.default_timeout = reader.length(
+        "routing.default-timeout",
+        routing.default_timeout,
+        Millis(10)..=Millis::from_secs(600),
+    );
 }
--- a/crates/mustardpin-wire/src/admin/status.rs
+++ b/crates/mustardpin-wire/src/admin/status.rs
@@ -1,14 +1,12 @@
 //! The state of a node and what it knows of the others, for operators.
 
-use std::collections::BTreeMap;
-
 use compact_str::{CompactString, ToCompactString as _};
 use mustardpin_world::{
     Millis, World,
     refusal::Reason,
     table::{
         counter::{Counters, Retry, Work},
-        peer,
+        data_centre, peer,
     },
 };
 use serde::{Deserialize, Serialize};
@@ -57,6 +55,19 @@
     pub fresh: bool,
     /// How old the news from the platform is, in milliseconds.
     pub platform_age_ms: Option<u64>,
+    /// How old the news from each data centre is.
+    pub data_centres: Vec<DataCentre>,
+}
+
+/// A data centre that a node knows.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct DataCentre {
+    /// Its name.
+    pub name: CompactString,
+    /// How old the news from it is, in milliseconds.
+    pub age_ms: Option<u64>,
 }
 
 /// A node's target.
@@ -128,29 +139,22 @@
             work: work(&tables.counters),
         }
     }
-
-    /// The data centres the node knows, with their nodes by service.
-    pub fn data_centres(&self) -> BTreeMap<CompactString, BTreeMap<CompactString, u64>> {
-        let mut nodes: BTreeMap<_, BTreeMap<_, _>> = BTreeMap::new();
-        let peers = self.peers.iter().filter(|peer| peer.state != "dead");
-        let others = peers.map(|peer| (&peer.data_centre, &peer.service));
-        for (data_centre, service) in others.chain([(&self.data_centre, &self.service)]) {
-            let services: &mut BTreeMap<_, u64> = nodes.entry(data_centre.clone()).or_default();
-            *services.entry(service.clone()).or_default() += 1;
-        }
-        nodes
-    }
 }
 
 impl View {
     fn of(world: &World, now: Millis) -> View {
         let tables = world.tables();
+        let data_centre = |(_, row): (_, &data_centre::DataCentre)| DataCentre {
+            name: row.name.clone(),
+            age_ms: row.as_of.map(|as_of| (now - as_of).0),
+        };
         View {
             revision: tables.configuration.revision.0,
-            epoch: tables.epoch.number,
-            members: tables.epoch.members.len() as u64,
+            epoch: tables.epoch.current.number,
+            members: tables.epoch.current.members.len() as u64,
             fresh: tables.freshness.fresh,
             platform_age_ms: tables.freshness.platform_as_of.map(|as_of| (now - as_of).0),
+            data_centres: tables.data_centres.iter().map(data_centre).collect(),
         }
     }
 }
--- a/src/cmd/keys.rs
+++ b/src/cmd/keys.rs
@@ -103,7 +103,7 @@
 
 impl Force {
     fn is_complete(&self) -> bool {
-        self.in_force == self.nodes && self.silent == 0
+        self.nodes > 0 && self.in_force == self.nodes && self.silent == 0
     }
 }
 
@@ -127,6 +127,9 @@
     for &address in client.addresses() {
         match client.status_at(address).await {
             Ok(status) => {
+                for other in status.view.data_centres {
+                    forces.entry(other.name).or_default();
+                }
                 let force = forces.entry(status.data_centre).or_default();
                 force.nodes += 1;
                 force.in_force += u64::from(status.view.revision >= revision);
@@ -143,6 +146,7 @@
         .map(|(data_centre, force)| {
             let state = match force {
                 force if force.silent > 0 => "no answer",
+                force if force.nodes == 0 => "not asked: give --admin of a node there",
                 force if force.is_complete() => "in force",
                 _ => "not in force",
             };
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -49,6 +49,16 @@
     ]];
     table::print(["revision", "epoch", "knowledge", "news from the platform"], &rows);
     println!();
+    let rows: Vec<_> = view
+        .data_centres
+        .iter()
+        .map(|data_centre| {
+            let age = data_centre.age_ms.map_or("none".to_owned(), |age| format!("{age} ms"));
+            [data_centre.name.to_string(), age]
+        })
+        .collect();
+    table::print(["data centre", "age of its news"], &rows);
+    println!();
 }
 
 fn show_target(status: &Status) {
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -153,14 +153,7 @@
             .args(&plan.target);
         let target_process =
             Process::start(&mut command, &self.directory, &format!("{name}-target"));
-        Slot {
-            callers,
-            admin,
-            target,
-            node,
-            settings,
-            _target: target_process,
-        }
+        Slot { callers, admin, target, node, settings, _target: target_process }
     }
 
     /// Runs the command with access to the nodes of these slots.
