Serve a request from end to end through one node and through two

Cause: the decisions had no process around them. Change: the node crate.

World::pressure says what peers are told with each answer; the overload system may change what it says.

--- /dev/null
+++ b/crates/mustardpin-node/src/control.rs
@@ -0,0 +1,131 @@
+//! The control thread: owns the world, and is told of events through a channel.
+
+mod thread;
+
+use std::sync::{Arc, mpsc};
+
+use derive_more::{Display, Error};
+use mustardpin_world::{
+    World, config,
+    event::{Event, Proposal},
+    id::Revision,
+    request::Request,
+};
+use tokio::sync::oneshot;
+
+use crate::{
+    clock::Clock, exchange::Exchange, log::Journal, metric::Meter, peer::Link, platform::Store,
+    traffic::Traffic,
+};
+
+pub use self::thread::spawn;
+
+/// The control thread has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Display, Error)]
+#[display("the control thread has ended")]
+pub struct Stopped;
+
+/// The answer to an operator's proposal.
+pub type Answer = Result<Revision, config::ChangeError>;
+
+/// What the control thread is told.
+pub enum Input {
+    /// Something happened.
+    Event(Event),
+    /// A request arrived. The exchange takes the orders about it.
+    Arrived(Request, Box<dyn Exchange>),
+    /// An operator proposed a change.
+    Proposed(Proposal, oneshot::Sender<Answer>),
+    /// Reads the tables between two ticks.
+    Report(Box<dyn FnOnce(&World) + Send>),
+    /// Ends the thread.
+    Halt,
+}
+
+/// What stands at the borders of the control thread.
+pub struct Borders {
+    /// The time.
+    pub clock: Arc<dyn Clock>,
+    /// The platform's table.
+    pub store: Box<dyn Store>,
+    /// Messages to peers.
+    pub link: Box<dyn Link>,
+    /// The traffic side as a whole.
+    pub traffic: Box<dyn Traffic>,
+    /// Log lines.
+    pub journal: Box<dyn Journal>,
+    /// Counters.
+    pub meter: Meter,
+}
+
+/// The sending end of the control thread's channel.
+#[derive(Clone)]
+pub struct Handle {
+    sender: mpsc::Sender<Input>,
+}
+
+impl Handle {
+    /// A channel to a control thread that is yet to be spawned.
+    ///
+    /// ```
+    /// use mustardpin_node::control::{Handle, Input};
+    /// use mustardpin_world::Event;
+    ///
+    /// let (handle, inputs) = Handle::channel();
+    /// handle.event(Event::Stop);
+    /// assert!(matches!(inputs.recv(), Ok(Input::Event(Event::Stop))));
+    /// ```
+    pub fn channel() -> (Handle, mpsc::Receiver<Input>) {
+        let (sender, receiver) = mpsc::channel();
+        (Handle { sender }, receiver)
+    }
+
+    /// Tells the world of an event. Lost once the thread has ended.
+    pub fn event(&self, event: Event) {
+        self.send(Input::Event(event));
+    }
+
+    /// Tells the world of a request.
+    pub fn arrived(&self, request: Request, exchange: Box<dyn Exchange>) {
+        self.send(Input::Arrived(request, exchange));
+    }
+
+    /// Reads the world's tables between two ticks.
+    ///
+    /// # Errors
+    ///
+    /// If the control thread has ended.
+    pub async fn report<T: Send + 'static>(
+        &self,
+        read: impl FnOnce(&World) -> T + Send + 'static,
+    ) -> Result<T, Stopped> {
+        let (sender, receiver) = oneshot::channel();
+        self.send(Input::Report(Box::new(move |world| {
+            // The reader may have gone in the meantime.
+            let _ = sender.send(read(world));
+        })));
+        receiver.await.map_err(|_| Stopped)
+    }
+
+    /// Proposes a change on behalf of an operator, and waits for the answer.
+    ///
+    /// # Errors
+    ///
+    /// If the control thread has ended.
+    pub async fn propose(&self, proposal: Proposal) -> Result<Answer, Stopped> {
+        let (sender, receiver) = oneshot::channel();
+        self.send(Input::Proposed(proposal, sender));
+        receiver.await.map_err(|_| Stopped)
+    }
+
+    /// Ends the control thread.
+    pub fn halt(&self) {
+        self.send(Input::Halt);
+    }
+
+    fn send(&self, input: Input) {
+        // Fails only once the thread has ended; then nobody is left to tell.
+        let _ = self.sender.send(input);
+    }
+}
--- a/crates/mustardpin-node/src/lib.rs
+++ b/crates/mustardpin-node/src/lib.rs
@@ -1,1 +1,23 @@
 //! The node process as a library with a control thread, traffic, peers and administration.
+//!
+//! One thread owns the [`mustardpin_world::World`] and carries out its commands through trait
+//! objects: [`exchange::Exchange`] for one request, [`traffic::Traffic`] for all of them,
+//! [`platform::Store`], [`peer::Link`], [`log::Journal`] and [`clock::Clock`]. Everything that
+//! waits for the network runs on other threads and tells the control thread through its channel.
+
+pub mod admin;
+pub mod clock;
+pub mod control;
+pub mod exchange;
+pub mod launch;
+pub mod log;
+pub mod metric;
+mod node;
+pub mod peer;
+pub mod platform;
+pub mod traffic;
+
+pub use crate::{
+    launch::Launch,
+    node::{Error, Node, run},
+};
--- /dev/null
+++ b/crates/mustardpin-node/tests/testsuite/fake/fleet.rs
@@ -0,0 +1,173 @@
+//! A fleet of nodes in this process, with one platform and one target for each node.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use mustardpin_node::{
+    Launch, Node,
+    launch::{Addresses, Limits},
+    log,
+};
+use mustardpin_world::{
+    Millis, Options,
+    config::{self, Importance},
+    id::KeyDigest,
+};
+use tokio::runtime::Runtime;
+
+use super::{
+    Platform,
+    caller::{call, get},
+    target::{Script, Target},
+};
+
+/// The key of the fleet's only team.
+pub const KEY: &str = "garage-1.s3cret-text";
+
+/// What a node of the fleet is started with.
+pub fn launch(service: &str, platform: SocketAddr) -> Launch {
+    Launch {
+        data_centre: "north".into(),
+        service: service.into(),
+        addresses: Addresses::loopback(),
+        fleet_credential: KeyDigest::of("fleet"),
+        operator_credential: KeyDigest::of("operator"),
+        platform,
+        platform_timeout: Duration::from_secs(1),
+        seeds: Vec::new(),
+        log: log::Options { level: spdlog::Level::Critical, ..log::Options::default() },
+        statsd: None,
+        limits: Limits { close_linger: Duration::from_millis(200), ..Limits::default() },
+        options: Options::default(),
+    }
+}
+
+/// A fleet that ends with the test.
+pub struct Fleet {
+    pub runtime: Runtime,
+    pub platform: Platform,
+    pub nodes: Vec<Node>,
+    pub targets: Vec<Target>,
+    announcing: Arc<AtomicBool>,
+}
+
+impl Fleet {
+    /// Starts a node with a target for each service and script, and waits until all are ready.
+    pub fn start(services: &[(&str, Script)]) -> Fleet {
+        Fleet::start_with(services, |launch| launch)
+    }
+
+    /// The same, with changes to what the nodes are started with.
+    pub fn start_with(services: &[(&str, Script)], change: impl Fn(Launch) -> Launch) -> Fleet {
+        let runtime = Runtime::new().expect("threads");
+        let platform = Platform::start(&runtime, rows());
+        let mut fleet = Fleet {
+            runtime,
+            platform,
+            nodes: Vec::new(),
+            targets: Vec::new(),
+            announcing: Arc::new(AtomicBool::new(true)),
+        };
+        for (service, script) in services {
+            let node = Node::start(change(launch(service, fleet.platform.address)));
+            let node = node.expect("the node starts");
+            let target = Target::start(Arc::clone(script));
+            fleet.platform.announce(node.announcement().clone());
+            fleet.announce(node.addresses().local, target.address, service);
+            fleet.nodes.push(node);
+            fleet.targets.push(target);
+        }
+        fleet.wait_until_ready();
+        fleet
+    }
+
+    /// Where a node takes requests from callers.
+    pub fn callers(&self, node: usize) -> SocketAddr {
+        self.nodes[node].addresses().callers
+    }
+
+    /// Stops the announcements of all targets.
+    pub fn stop_announcing(&self) {
+        self.announcing.store(false, Ordering::Relaxed);
+    }
+
+    fn announce(&self, node: SocketAddr, target: SocketAddr, service: &str) {
+        let body = format!(r#"{{"address":"{target}","service":"{service}","healthy":true}}"#);
+        let announcing = Arc::clone(&self.announcing);
+        thread::spawn(move || {
+            while announcing.load(Ordering::Relaxed) {
+                if std::net::TcpStream::connect(node).is_err() {
+                    return;
+                }
+                call(node, "POST /target/announce", &[], &body);
+                thread::sleep(Duration::from_millis(500));
+            }
+        });
+    }
+
+    /// Every node has its configuration, and its target or those of its peers.
+    fn wait_until_ready(&self) {
+        let start = Instant::now();
+        for node in &self.nodes {
+            while get(node.addresses().callers, "/ready").status() != 204 {
+                assert!(start.elapsed() < Duration::from_secs(10), "the fleet is not ready");
+                thread::sleep(Duration::from_millis(20));
+            }
+        }
+        for target in &self.targets {
+            target.forget();
+        }
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.stop_announcing();
+        for node in self.nodes.drain(..) {
+            node.kill();
+        }
+    }
+}
+
+fn route(name: &str, service: &str, prefix: &str) -> config::Route {
+    config::Route {
+        name: name.into(),
+        service: service.into(),
+        method: None,
+        path_prefix: prefix.into(),
+        importance: Importance::Normal,
+        repeatable: true,
+        open: false,
+        timeout: Millis::from_secs(3),
+        teams: Vec::new(),
+    }
+}
+
+fn rows() -> Vec<config::Row> {
+    let team = config::Team { name: "garages".into(), rate: 100_000, burst: 10_000, weight: 1 };
+    let key = config::Key {
+        id: "garage-1".into(),
+        team: "garages".into(),
+        digest: KeyDigest::of(KEY),
+        withdrawn: false,
+    };
+    vec![
+        config::Row::Fleet(config::Fleet::default()),
+        config::Row::Team(team),
+        config::Row::Key(key),
+        config::Row::Route(route("slots", "slots", "/")),
+        config::Row::Route(config::Route { open: true, ..route("open", "slots", "/open") }),
+        config::Row::Route(config::Route {
+            repeatable: false,
+            ..route("book", "slots", "/bookings")
+        }),
+        config::Row::Route(route("ledger", "ledger", "/ledger")),
+    ]
+}
--- a/crates/mustardpin-world/src/world.rs
+++ b/crates/mustardpin-world/src/world.rs
@@ -7,10 +7,12 @@
 use crate::{
     clock::Millis,
     command::Command,
+    config::Importance,
     event::Event,
     id::NodeId,
     options::Options,
     platform::{Announcement, Operation, Ticket},
+    request::Pressure,
     system,
     table::Tables,
 };
@@ -112,6 +114,16 @@
         &self.tables
     }
 
+    /// What the node tells its peers with each answer.
+    pub fn pressure(&self) -> Pressure {
+        Pressure {
+            least_importance: Importance::Low,
+            running: self.tables.target.running,
+            queued: self.tables.target.queued,
+            limit: self.options.queueing.initial_limit,
+        }
+    }
+
     /// Who the node is.
     pub fn identity(&self) -> &Identity {
         &self.identity
