--- a/crates/mustardpin-settings/src/settings.rs
+++ b/crates/mustardpin-settings/src/settings.rs
@@ -125,22 +125,33 @@
 /// What one process may use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
-    /// Connections from callers at once.
+    /// Connections at once, on each port.
     pub connections: usize,
+    /// Requests in progress at once.
+    pub requests: usize,
     /// The size of a request's headers, in bytes.
     pub header_size: usize,
     /// The size of a request's body, in bytes.
     pub body_size: usize,
     /// The size of a body that is kept in memory so that it can be sent again, in bytes.
     pub replay_size: usize,
+    /// The size of all request bodies kept in memory at once, in bytes.
+    pub kept_size: usize,
     /// The size of an answer that is recorded for repeats, in bytes.
     pub record_size: usize,
-    /// How long a caller may take to send its headers.
+    /// How long a new connection may take to send its first headers.
     pub header_timeout: Millis,
+    /// How long a sender may pause within a request's body.
+    pub body_timeout: Millis,
     /// How long a connection may be idle.
     pub idle_timeout: Millis,
     /// The node takes its target for lost when it has not announced itself for this long.
     pub announce_timeout: Millis,
+    /// How long a leaving node goes on accepting requests on idle connections before it closes
+    /// them.
+    pub close_linger: Millis,
+    /// How long connections may take to end once a leaving node has finished all requests.
+    pub exit_grace: Millis,
     /// Threads for traffic.
     pub traffic_threads: usize,
 }
@@ -251,17 +262,21 @@
 
 fn read_limits(reader: &mut Reader) -> Limits {
     let seconds = |least, most| Millis::from_secs(least)..=Millis::from_secs(most);
+    let timeouts = Millis(100)..=Millis::from_secs(120);
     Limits {
         connections: reader.count("limits.connections", 4_096, 1..=100_000) as usize,
-        header_size: reader.size("limits.header-size", 32 * KIB, KIB..=MIB) as usize,
-        body_size: reader.size("limits.body-size", 16 * MIB, KIB..=1_024 * MIB) as usize,
+        requests: reader.count("limits.requests", 2_048, 1..=100_000) as usize,
+        header_size: reader.size("limits.header-size", 16 * KIB, 8 * KIB..=MIB) as usize,
+        body_size: reader.size("limits.body-size", 8 * MIB, KIB..=1_024 * MIB) as usize,
         replay_size: reader.size("limits.replay-size", 64 * KIB, 0..=16 * MIB) as usize,
+        kept_size: reader.size("limits.kept-size", 64 * MIB, MIB..=1_024 * MIB) as usize,
         record_size: reader.size("limits.record-size", 64 * KIB, 0..=MIB) as usize,
         header_timeout: reader.length(
             "limits.header-timeout",
             Millis::from_secs(10),
-            Millis(100)..=Millis::from_secs(120),
+            timeouts.clone(),
         ),
+        body_timeout: reader.length("limits.body-timeout", Millis::from_secs(10), timeouts),
         idle_timeout: reader.length(
             "limits.idle-timeout",
             Millis::from_secs(60),
@@ -269,49 +284,66 @@
         ),
         announce_timeout: reader.length(
             "limits.announce-timeout",
-            Millis::from_secs(4),
+            Millis::from_secs(3),
             seconds(1, 60),
         ),
-        traffic_threads: reader.count("limits.traffic-threads", 3, 1..=64) as usize,
+        close_linger: reader.length(
+            "limits.close-linger",
+            Millis::from_secs(1),
+            Millis::ZERO..=Millis::from_secs(60),
+        ),
+        exit_grace: reader.length("limits.exit-grace", Millis::from_secs(5), seconds(1, 600)),
+        traffic_threads: reader.count("limits.traffic-threads", 2, 1..=64) as usize,
     }
 }
 
+/// Options that no key names keep their defaults.
 fn read_options(reader: &mut Reader) -> Options {
-    let Options { membership, freshness, queueing, routing, .. } = Options::default();
-    Options {
-        membership: options::Membership {
-            gossip_period: reader.length(
-                "membership.gossip-period",
-                membership.gossip_period,
-                Millis(50)..=Millis::from_secs(10),
-            ),
-            ..membership
-        },
-        freshness: options::Freshness {
-            window: reader.length(
-                "freshness.window",
-                freshness.window,
-                Millis(500)..=Millis(3_000),
-            ),
-            poll_age: reader.length(
-                "freshness.poll-age",
-                freshness.poll_age,
-                Millis(100)..=Millis(2_500),
-            ),
-        },
-        queueing: options::Queueing {
-            capacity: reader.count("queueing.capacity", queueing.capacity as u64, 0..=65_536)
-                as usize,
-            ..queueing
-        },
-        routing: options::Routing {
-            max_hops: reader.count("routing.max-hops", routing.max_hops.into(), 1..=8) as u8,
-            default_timeout: reader.length(
-                "routing.default-timeout",
-                routing.default_timeout,
-                Millis(10)..=Millis::from_secs(600),
-            ),
-        },
-        ..Options::default()
-    }
+    let mut options = Options::default();
+    read_membership(reader, &mut options.membership);
+    read_agreement(reader, &mut options);
+    read_work(reader, &mut options);
+    options
+}
+
+fn read_membership(reader: &mut Reader, membership: &mut options::Membership) {
+    let mut length = |key, value: &mut Millis, least, most| {
+        *value = reader.length(key, *value, Millis(least)..=Millis(most));
+    };
+    length("membership.gossip-period", &mut membership.gossip_period, 50, 10_000);
+    length("membership.reply-timeout", &mut membership.reply_timeout, 10, 10_000);
+    length("membership.probe-timeout", &mut membership.probe_timeout, 10, 10_000);
+    length("membership.suspicion", &mut membership.suspicion, 100, 60_000);
+    length("membership.retention", &mut membership.retention, 60_000, 86_400_000);
+    length("membership.leave-time", &mut membership.leave_time, 0, 60_000);
+}
+
+fn read_agreement(reader: &mut Reader, options: &mut Options) {
+    let mut length = |key, value: &mut Millis, least, most| {
+        *value = reader.length(key, *value, Millis(least)..=Millis(most));
+    };
+    let Options { epoch, configuration, freshness, .. } = options;
+    length("epoch.patience", &mut epoch.patience, 0, 60_000);
+    length("epoch.spread-per-member", &mut epoch.spread_per_member, 0, 1_000);
+    length("epoch.interval", &mut epoch.interval, 100, 600_000);
+    length("epoch.interval-per-member", &mut epoch.interval_per_member, 0, 1_000);
+    length("configuration.proposal-timeout", &mut configuration.proposal_timeout, 500, 9_000);
+    length("configuration.settle-period", &mut configuration.settle_period, 50, 5_000);
+    length("freshness.window", &mut freshness.window, 500, 3_000);
+    length("freshness.poll-age", &mut freshness.poll_age, 100, 2_500);
+}
+
+fn read_work(reader: &mut Reader, options: &mut Options) {
+    let Options { limit, queueing, routing, .. } = options;
+    limit.initial = reader.count("limit.initial", limit.initial.into(), 1..=10_000) as u32;
+    limit.least = reader.count("limit.least", limit.least.into(), 1..=10_000) as u32;
+    limit.most = reader.count("limit.most", limit.most.into(), 1..=100_000) as u32;
+    let capacity = queueing.capacity as u64;
+    queueing.capacity = reader.count("queueing.capacity", capacity, 0..=65_536) as usize;
+    routing.max_hops = reader.count("routing.max-hops", routing.max_hops.into(), 1..=8) as u8;
+    routing.default_timeout = reader.length(
+        "routing.default-timeout",
+        routing.default_timeout,
+        Millis(10)..=Millis::from_secs(600),
+    );
 }
--- a/crates/mustardpin-standin/src/load/arguments.rs
+++ b/crates/mustardpin-standin/src/load/arguments.rs
@@ -14,8 +14,9 @@
 Options:
   --entry IP:PORT        a node's address for callers; may be repeated, used in turn
   --team NAME,KEY,RATE   a team, its tenant key (- for none) and its requests a second; repeated
-  --route 'WEIGHT METHOD PATH [once]'
-                         a route; `once` sends an idempotency key; may be repeated
+  --route 'WEIGHT METHOD PATH [once|open]'
+                         a route; `once` sends an idempotency key, `open` is open to all;
+                         may be repeated
   --seconds N            how long to send (10)
   --deadline-ms N        the time left that goes with each request (2000)
   --retries N            sends a failed request again this many times at once (0)
@@ -69,6 +70,8 @@
     pub path: CompactString,
     /// Whether it is non-repeatable and goes with an idempotency key.
     pub once: bool,
+    /// Whether it is open to all, with any key and without.
+    pub open: bool,
 }
 
 impl FromStr for Route {
@@ -76,13 +79,14 @@
 
     fn from_str(text: &str) -> Result<Route, String> {
         let parts: Vec<_> = text.split_whitespace().collect();
-        let (weight, method, path, once) = match parts[..] {
-            [weight, method, path] => (weight, method, path, false),
-            [weight, method, path, "once"] => (weight, method, path, true),
-            _ => return Err("write a route as 'WEIGHT METHOD PATH [once]'".to_owned()),
+        let (weight, method, path, kind) = match parts[..] {
+            [weight, method, path] => (weight, method, path, ""),
+            [weight, method, path, kind @ ("once" | "open")] => (weight, method, path, kind),
+            _ => return Err("write a route as 'WEIGHT METHOD PATH [once|open]'".to_owned()),
         };
         let weight = weight.parse().map_err(|_| format!("{weight} is not a weight"))?;
-        Ok(Route { weight, method: method.into(), path: path.into(), once })
+        let (once, open) = (kind == "once", kind == "open");
+        Ok(Route { weight, method: method.into(), path: path.into(), once, open })
     }
 }
 
--- a/crates/mustardpin-world/src/system/finish.rs
+++ b/crates/mustardpin-world/src/system/finish.rs
@@ -5,7 +5,7 @@
     id::{CallKey, PeerKey},
     refusal::{Reason, Refusal},
     request::Verdict,
-    system::{pressure, resend},
+    system::{pressure, resend, retry},
     table::{
         Tables,
         call::{Call, Stage},
@@ -24,8 +24,11 @@
         Verdict::Refuse(refusal) => tables.counters.refuse(refusal.reason),
     }
     return_to_parent(tables, key, &call, &verdict);
+    if let Some(parent) = call.parent {
+        retry::returned(world, parent);
+    }
     resend::finished(world, tick.now, &call, &verdict);
-    if call.from.is_some() && call.retry_allowance > 0 {
+    if call.from.is_some() {
         tick.commands.push(Command::ReturnRetries { call: key, retries: call.retry_allowance });
     }
     tick.commands.push(Command::Finish(key, verdict));
--- a/src/error.rs
+++ b/src/error.rs
@@ -51,6 +51,9 @@
     /// The answer cannot be shown as JSON.
     #[display("cannot show the answer as JSON")]
     Json(serde_json::Error),
+    /// The node could not start.
+    #[display("the node cannot start")]
+    Node(mustardpin_node::Error),
     /// The runtime could not be started.
     #[display("cannot start")]
     Start(std::io::Error),
@@ -64,7 +67,7 @@
             Error::Client(error) => error.exit_code(),
             Error::Missing(_) | Error::Taken(_) => 4,
             Error::NotInForce(_) => 6,
-            Error::File { .. } | Error::Json(_) | Error::Start(_) => 1,
+            Error::File { .. } | Error::Json(_) | Error::Node(_) | Error::Start(_) => 1,
         }
     }
 }
@@ -76,8 +79,8 @@
     let mut cause = error.source();
     while let Some(error) = cause {
         let text = error.to_string();
-        // A layer that only passes the error on shows the same text.
-        if text != shown {
+        // A layer that passes the error on has shown its text already.
+        if !shown.contains(&text) {
             eprintln!("  caused by: {text}");
             shown = text;
         }
