Test bad input, leaving, control messages, the platform's client and the control thread

Cause: these failures had mechanisms but no test that makes them. Seen failing on a scratch copy, each named variant alone: a broken body that ends cleanly (2 tests fail), no check of the framing (1), no check of start_by at the gate (2), only Authorization removed and not the key's other copies (1), key kept in trailers (1), internal headers kept (1), Cancel ignored (1), a second run after the answer has begun (1). Variants that no test catches: without the abort of the target's connection on cancel, hyper closes it too; the order of a run's end and the answer's last piece; a dead idle connection is found before it is used, so the second try is not reached. The test that the control thread sleeps while nothing happens failed with 1745 ticks in 3 s: the thin freshness system woke every millisecond while a poll had no reply.

--- a/crates/mustardpin-node/tests/testsuite/fake.rs
+++ b/crates/mustardpin-node/tests/testsuite/fake.rs
@@ -13,3 +13,14 @@
     side::{TrafficSide, run},
     target::{Script, Step, Target, text},
 };
+
+/// Waits until the condition comes true.
+pub fn wait_until(condition: impl Fn() -> bool) {
+    for _ in 0..500 {
+        if condition() {
+            return;
+        }
+        std::thread::sleep(std::time::Duration::from_millis(10));
+    }
+    panic!("the condition should have come true within five seconds");
+}
--- /dev/null
+++ b/crates/mustardpin-node/tests/testsuite/input.rs
@@ -0,0 +1,180 @@
+//! Bad input gets a clear refusal or a closed connection, and takes no node down.
+
+use std::{
+    io::Write as _,
+    net::{SocketAddr, TcpStream},
+    sync::{Arc, mpsc},
+    thread,
+    time::Duration,
+};
+
+use mustardpin_node::{Launch, launch::Limits};
+use mustardpin_wire::peer::handshake::{GREETING_BYTES, Greeting};
+use mustardpin_world::id::{KeyDigest, NodeId};
+
+use crate::fake::{Fleet, KEY, Script, Step, call, exchange, get, read_all, text, wait_until};
+
+const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
+
+fn fleet(limits: Limits) -> Fleet {
+    let script: Script = Arc::new(|request| {
+        let wait = if request.contains("/slow") { 1_000 } else { 0 };
+        [vec![Step::Wait(Duration::from_millis(wait))], text(OK)].concat()
+    });
+    Fleet::start_with(&[("slots", script)], |launch| Launch { limits, ..launch })
+}
+
+fn summary(name: &str, answer: &crate::fake::Answer) -> String {
+    let reason = answer
+        .head()
+        .lines()
+        .find_map(|line| line.strip_prefix("mustardpin-reason: ").map(str::to_owned));
+    format!("{name}: {} {}", answer.status(), reason.unwrap_or_default())
+}
+
+#[test]
+fn bad_requests_are_refused_and_the_node_serves_on() {
+    let limits = Limits {
+        body_size: 100_000,
+        header_timeout: Duration::from_millis(300),
+        body_timeout: Duration::from_millis(300),
+        ..Limits::default()
+    };
+    let fleet = fleet(limits);
+    let callers = fleet.callers(0);
+    let key = format!("Bearer {KEY}");
+    let authorized = ("authorization", key.as_str());
+    let named = ("idempotency-key", "one");
+    let head = format!("POST /slots HTTP/1.1\r\nhost: fleet\r\nauthorization: {key}\r\n");
+    let chunk = format!("4000\r\n{}\r\n", "x".repeat(0x4000));
+    let cases = [
+        ("no HTTP", exchange(callers, b"what is this?\r\n\r\n")),
+        ("unknown version", exchange(callers, b"GET / HTTP/9.9\r\n\r\n")),
+        ("broken HTTP/2", exchange(callers, b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\nwhat is this?")),
+        (
+            "two lengths",
+            exchange(
+                callers,
+                format!("{head}content-length: 1\r\ncontent-length: 2\r\n\r\nab").as_bytes(),
+            ),
+        ),
+        ("large header", call(callers, "GET /slots", &[("x-large", &"x".repeat(40_000))], "")),
+        (
+            "no path",
+            exchange(callers, b"OPTIONS * HTTP/1.1\r\nhost: fleet\r\nconnection: close\r\n\r\n"),
+        ),
+        (
+            "connect",
+            exchange(
+                callers,
+                b"CONNECT fleet:80 HTTP/1.1\r\nhost: fleet\r\nconnection: close\r\n\r\n",
+            ),
+        ),
+        ("large body", call(callers, "POST /slots", &[authorized], &"x".repeat(100_001))),
+        (
+            "large body in chunks",
+            exchange(
+                callers,
+                format!(
+                    "{head}idempotency-key: one\r\ntransfer-encoding: chunked\r\n\r\n{}",
+                    chunk.repeat(7)
+                )
+                .as_bytes(),
+            ),
+        ),
+        ("slow header", exchange(callers, head.as_bytes())),
+        ("slow body", exchange(callers, format!("{head}content-length: 5\r\n\r\nhe").as_bytes())),
+        (
+            "long idempotency key",
+            call(callers, "GET /slots", &[authorized, ("idempotency-key", &"x".repeat(257))], ""),
+        ),
+        ("two idempotency keys", call(callers, "GET /slots", &[authorized, named, named], "")),
+        (
+            "negative timeout",
+            call(callers, "GET /slots", &[authorized, ("request-timeout-ms", "-1")], ""),
+        ),
+        (
+            "foreign call token",
+            call(callers, "GET /slots", &[authorized, ("mustardpin-call", "x")], ""),
+        ),
+        ("unknown route", call(callers, "GET relative", &[authorized], "")),
+        ("good", get(callers, "/slots")),
+    ];
+    let lines: Vec<_> = cases.iter().map(|(name, answer)| summary(name, answer)).collect();
+    insta::assert_snapshot!(lines.join("\n"));
+    assert_eq!(fleet.targets[0].seen().len(), 1);
+}
+
+#[test]
+fn connections_and_requests_beyond_the_limits_are_refused() {
+    let limits = Limits { connections: 3, requests: 1, ..Limits::default() };
+    let fleet = fleet(limits);
+    let callers = fleet.callers(0);
+    let (sender, receiver) = mpsc::channel();
+    thread::spawn(move || sender.send(get(callers, "/slow")));
+    while fleet.targets[0].seen().is_empty() {
+        thread::sleep(Duration::from_millis(5));
+    }
+    assert_eq!(summary("", &get(callers, "/slots")), ": 503 in_progress_limit");
+    assert_eq!(receiver.recv().expect("the caller ends").status(), 200);
+
+    let idle: Vec<_> =
+        (0..3).map(|_| TcpStream::connect(callers).expect("the node listens")).collect();
+    thread::sleep(Duration::from_millis(100));
+    assert_eq!(get(callers, "/slots").status(), 0);
+    drop(idle);
+    wait_until(|| get(callers, "/slots").status() == 200);
+}
+
+#[test]
+fn bodies_that_are_kept_never_exceed_their_limit() {
+    let limits = Limits { kept_size: 10_000, ..Limits::default() };
+    let fleet = fleet(limits);
+    let callers = fleet.callers(0);
+    let key = format!("Bearer {KEY}");
+    let send = |size| call(callers, "POST /slots", &[("authorization", &key)], &"x".repeat(size));
+    assert_eq!(summary("", &send(20_000)), ": 503 in_progress_limit");
+    for _ in 0..5 {
+        assert_eq!(send(9_000).status(), 200);
+    }
+}
+
+/// Sends bytes to a port for peers; returns how many bytes came back before it was closed.
+fn knock(address: SocketAddr, bytes: &[u8]) -> usize {
+    let mut stream = TcpStream::connect(address).expect("the node listens");
+    let _ = stream.write_all(bytes);
+    let answer = read_all(stream);
+    answer.text.len()
+}
+
+#[test]
+fn ports_for_peers_close_connections_without_the_credential() {
+    let fleet = fleet(Limits::default());
+    let node = fleet.nodes[0].announcement().node;
+    let greeting = |credential, to| {
+        let greeting = Greeting { from: NodeId(9), to, credential: KeyDigest::of(credential) };
+        <[u8; GREETING_BYTES]>::from(greeting).to_vec()
+    };
+    let large_frame = [greeting("fleet", None), vec![0xff; 100]].concat();
+    let garbage_frame = [greeting("fleet", None), vec![0, 0, 0, 4, 9, 9, 9, 9]].concat();
+    let request = "GET /slots HTTP/1.1\r\nhost: fleet\r\nmustardpin-route: slots\r\n\r\n";
+    let addresses = fleet.nodes[0].addresses();
+    let mut lines = Vec::new();
+    for (port, address) in [("control", addresses.control), ("traffic", addresses.traffic)] {
+        let cases = [
+            ("HTTP", request.as_bytes().to_vec()),
+            ("garbage", vec![0xa5; 5_000]),
+            ("too little", b"mpin".to_vec()),
+            ("another credential", greeting("guess", Some(node))),
+            ("another node", greeting("fleet", Some(NodeId(5)))),
+        ];
+        for (name, bytes) in cases {
+            lines.push(format!("{port}, {name}: {} bytes", knock(address, &bytes)));
+        }
+    }
+    for (name, bytes) in [("large frame", large_frame), ("garbage frame", garbage_frame)] {
+        lines.push(format!("control, {name}: {} bytes", knock(addresses.control, &bytes)));
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+    assert_eq!(get(fleet.callers(0), "/slots").status(), 200);
+}
--- /dev/null
+++ b/crates/mustardpin-node/tests/testsuite/leave.rs
@@ -0,0 +1,92 @@
+//! A node that leaves cuts off no request.
+
+use std::{
+    io::{Read as _, Write as _},
+    net::TcpStream,
+    sync::{Arc, mpsc},
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::fake::{Fleet, KEY, Script, Step, get, http2, read_all, text};
+
+fn script() -> Script {
+    Arc::new(|request| {
+        if !request.contains("/slow") {
+            return text("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello");
+        }
+        let mut steps = text("HTTP/1.1 200 OK\r\ncontent-length: 20\r\n\r\n");
+        for _ in 0..4 {
+            steps.push(Step::Wait(Duration::from_millis(200)));
+            steps.push(Step::Send(b"hello".to_vec()));
+        }
+        steps
+    })
+}
+
+/// Stops a node; the receiver tells when its process would have ended.
+fn stop(fleet: &mut Fleet, node: usize) -> mpsc::Receiver<()> {
+    let node = fleet.nodes.remove(node);
+    node.stop();
+    let (sender, receiver) = mpsc::channel();
+    thread::spawn(move || {
+        node.wait();
+        sender.send(())
+    });
+    receiver
+}
+
+#[test]
+fn answers_in_progress_are_finished_and_idle_connections_closed() {
+    let mut fleet = Fleet::start(&[("slots", script()), ("ledger", script())]);
+    let (direct, through) = (fleet.callers(0), fleet.callers(1));
+    let mut idle = TcpStream::connect(direct).expect("the node listens");
+    let request =
+        format!("GET /slots HTTP/1.1\r\nhost: fleet\r\nauthorization: Bearer {KEY}\r\n\r\n");
+    idle.write_all(request.as_bytes()).expect("the node reads");
+    let _ = idle.read(&mut [0; 4096]).expect("an answer");
+    let (sender, answers) = mpsc::channel();
+    for address in [direct, direct, through, through] {
+        let sender = sender.clone();
+        thread::spawn(move || sender.send(get(address, "/slow")));
+    }
+    let http2 = {
+        let mut caller = fleet.runtime.block_on(http2(direct));
+        fleet.runtime.spawn(async move { caller.collect("/slow").await })
+    };
+    while fleet.targets[0].seen().len() < 6 {
+        thread::sleep(Duration::from_millis(5));
+    }
+    let ended = stop(&mut fleet, 0);
+    let start = Instant::now();
+    for _ in 0..4 {
+        let answer = answers.recv().expect("the caller ends");
+        assert_eq!(answer.body(), "hello".repeat(4), "{answer:?}");
+    }
+    let answer = fleet.runtime.block_on(http2).expect("no panic").expect("a whole answer");
+    assert_eq!(answer.1, "hello".repeat(4));
+    assert!(read_all(idle).clean);
+    ended.recv_timeout(Duration::from_secs(5)).expect("the process ends");
+    assert!(start.elapsed() < Duration::from_secs(5));
+}
+
+#[test]
+fn a_request_on_a_connection_that_was_idle_is_answered_while_the_node_leaves() {
+    let mut fleet = Fleet::start_with(&[("slots", script())], |mut launch| {
+        launch.limits.close_linger = Duration::from_millis(1_000);
+        launch
+    });
+    let callers = fleet.callers(0);
+    let mut idle = TcpStream::connect(callers).expect("the node listens");
+    let request =
+        format!("GET /slots HTTP/1.1\r\nhost: fleet\r\nauthorization: Bearer {KEY}\r\n\r\n");
+    idle.write_all(request.as_bytes()).expect("the node reads");
+    let _ = idle.read(&mut [0; 4096]).expect("an answer");
+    let ended = stop(&mut fleet, 0);
+    thread::sleep(Duration::from_millis(200));
+    idle.write_all(request.as_bytes()).expect("the node reads");
+    let answer = read_all(idle);
+    assert!([200, 503].contains(&answer.status()), "{answer:?}");
+    assert!(answer.head().contains("connection: close"), "{answer:?}");
+    ended.recv_timeout(Duration::from_secs(5)).expect("the process ends");
+}
--- a/crates/mustardpin-node/tests/testsuite/main.rs
+++ b/crates/mustardpin-node/tests/testsuite/main.rs
@@ -1,8 +1,13 @@
 //! Tests of a node's traffic side: real sockets on the loopback interface, with small fakes in
 //! place of the platform and the targets.
 
+mod control;
 mod fake;
+mod input;
 mod key;
+mod leave;
+mod link;
 mod path;
 mod run;
+mod store;
 mod whole;
--- a/crates/mustardpin-node/tests/testsuite/run.rs
+++ b/crates/mustardpin-node/tests/testsuite/run.rs
@@ -4,7 +4,6 @@
     io::Write as _,
     net::{Shutdown, TcpStream},
     sync::Arc,
-    thread,
     time::Duration,
 };
 
@@ -15,7 +14,7 @@
     request::{Run, RunEnd, Verdict},
 };
 
-use crate::fake::{KEY, Script, Step, Target, TrafficSide, read_all, run, text};
+use crate::fake::{KEY, Script, Step, Target, TrafficSide, read_all, run, text, wait_until};
 
 const WHOLE: &str = "HTTP/1.1 201 Created\r\ncontent-length: 5\r\nx-own: 1\r\n\r\nhello";
 
@@ -36,16 +35,6 @@
     stream
 }
 
-fn wait_until(condition: impl Fn() -> bool) {
-    for _ in 0..500 {
-        if condition() {
-            return;
-        }
-        thread::sleep(Duration::from_millis(10));
-    }
-    panic!("the condition should have come true within five seconds");
-}
-
 #[test]
 fn a_run_that_is_too_late_to_start_is_not_sent() {
     let (side, target) = start(text(WHOLE), Limits::default());
