--- a/crates/mustardpin-node/src/control/thread.rs
+++ b/crates/mustardpin-node/src/control/thread.rs
@@ -14,7 +14,8 @@
 use tokio::sync::oneshot;
 
 use crate::{
-    control::{Answer, Borders, Input},
+    admin::Answer,
+    control::{Borders, Input},
     exchange::{Exchange, Order},
 };
 
@@ -110,7 +111,6 @@
         for command in self.world.tick(now, events) {
             self.carry_out(command);
         }
-        self.borders.traffic.publish(self.world.pressure());
         if now >= self.next_flush {
             self.next_flush = now + FLUSH_PERIOD;
             self.borders.meter.flush(&self.world.tables().counters);
@@ -137,6 +137,7 @@
             }
             Command::Platform(ticket, operation) => self.borders.store.ask(ticket, operation),
             Command::Answer(ticket, answer) => self.answer(ticket, answer),
+            Command::Publish(pressure) => self.borders.traffic.publish(pressure),
             Command::Log(change) => self.borders.journal.write(&change),
             Command::CloseIdle => self.borders.traffic.close_idle(),
             Command::Exit => self.borders.traffic.exit(),
--- a/crates/mustardpin-node/tests/testsuite/main.rs
+++ b/crates/mustardpin-node/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
-//! Tests of a node's traffic side: real sockets on the loopback interface, with small fakes in
-//! place of the platform and the targets.
+//! Tests of the node library: real sockets on the loopback interface, with small fakes in place of
+//! the platform and the targets.
 
+mod admin;
 mod control;
 mod fake;
 mod input;
--- a/crates/mustardpin-wire/src/peer/epoch.rs
+++ b/crates/mustardpin-wire/src/peer/epoch.rs
@@ -29,6 +29,17 @@
     pub members: Vec<Member>,
 }
 
+/// What one epoch changed in the epoch before it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[allow(missing_docs, reason = "mirrors mustardpin_world::message::epoch::Step")]
+pub struct Step {
+    pub number: u64,
+    pub revision: u64,
+    pub removed: Vec<u64>,
+    pub added: Vec<Member>,
+}
+
 /// A message about the epoch.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -36,6 +47,7 @@
 pub enum Message {
     Want { number: u64 },
     Have(Epoch),
+    Steps(Vec<Step>),
 }
 
 impl From<epoch::Member> for Member {
@@ -72,11 +84,36 @@
     }
 }
 
+impl From<epoch::Step> for Step {
+    fn from(step: epoch::Step) -> Step {
+        Step {
+            number: step.number,
+            revision: step.revision.0,
+            removed: step.removed.into_iter().map(|node| node.0).collect(),
+            added: step.added.into_iter().map(Member::from).collect(),
+        }
+    }
+}
+
+impl From<Step> for epoch::Step {
+    fn from(step: Step) -> epoch::Step {
+        epoch::Step {
+            number: step.number,
+            revision: Revision(step.revision),
+            removed: step.removed.into_iter().map(NodeId).collect(),
+            added: step.added.into_iter().map(epoch::Member::from).collect(),
+        }
+    }
+}
+
 impl From<epoch::Message> for Message {
     fn from(message: epoch::Message) -> Message {
         match message {
             epoch::Message::Want { number } => Message::Want { number },
             epoch::Message::Have(epoch) => Message::Have(epoch.into()),
+            epoch::Message::Steps(steps) => {
+                Message::Steps(steps.into_iter().map(Step::from).collect())
+            }
         }
     }
 }
@@ -88,6 +125,9 @@
         Ok(match message {
             Message::Want { number } => epoch::Message::Want { number },
             Message::Have(epoch) => epoch::Message::Have(epoch.into()),
+            Message::Steps(steps) => {
+                epoch::Message::Steps(steps.into_iter().map(epoch::Step::from).collect())
+            }
         })
     }
 }
