--- a/crates/mustardpin-wire/tests/testsuite/main.rs
+++ b/crates/mustardpin-wire/tests/testsuite/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the wire types: round trips, and decoders that face the network.
 
+mod decode;
 mod platform;
