--- a/crates/mustardpin-node/src/control/thread.rs
+++ b/crates/mustardpin-node/src/control/thread.rs
@@ -14,7 +14,8 @@
 use tokio::sync::oneshot;
 
 use crate::{
-    control::{Answer, Borders, Input},
+    admin::Answer,
+    control::{Borders, Input},
     exchange::{Exchange, Order},
 };
 
