Serve those who connected before a leaving node closed its port

The listener's task now ends with the node's connections: it closes the port when the node exits, and serves those that had connected by then.

--- a/crates/mustardpin-node/src/node.rs
+++ b/crates/mustardpin-node/src/node.rs
@@ -173,9 +173,7 @@
             let _ = stage.wait_for(|stage| *stage != Stage::Serving).await;
             let linger = time::sleep(limits.close_linger);
             let _ = stage.wait_for(|stage| *stage == Stage::Exiting).await;
-            if !connections.is_empty() {
-                linger.await;
-            }
+            linger.await;
             connections.close();
             // What still stalls after this time is cut off.
             let _ = time::timeout(limits.exit_grace, connections.wait()).await;
@@ -218,13 +216,14 @@
         for (listener, side) in
             [(callers, Side::Callers), (local, Side::Local), (traffic, Side::Peers)]
         {
-            self.runtime.spawn(traffic::serve(
+            let serving = traffic::serve(
                 listener,
                 side,
                 Arc::clone(context),
                 self.stage.clone(),
                 self.connections.clone(),
-            ));
+            );
+            self.connections.spawn_on(serving, self.runtime.handle());
         }
         self.runtime.spawn(peer::serve(
             control,
--- a/crates/mustardpin-node/src/traffic/listener.rs
+++ b/crates/mustardpin-node/src/traffic/listener.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use futures::FutureExt as _;
 use http::{HeaderValue, Version, header};
 use hyper::service::service_fn;
 use hyper_util::{
@@ -106,23 +107,53 @@
 }
 
 /// Takes connections in until the runtime ends or the node has left.
+///
+/// Then the port is closed, and those who had connected by that time are still served: a connection
+/// left in the listener's queue would break with its request on the way.
 pub async fn serve(
     listener: TcpListener,
     side: Side,
     context: Arc<Context>,
-    stage: watch::Receiver<Stage>,
+    mut stage: watch::Receiver<Stage>,
     connections: TaskTracker,
 ) {
-    let permits = Arc::new(Semaphore::new(context.limits.connections));
-    while !connections.is_closed() {
-        let Ok((stream, _)) = listener.accept().await else {
-            time::sleep(ACCEPT_PAUSE).await;
-            continue;
+    let door = Door {
+        side,
+        permits: Arc::new(Semaphore::new(context.limits.connections)),
+        context,
+        stage: stage.clone(),
+        connections,
+    };
+    loop {
+        let accepted = select! {
+            accepted = listener.accept() => accepted,
+            _ = stage.wait_for(|stage| *stage == Stage::Exiting) => break,
         };
-        // One connection too many is closed at once.
-        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else { continue };
-        let (context, stage) = (Arc::clone(&context), stage.clone());
-        connections.spawn(async move {
+        match accepted {
+            Ok((stream, _)) => door.open(stream),
+            Err(_) => time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        door.open(stream);
+    }
+}
+
+/// What new connections of a listener have in common.
+struct Door {
+    side: Side,
+    permits: Arc<Semaphore>,
+    context: Arc<Context>,
+    stage: watch::Receiver<Stage>,
+    connections: TaskTracker,
+}
+
+impl Door {
+    /// Serves a connection in a task of its own. One connection too many is closed at once.
+    fn open(&self, stream: TcpStream) {
+        let Ok(permit) = Arc::clone(&self.permits).try_acquire_owned() else { return };
+        let (context, stage, side) = (Arc::clone(&self.context), self.stage.clone(), self.side);
+        self.connections.spawn(async move {
             if let Some((stream, port)) = admit(stream, side, &context).await {
                 carry(stream, port, context, stage).await;
             }
