--- a/crates/mustardpin-node/src/control/thread.rs
+++ b/crates/mustardpin-node/src/control/thread.rs
@@ -110,7 +110,6 @@
         for command in self.world.tick(now, events) {
             self.carry_out(command);
         }
-        self.borders.traffic.publish(self.world.pressure());
         if now >= self.next_flush {
             self.next_flush = now + FLUSH_PERIOD;
             self.borders.meter.flush(&self.world.tables().counters);
@@ -128,6 +127,8 @@
             Command::Run(run) => self.order(run.call, Order::Run(run)),
             Command::Forward(forward) => self.order(forward.call, Order::Forward(forward)),
             Command::Cancel(call) => self.order(call, Order::Cancel),
+            // Not carried between nodes yet: retries that were lent count as spent.
+            Command::ReturnRetries { .. } => {}
             Command::Finish(call, verdict) => {
                 self.order(call, Order::Finish(verdict));
                 self.calls.remove(&call);
--- a/crates/mustardpin-settings/src/settings.rs
+++ b/crates/mustardpin-settings/src/settings.rs
@@ -297,7 +297,7 @@
     }
 }
 
-/// Options that no key names keep their defaults.
+/// Options that no key names, such as those for comparisons in measurements, keep their defaults.
 fn read_options(reader: &mut Reader) -> Options {
     let mut options = Options::default();
     read_membership(reader, &mut options.membership);
@@ -334,16 +334,29 @@
 }
 
 fn read_work(reader: &mut Reader, options: &mut Options) {
-    let Options { queueing, routing, .. } = options;
-    let capacity = queueing.capacity as u64;
-    queueing.capacity = reader.count("queueing.capacity", capacity, 0..=65_536) as usize;
-    let initial_limit = queueing.initial_limit.into();
-    queueing.initial_limit =
-        reader.count("queueing.initial-limit", initial_limit, 1..=10_000) as u32;
+    let Options { limit, queueing, retry, rating, routing, .. } = options;
+    let mut count = |key, value: &mut u32, least, most| {
+        *value = reader.count(key, (*value).into(), least..=most) as u32;
+    };
+    count("limit.initial", &mut limit.initial, 1, 10_000);
+    count("limit.least", &mut limit.least, 1, 10_000);
+    count("limit.most", &mut limit.most, 1, 100_000);
+    count("retry.ratio-percent", &mut retry.ratio_percent, 0, 100);
+    count("retry.ratio-burst", &mut retry.ratio_burst, 0, 10_000);
+    count("retry.resend-percent", &mut retry.resend_percent, 0, 100);
+    count("retry.resend-burst", &mut retry.resend_burst, 0, 10_000);
+    queueing.capacity =
+        reader.count("queueing.capacity", queueing.capacity as u64, 0..=65_536) as usize;
     routing.max_hops = reader.count("routing.max-hops", routing.max_hops.into(), 1..=8) as u8;
-    routing.default_timeout = reader.length(
-        "routing.default-timeout",
-        routing.default_timeout,
-        Millis(10)..=Millis::from_secs(600),
-    );
+    let most_shards = rating.max_shards.into();
+    rating.max_shards = reader.count("rating.max-shards", most_shards, 1..=most_shards) as u8;
+    let mut length = |key, value: &mut Millis, least, most| {
+        *value = reader.length(key, *value, Millis(least)..=Millis(most));
+    };
+    length("queueing.wait", &mut queueing.wait, 0, 60_000);
+    length("retry.resend-window", &mut retry.resend_window, 0, 600_000);
+    length("rating.horizon", &mut rating.horizon, 10, 10_000);
+    length("rating.patience", &mut rating.patience, 0, 10_000);
+    length("rating.reply-within", &mut rating.reply_within, 10, 10_000);
+    length("routing.default-timeout", &mut routing.default_timeout, 10, 600_000);
 }
--- a/crates/mustardpin-virtual/tests/testsuite/main.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/main.rs
@@ -2,3 +2,5 @@
 
 mod membership;
 mod path;
+mod rating;
+mod support;
--- a/crates/mustardpin-wire/src/peer/epoch.rs
+++ b/crates/mustardpin-wire/src/peer/epoch.rs
@@ -29,16 +29,6 @@
     pub members: Vec<Member>,
 }
 
-/// A message about the epoch.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-#[allow(missing_docs, reason = "mirrors mustardpin_world::message::epoch::Message")]
-pub enum Message {
-    Want { number: u64 },
-    Have(Epoch),
-    Steps(Vec<Step>),
-}
-
 /// What one epoch changed in the epoch before it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -50,26 +40,14 @@
     pub added: Vec<Member>,
 }
 
-impl From<epoch::Step> for Step {
-    fn from(step: epoch::Step) -> Step {
-        Step {
-            number: step.number,
-            revision: step.revision.0,
-            removed: step.removed.into_iter().map(|node| node.0).collect(),
-            added: step.added.into_iter().map(Member::from).collect(),
-        }
-    }
-}
-
-impl From<Step> for epoch::Step {
-    fn from(step: Step) -> epoch::Step {
-        epoch::Step {
-            number: step.number,
-            revision: Revision(step.revision),
-            removed: step.removed.into_iter().map(NodeId).collect(),
-            added: step.added.into_iter().map(epoch::Member::from).collect(),
-        }
-    }
+/// A message about the epoch.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[allow(missing_docs, reason = "mirrors mustardpin_world::message::epoch::Message")]
+pub enum Message {
+    Want { number: u64 },
+    Have(Epoch),
+    Steps(Vec<Step>),
 }
 
 impl From<epoch::Member> for Member {
@@ -106,6 +84,28 @@
     }
 }
 
+impl From<epoch::Step> for Step {
+    fn from(step: epoch::Step) -> Step {
+        Step {
+            number: step.number,
+            revision: step.revision.0,
+            removed: step.removed.into_iter().map(|node| node.0).collect(),
+            added: step.added.into_iter().map(Member::from).collect(),
+        }
+    }
+}
+
+impl From<Step> for epoch::Step {
+    fn from(step: Step) -> epoch::Step {
+        epoch::Step {
+            number: step.number,
+            revision: Revision(step.revision),
+            removed: step.removed.into_iter().map(NodeId).collect(),
+            added: step.added.into_iter().map(epoch::Member::from).collect(),
+        }
+    }
+}
+
 impl From<epoch::Message> for Message {
     fn from(message: epoch::Message) -> Message {
         match message {
--- a/crates/mustardpin-wire/src/peer/membership.rs
+++ b/crates/mustardpin-wire/src/peer/membership.rs
@@ -5,14 +5,13 @@
     Millis,
     id::{NodeId, Revision},
     message::membership,
-    platform,
     table::peer,
 };
 use serde::{Deserialize, Serialize};
 
 use crate::peer::{Announcement, Error};
 
-/// What a node believes of a peer.
+/// What a node believes of another.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 #[allow(missing_docs, reason = "mirrors mustardpin_world::table::peer::State")]
@@ -23,7 +22,7 @@
     Dead,
 }
 
-/// What one node believes of another.
+/// What one node says of another.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 #[allow(missing_docs, reason = "mirrors mustardpin_world::message::membership::Update")]
@@ -106,23 +105,17 @@
 
 impl From<membership::Update> for Update {
     fn from(update: membership::Update) -> Update {
-        Update {
-            node: update.node.0,
-            incarnation: update.incarnation,
-            state: update.state.into(),
-            announcement: update.announcement.map(Announcement::from),
-        }
+        let membership::Update { node, incarnation, state, announcement } = update;
+        let announcement = announcement.map(Announcement::from);
+        Update { node: node.0, incarnation, state: state.into(), announcement }
     }
 }
 
 impl From<Update> for membership::Update {
     fn from(update: Update) -> membership::Update {
-        membership::Update {
-            node: NodeId(update.node),
-            incarnation: update.incarnation,
-            state: update.state.into(),
-            announcement: update.announcement.map(platform::Announcement::from),
-        }
+        let Update { node, incarnation, state, announcement } = update;
+        let announcement = announcement.map(Into::into);
+        membership::Update { node: NodeId(node), incarnation, state: state.into(), announcement }
     }
 }
 
@@ -150,37 +143,37 @@
 
 impl From<membership::Page> for Page {
     fn from(page: membership::Page) -> Page {
-        Page { updates: convert(page.updates), next: page.next.map(|node| node.0) }
+        Page { updates: to_wire(page.updates), next: page.next.map(|node| node.0) }
     }
 }
 
 impl From<Page> for membership::Page {
     fn from(page: Page) -> membership::Page {
-        membership::Page { updates: convert(page.updates), next: page.next.map(NodeId) }
+        membership::Page { updates: to_world(page.updates), next: page.next.map(NodeId) }
     }
 }
 
 impl From<membership::Message> for Message {
     fn from(message: membership::Message) -> Message {
+        use membership::Message as World;
+
         match message {
-            membership::Message::Ask { number, introduction, digest, updates, page_after } => {
-                Message::Ask {
-                    number,
-                    introduction: introduction.map(Announcement::from),
-                    digest: digest.into(),
-                    updates: convert(updates),
-                    page_after: page_after.map(|node| node.0),
-                }
-            }
-            membership::Message::Reply { number, digest, updates, page } => Message::Reply {
+            World::Ask { number, introduction, digest, updates, page_after } => Message::Ask {
+                number,
+                introduction: introduction.map(Announcement::from),
+                digest: digest.into(),
+                updates: to_wire(updates),
+                page_after: page_after.map(|node| node.0),
+            },
+            World::Reply { number, digest, updates, page } => Message::Reply {
                 number,
                 digest: digest.into(),
-                updates: convert(updates),
+                updates: to_wire(updates),
                 page: page.map(Page::from),
             },
-            membership::Message::Probe { number, node } => Message::Probe { number, node: node.0 },
-            membership::Message::Probed { number } => Message::Probed { number },
-            membership::Message::Push(updates) => Message::Push(convert(updates)),
+            World::Probe { number, node } => Message::Probe { number, node: node.0 },
+            World::Probed { number } => Message::Probed { number },
+            World::Push(updates) => Message::Push(to_wire(updates)),
         }
     }
 }
@@ -189,31 +182,33 @@
     type Error = Error;
 
     fn try_from(message: Message) -> Result<membership::Message, Error> {
+        use membership::Message as World;
+
         Ok(match message {
-            Message::Ask { number, introduction, digest, updates, page_after } => {
-                membership::Message::Ask {
-                    number,
-                    introduction: introduction.map(platform::Announcement::from),
-                    digest: digest.into(),
-                    updates: convert(updates),
-                    page_after: page_after.map(NodeId),
-                }
-            }
-            Message::Reply { number, digest, updates, page } => membership::Message::Reply {
+            Message::Ask { number, introduction, digest, updates, page_after } => World::Ask {
+                number,
+                introduction: introduction.map(Into::into),
+                digest: digest.into(),
+                updates: to_world(updates),
+                page_after: page_after.map(NodeId),
+            },
+            Message::Reply { number, digest, updates, page } => World::Reply {
                 number,
                 digest: digest.into(),
-                updates: convert(updates),
-                page: page.map(membership::Page::from),
+                updates: to_world(updates),
+                page: page.map(Into::into),
             },
-            Message::Probe { number, node } => {
-                membership::Message::Probe { number, node: NodeId(node) }
-            }
-            Message::Probed { number } => membership::Message::Probed { number },
-            Message::Push(updates) => membership::Message::Push(convert(updates)),
+            Message::Probe { number, node } => World::Probe { number, node: NodeId(node) },
+            Message::Probed { number } => World::Probed { number },
+            Message::Push(updates) => World::Push(to_world(updates)),
         })
     }
 }
 
-fn convert<T, U: From<T>>(items: Vec<T>) -> Vec<U> {
-    items.into_iter().map(U::from).collect()
+fn to_wire(updates: Vec<membership::Update>) -> Vec<Update> {
+    updates.into_iter().map(Update::from).collect()
+}
+
+fn to_world(updates: Vec<Update>) -> Vec<membership::Update> {
+    updates.into_iter().map(membership::Update::from).collect()
 }
--- a/crates/mustardpin-world/src/system/permission.rs
+++ b/crates/mustardpin-world/src/system/permission.rs
@@ -42,7 +42,7 @@
 }
 
 /// Whether the node may go on for a team without fresh knowledge.
-fn goes_on(tables: &Tables, team: TeamKey) -> bool {
+pub(super) fn goes_on(tables: &Tables, team: TeamKey) -> bool {
     match tables.cut_off_policy(team) {
         CutOffPolicy::Refuse => false,
         CutOffPolicy::Serve(grace) => tables.freshness.is_with_own && tables.freshness.age < grace,
--- a/crates/mustardpin-world/src/table.rs
+++ b/crates/mustardpin-world/src/table.rs
@@ -4,10 +4,14 @@
 pub mod configuration;
 pub mod counter;
 pub mod data_centre;
+pub mod demand;
 pub mod epoch;
 pub mod exception;
+pub mod health;
 pub mod peer;
+pub mod resend;
 pub mod route;
+pub mod share;
 pub mod target;
 pub mod team;
 pub mod tenant;
@@ -25,10 +29,16 @@
     pub data_centres: data_centre::DataCentres,
     /// Exceptions.
     pub exceptions: exception::Exceptions,
+    /// What is asked of each route, and what comes of it.
+    pub demand: demand::Demand,
     /// Other nodes.
     pub peers: peer::Peers,
+    /// Root requests that failed a short time ago.
+    pub failed: resend::Failed,
     /// Routes.
     pub routes: route::Routes,
+    /// Rate tokens.
+    pub shares: share::Shares,
     /// The own target.
     pub target: target::Target,
     /// Teams.
--- a/crates/mustardpin-world/src/world.rs
+++ b/crates/mustardpin-world/src/world.rs
@@ -7,13 +7,11 @@
 use crate::{
     clock::Millis,
     command::Command,
-    config::Importance,
     event::Event,
     id::{NodeId, PeerKey},
     message::Message,
     options::Options,
     platform::{Announcement, Operation, Ticket},
-    request::Pressure,
     system,
     table::{Tables, counter::Work, peer::Peer},
 };
@@ -86,11 +84,12 @@
     /// assert!(!commands.is_empty(), "it asks the platform for its configuration");
     /// ```
     pub fn new(identity: Identity, options: Options, seed: u64) -> World {
+        let systems = system::State::new(&options);
         World {
             identity,
             options,
             tables: Tables::default(),
-            systems: system::State::default(),
+            systems,
             rng: Pcg64Mcg::seed_from_u64(seed),
         }
     }
@@ -115,16 +114,6 @@
         &self.tables
     }
 
-    /// What the node tells its peers with each answer.
-    pub fn pressure(&self) -> Pressure {
-        Pressure {
-            least_importance: Importance::Low,
-            running: self.tables.target.running,
-            queued: self.tables.target.queued,
-            limit: self.options.queueing.initial_limit,
-        }
-    }
-
     /// Who the node is.
     pub fn identity(&self) -> &Identity {
         &self.identity
