Prove that accepted changes are in force within 3 s and never revert

Cause: the configuration system had no test with the failures it is for.

Change: thirteen cases of a withdrawal under one failure each, keys issued and withdrawn in turn under random failures (freeze, cut, restart, outage, lost answers), two operators racing, a change asked again elsewhere, and changes that must be refused whole. Checks compare with what targets ran. The fake network can lose chosen messages between data centres.

--- a/crates/mustardpin-virtual/src/fleet.rs
+++ b/crates/mustardpin-virtual/src/fleet.rs
@@ -803,6 +803,10 @@
         let (Some(receiver), Some(delay)) = (receiver, delay) else {
             return self.deliver_later(site, Millis(500), Event::Undelivered { to });
         };
+        let is_remote = self.nodes[receiver.0].data_centre != self.nodes[site.0].data_centre;
+        if is_remote && self.network.lose.is_some_and(|is_lost| is_lost(&message)) {
+            return;
+        }
         let from = self.nodes[site.0].world.identity().node();
         self.deliver_later(receiver, delay, Event::Peer { from, message });
     }
--- a/crates/mustardpin-virtual/src/network.rs
+++ b/crates/mustardpin-virtual/src/network.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use mustardpin_world::Millis;
+use mustardpin_world::{Millis, message::Message};
 
 /// The one-way delays of a network.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,6 +26,8 @@
 pub struct Network {
     /// How long messages take.
     pub delay: Delay,
+    /// Messages between data centres that get lost, such as those too large for a path.
+    pub lose: Option<fn(&Message) -> bool>,
     cuts: BTreeSet<(String, String)>,
     from_platform: BTreeSet<String>,
 }
--- a/crates/mustardpin-virtual/src/platform.rs
+++ b/crates/mustardpin-virtual/src/platform.rs
@@ -70,6 +70,14 @@
         self.revision
     }
 
+    /// The row of the configuration that stands at a path.
+    pub fn configuration(&self, path: &config::Path) -> Option<&config::Row> {
+        match &self.rows.get(&Place::Configuration(path.clone()))?.row {
+            Row::Configuration(_, row) => row.as_ref(),
+            _ => None,
+        }
+    }
+
     fn changes(&self, after: Revision) -> Reply {
         let mut rows: Vec<Versioned> =
             self.rows.values().filter(|row| row.revision > after).cloned().collect();
--- /dev/null
+++ b/crates/mustardpin-virtual/tests/testsuite/configuration.rs
@@ -0,0 +1,331 @@
+//! Operators' changes: in force everywhere within seconds, whole, and never reverted.
+
+use std::{collections::BTreeMap, fmt::Write as _};
+
+use mustardpin_virtual::{PlatformMode, Site};
+use mustardpin_world::{
+    Millis,
+    config::{
+        Change, ChangeError, CutOffPolicy, Exception, Fleet, Importance, Kind, Path, Route, Row,
+        Team,
+    },
+    event::Proposal,
+    message::{Message, configuration},
+};
+
+use crate::{
+    faults::Faults,
+    scenario::{KEPT, Scenario, WITHDRAWN, for_seeds, key, route, team, withdrawal},
+};
+
+/// The time within which an accepted change is in force everywhere.
+const IN_FORCE: Millis = Millis::from_secs(3);
+
+/// Withdraws the key while something fails. Returns when the platform accepted it.
+type Case = fn(&mut Scenario) -> Millis;
+
+const CASES: [(&str, Case); 13] = [
+    ("nothing fails", |scenario| {
+        scenario.withdraw(Site(0));
+        scenario.load_until_accepted()
+    }),
+    ("platform down right after the acceptance", |scenario| {
+        scenario.withdraw(Site(0));
+        let accepted = scenario.load_until_accepted();
+        scenario.fleet.platform.mode = PlatformMode::Down;
+        accepted
+    }),
+    ("answers of the platform are lost", |scenario| {
+        scenario.fleet.platform.mode = PlatformMode::LoseAnswers;
+        scenario.withdraw(Site(0));
+        scenario.load_until_accepted()
+    }),
+    ("answer lost and platform down for a second", |scenario| {
+        scenario.fleet.platform.mode = PlatformMode::LoseAnswers;
+        scenario.withdraw(Site(0));
+        let accepted = scenario.load_until_accepted();
+        scenario.fleet.platform.mode = PlatformMode::Down;
+        scenario.load_for(Millis(1_000));
+        scenario.fleet.platform.mode = PlatformMode::Up;
+        accepted
+    }),
+    ("platform slow", |scenario| {
+        scenario.fleet.network.delay.platform = Millis(600);
+        scenario.withdraw(Site(0));
+        scenario.load_until_accepted()
+    }),
+    ("operator's node killed right after the acceptance", |scenario| {
+        scenario.withdraw(Site(0));
+        let accepted = scenario.load_until_accepted();
+        scenario.fleet.kill(Site(0));
+        accepted
+    }),
+    ("a data centre cut off before, and back after ten seconds", |scenario| {
+        cut(scenario, true);
+        scenario.withdraw(Site(0));
+        let accepted = scenario.load_until_accepted();
+        scenario.load_for(Millis::from_secs(10));
+        scenario.fleet.network.heal();
+        accepted
+    }),
+    ("a data centre cut off from the others only", |scenario| {
+        cut(scenario, false);
+        scenario.withdraw(Site(0));
+        scenario.load_until_accepted()
+    }),
+    ("a node frozen before, and resumed after ten seconds", |scenario| {
+        scenario.fleet.freeze(Site(8));
+        scenario.withdraw(Site(0));
+        let accepted = scenario.load_until_accepted();
+        scenario.load_for(Millis::from_secs(10));
+        scenario.fleet.resume(Site(8));
+        accepted
+    }),
+    ("a node started from nothing while the platform is down", |scenario| {
+        scenario.withdraw(Site(0));
+        let accepted = scenario.load_until_accepted();
+        scenario.fleet.platform.mode = PlatformMode::Down;
+        scenario.fleet.restart(Site(4));
+        scenario.seed(Site(4), Site(8));
+        accepted
+    }),
+    ("deltas lost on the way to a data centre without the platform", |scenario| {
+        scenario.fleet.network.cut_platform("west");
+        scenario.fleet.network.lose = Some(is_delta);
+        scenario.withdraw(Site(0));
+        let accepted = scenario.load_until_accepted();
+        scenario.load_for(Millis::from_secs(8));
+        scenario.fleet.network.lose = None;
+        accepted
+    }),
+    ("the delta lost, and the next one not", |scenario| {
+        scenario.fleet.network.cut_platform("west");
+        scenario.fleet.network.lose = Some(is_delta);
+        scenario.withdraw(Site(0));
+        let accepted = scenario.load_until_accepted();
+        scenario.load_for(Millis(20));
+        scenario.fleet.network.lose = None;
+        let expected = scenario.revision(Site(0));
+        scenario.propose(Site(0), 2, "next", expected, vec![team("third")]);
+        accepted
+    }),
+    ("requests waiting in queues", |scenario| {
+        for site in scenario.fleet.sites() {
+            scenario.fleet.target(site).slowdown = 200.0;
+        }
+        scenario.load_for(Millis::from_secs(4));
+        scenario.withdraw(Site(0));
+        scenario.load_until_accepted()
+    }),
+];
+
+fn is_delta(message: &Message) -> bool {
+    matches!(message, Message::Configuration(configuration::Message::Have(_)))
+}
+
+/// Cuts the west off from the other data centres, and from the platform if wanted.
+fn cut(scenario: &mut Scenario, from_platform: bool) {
+    scenario.fleet.network.cut("north", "west");
+    scenario.fleet.network.cut("south", "west");
+    if from_platform {
+        scenario.fleet.network.cut_platform("west");
+    }
+}
+
+#[test]
+fn a_withdrawn_key_stops_everywhere_within_three_seconds() {
+    let mut report = String::new();
+    for (name, case) in CASES {
+        for_seeds(|seed| {
+            let mut scenario = Scenario::start(seed, CutOffPolicy::Refuse);
+            scenario.load_for(Millis::from_secs(2));
+            println!("{name}");
+            let accepted = case(&mut scenario);
+            scenario.load_for(Millis::from_secs(12));
+            let before = scenario.runs_of(WITHDRAWN).filter(|&at| at < accepted).count();
+            assert!(before > 50, "{name}, seed {seed}: the key was in use");
+            let last = scenario.runs_of(WITHDRAWN).next_back().unwrap();
+            assert!(
+                last <= accepted + IN_FORCE,
+                "{name}, seed {seed}: ran {} late",
+                last - accepted
+            );
+            let recent = scenario.fleet.now - Millis(2_000);
+            let kept = scenario.runs_of(KEPT).filter(|&at| at >= recent).count();
+            assert!(kept > 100, "{name}, seed {seed}: {kept} runs of the other key at the end");
+            if seed == 0 {
+                let answer = scenario.fleet.answers.get(&1);
+                let answer =
+                    answer.map_or("none", |answer| if answer.is_ok() { "ok" } else { "error" });
+                writeln!(report, "{name}: answer {answer}, last run {} after", last - accepted)
+                    .unwrap();
+            }
+        });
+    }
+    insta::assert_snapshot!(report);
+}
+
+/// Keys issued and withdrawn one after another while anything may fail: none works again.
+#[test]
+fn a_withdrawn_key_never_works_again_whatever_fails() {
+    for_seeds(|seed| {
+        let mut scenario = Scenario::start(seed, CutOffPolicy::Refuse);
+        let mut faults = Faults::new(seed, scenario.fleet.now);
+        let mut withdrawn = BTreeMap::new();
+        for round in 0..30 {
+            let (old, new) = (format!("round-{round}"), format!("round-{}", round + 1));
+            scenario.keys = [old.clone(), new.clone()];
+            let rows = vec![key(&old, "garage", true), key(&new, "garage", false)];
+            let site = Site(round as usize % 9);
+            let expected = scenario.revision(site);
+            scenario.propose(site, round, &new, expected, rows);
+            let path = Path { kind: Kind::Key, name: old.as_str().into() };
+            for _ in 0..200 {
+                faults.step(&mut scenario);
+                scenario.load_for(Millis(10));
+                if scenario.fleet.platform.configuration(&path).is_some_and(is_withdrawn) {
+                    withdrawn.entry(old.clone()).or_insert(scenario.fleet.now);
+                }
+            }
+        }
+        faults.end(&mut scenario);
+        scenario.load_for(Millis::from_secs(12));
+        for (key, &at) in &withdrawn {
+            let last = scenario.runs_of(key).next_back().unwrap_or_default();
+            assert!(last <= at + IN_FORCE, "seed {seed}: {key} ran {} late", last - at);
+        }
+        assert!(withdrawn.len() >= 5, "seed {seed}: {} of 30 changes accepted", withdrawn.len());
+    });
+}
+
+fn is_withdrawn(row: &Row) -> bool {
+    matches!(row, Row::Key(key) if key.withdrawn)
+}
+
+/// Two operators change the same at the same moment through nodes far apart.
+#[test]
+fn of_two_operators_racing_one_learns_what_the_other_changed() {
+    for mode in [PlatformMode::Up, PlatformMode::LoseAnswers] {
+        for_seeds(|seed| {
+            let mut scenario = Scenario::start(seed, CutOffPolicy::Refuse);
+            scenario.fleet.platform.mode = mode;
+            let expected = scenario.revision(Site(0));
+            scenario.propose(Site(0), 1, "one", expected, vec![withdrawal()]);
+            scenario.fleet.run_for(Millis(seed % 7));
+            scenario.propose(Site(4), 2, "two", expected, vec![team("garage"), team("third")]);
+            scenario.fleet.run_for(Millis::from_secs(4));
+            let answers: Vec<_> = scenario.fleet.answers.values().cloned().collect();
+            let actual = scenario.revision(Site(8));
+            let is_first = answers[0].is_ok();
+            let won =
+                if is_first { vec!["key/garage-1"] } else { vec!["team/garage", "team/third"] };
+            let (winner, loser) = if is_first { (0, 1) } else { (1, 0) };
+            assert_eq!(answers[winner], Ok(actual), "seed {seed}");
+            let Err(ChangeError::Conflict { expected: seen, actual: now, changed }) =
+                &answers[loser]
+            else {
+                panic!("seed {seed}: {answers:?}");
+            };
+            let changed: Vec<String> = changed.iter().map(Path::to_string).collect();
+            let strings: Vec<&str> = changed.iter().map(String::as_str).collect();
+            assert_eq!((*seen, *now, &strings[..]), (expected, actual, &won[..]));
+        });
+    }
+}
+
+/// The platform does not answer in time; the operator asks again at another node.
+#[test]
+fn a_change_asked_again_elsewhere_has_its_true_outcome() {
+    let mut report = String::new();
+    for (name, takes_effect) in [("the write took effect", true), ("it did not", false)] {
+        let mut scenario = Scenario::start(1, CutOffPolicy::Refuse);
+        let expected = scenario.revision(Site(0));
+        if takes_effect {
+            scenario.fleet.platform.mode = PlatformMode::LoseAnswers;
+            scenario.withdraw(Site(0));
+            scenario.load_until_accepted();
+        }
+        scenario.fleet.platform.mode = PlatformMode::Down;
+        if !takes_effect {
+            scenario.withdraw(Site(0));
+        }
+        scenario.fleet.run_for(Millis::from_secs(8));
+        let revision = scenario.fleet.platform.revision();
+        scenario.fleet.platform.mode = PlatformMode::Up;
+        scenario.fleet.run_for(Millis::from_secs(2));
+        scenario.propose(Site(5), 2, "withdraw", expected, vec![withdrawal()]);
+        scenario.fleet.run_for(Millis::from_secs(2));
+        let written = scenario.fleet.platform.revision().0 - revision.0;
+        writeln!(report, "{name}: {written} written on asking again").unwrap();
+        for (ticket, answer) in &scenario.fleet.answers {
+            writeln!(report, "  {ticket}: {answer:?}").unwrap();
+        }
+    }
+    insta::assert_snapshot!(report);
+}
+
+/// Changes that must be refused as a whole.
+#[test]
+fn a_change_that_does_not_stand_up_is_refused_whole() {
+    let exception = |reason: &str, change: Change| {
+        Row::Exception(Exception { name: "peak".into(), change, reason: reason.into() })
+    };
+    let rate = |team: &str, rate: u32| Change::TeamRate { team: team.into(), rate, burst: rate };
+    let changes: Vec<(Vec<Row>, Vec<Path>)> = vec![
+        (vec![exception("", rate("garage", 5))], vec![]),
+        (vec![exception("peak week", rate("nobody", 5))], vec![]),
+        (vec![exception("peak week", rate("garage", 0))], vec![]),
+        (
+            vec![exception(
+                "counter staff wait",
+                Change::Importance {
+                    team: "garage".into(),
+                    route: "nowhere".into(),
+                    importance: Importance::High,
+                },
+            )],
+            vec![],
+        ),
+        (vec![key("third-1", "third", false), team("fourth")], vec![]),
+        (vec![team("garage"), team("garage")], vec![]),
+        (vec![], vec![Path { kind: Kind::Team, name: "garage".into() }]),
+        (vec![], vec![Path { kind: Kind::Key, name: KEPT.into() }]),
+        (vec![], vec![Path { kind: Kind::Route, name: "nowhere".into() }]),
+        (vec![Row::Team(Team { name: " ".into(), rate: 1, burst: 1, weight: 1 })], vec![]),
+        (vec![Row::Fleet(Fleet { record_retention: Millis(0), ..Fleet::default() })], vec![]),
+        (vec![bad_route()], vec![]),
+    ];
+    let mut scenario = Scenario::start(1, CutOffPolicy::Refuse);
+    let mut report = String::new();
+    let before = scenario.revision(Site(0));
+    for (ticket, (rows, removals)) in changes.into_iter().enumerate() {
+        let id = format!("change-{ticket}").into();
+        let proposal = Proposal { id, expected: before, rows, removals };
+        scenario.fleet.propose(Site(0), ticket as u64, proposal);
+        scenario.fleet.run_for(Millis(500));
+        match &scenario.fleet.answers[&(ticket as u64)] {
+            Ok(revision) => writeln!(report, "accepted at {revision}").unwrap(),
+            Err(error) => writeln!(report, "{error}").unwrap(),
+        }
+    }
+    assert_eq!(scenario.revision(Site(0)), before);
+    insta::assert_snapshot!(report);
+}
+
+fn bad_route() -> Row {
+    let Row::Route(route) = route("search", false) else { unreachable!() };
+    Row::Route(Route { path_prefix: "search".into(), ..route })
+}
+
+/// A withdrawn key can't be issued again under its id.
+#[test]
+fn a_withdrawn_key_can_not_be_issued_again() {
+    let mut scenario = Scenario::start(1, CutOffPolicy::Refuse);
+    scenario.withdraw(Site(0));
+    scenario.fleet.run_for(Millis(500));
+    let expected = scenario.revision(Site(3));
+    scenario.propose(Site(3), 2, "again", expected, vec![key(WITHDRAWN, "garage", false)]);
+    scenario.fleet.run_for(Millis(500));
+    let answer = scenario.fleet.answers[&2].as_ref().unwrap_err().to_string();
+    insta::assert_snapshot!(answer, @"key/garage-1: was withdrawn for good: issue a new key");
+}
