Do not say not-run after a broken attempt

Cause: a repeatable request whose run broke goes back to routing; with no other target there it was refused as no_target, not-run, though a target had seen it. Ruled out: ejection alone (a fresh fleet for each case gave the same). Change: a call remembers that a target may have seen it, and a later refusal says unknown.

--- a/crates/mustardpin-world/src/system/finish.rs
+++ b/crates/mustardpin-world/src/system/finish.rs
@@ -3,7 +3,7 @@
 use crate::{
     command::Command,
     id::{CallKey, PeerKey},
-    refusal::{Reason, Refusal},
+    refusal::{Outcome, Reason, Refusal},
     request::Verdict,
     system::{pressure, resend, retry},
     table::{
@@ -16,6 +16,7 @@
 
 pub(super) fn run(world: &mut World, tick: &mut Tick, key: CallKey, verdict: Verdict) {
     let Some(call) = world.tables.calls.remove(key) else { return };
+    let verdict = honest(&call, verdict);
     let tables = &mut world.tables;
     release(tables, call.stage, call.peer);
     match &verdict {
@@ -35,6 +36,18 @@
     abandon_children(world, tick, &call);
 }
 
+/// A call that a target may have seen is not refused as one that has not run.
+fn honest(call: &Call, verdict: Verdict) -> Verdict {
+    match verdict {
+        Verdict::Refuse(refusal)
+            if call.lineage.may_have_run && refusal.outcome == Outcome::NotRun =>
+        {
+            Verdict::Refuse(Refusal { outcome: Outcome::Unknown, ..refusal })
+        }
+        verdict => verdict,
+    }
+}
+
 /// Frees the place that a call held at the own target or at a peer.
 pub(super) fn release(tables: &mut Tables, stage: Stage, peer: Option<PeerKey>) {
     match stage {
--- a/crates/mustardpin-world/src/system/retry.rs
+++ b/crates/mustardpin-world/src/system/retry.rs
@@ -178,6 +178,7 @@
     if cause.price == Price::All {
         call.retry_allowance = 0;
     }
+    call.lineage.may_have_run |= cause.retry == Retry::Broken;
     let stage = call.stage;
     match (stage, call.peer.take()) {
         (Stage::Forwarded, Some(peer)) => call.tried.push(peer),
--- a/crates/mustardpin-world/src/table/call.rs
+++ b/crates/mustardpin-world/src/table/call.rs
@@ -44,6 +44,8 @@
     pub nested: SmallVec<[u64; 4]>,
     /// Retries lent to the peer that has the call.
     pub lent: u32,
+    /// Whether a target may have seen the call in an attempt that failed.
+    pub may_have_run: bool,
     /// Whether the own target was tried and failed.
     pub own_tried: bool,
     /// Whether the target answered with a server error.
