--- a/crates/mustardpin-virtual/src/experiment.rs
+++ b/crates/mustardpin-virtual/src/experiment.rs
@@ -67,7 +67,7 @@
             };
             fleet.add(deployment.data_centre(index), service);
         }
-        deployment.configure(&mut fleet);
+        deployment.configure(&mut fleet, scenario.rate_factor());
         let rng = Pcg64Mcg::seed_from_u64(seed ^ 0x0f0f);
         Experiment { deployment, policy, scenario, fleet, sent: Vec::new(), rng }
     }
--- a/crates/mustardpin-virtual/tests/testsuite/main.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/main.rs
@@ -1,3 +1,6 @@
 //! Tests of the virtual fleet.
 
+mod membership;
 mod path;
+mod rating;
+mod support;
--- a/crates/mustardpin-world/src/system.rs
+++ b/crates/mustardpin-world/src/system.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod drain;
 mod ejection;
+mod epoch;
 mod finish;
 mod freshness;
 mod intake;
@@ -11,20 +12,24 @@
 mod membership;
 mod permission;
 mod pressure;
+mod proposal;
 mod queueing;
 mod rating;
 mod recording;
+mod registration;
 mod resend;
 mod retry;
 mod routing;
 mod screening;
+mod validation;
 
 use crate::{
     event::{Event, Proposal, ProposalTicket, TargetReport},
     id::{CallKey, NodeId},
-    message::Message,
+    message::{self, Message},
     options::Options,
     platform,
+    refusal::Reason,
     request::{ForwardEnd, Pressure, Request, RunEnd},
     world::{Tick, World},
 };
@@ -33,10 +38,17 @@
 #[derive(Debug)]
 pub(crate) struct State {
     pub(crate) last_ticket: platform::Ticket,
+    pub(crate) configuration: configuration::State,
+    pub(crate) drain: drain::State,
+    pub(crate) epoch: epoch::State,
     pub(crate) freshness: freshness::State,
     pub(crate) limit: limit::State,
+    pub(crate) membership: membership::State,
     pub(crate) pressure: pressure::State,
+    pub(crate) proposal: proposal::State,
     pub(crate) queueing: queueing::State,
+    pub(crate) rating: rating::State,
+    pub(crate) registration: registration::State,
     pub(crate) retry: retry::State,
 }
 
@@ -45,10 +57,17 @@
     pub(crate) fn new(options: &Options) -> State {
         State {
             last_ticket: platform::Ticket::default(),
+            configuration: configuration::State::default(),
+            drain: drain::State::default(),
+            epoch: epoch::State::default(),
             freshness: freshness::State::default(),
             limit: limit::State::new(&options.limit),
+            membership: membership::State::default(),
             pressure: pressure::State::default(),
+            proposal: proposal::State::default(),
             queueing: queueing::State::new(&options.queueing),
+            rating: rating::State::default(),
+            registration: registration::State::default(),
             retry: retry::State::new(&options.retry),
         }
     }
@@ -58,10 +77,15 @@
 #[derive(Debug, Default)]
 pub(crate) struct Inbox {
     pub(crate) arrived: Vec<Request>,
+    pub(crate) refused: Vec<Reason>,
     pub(crate) callers_gone: Vec<CallKey>,
     pub(crate) runs_ended: Vec<(CallKey, RunEnd)>,
     pub(crate) forwards_ended: Vec<(CallKey, ForwardEnd, Option<Pressure>)>,
     pub(crate) retries_returned: Vec<(CallKey, u32)>,
+    pub(crate) membership: Vec<(NodeId, message::membership::Message)>,
+    pub(crate) configuration: Vec<(NodeId, message::configuration::Message)>,
+    pub(crate) epoch: Vec<(NodeId, message::epoch::Message)>,
+    pub(crate) share: Vec<(NodeId, message::share::Message)>,
     pub(crate) messages: Vec<(NodeId, Message)>,
     pub(crate) undelivered: Vec<NodeId>,
     pub(crate) platform: Vec<(platform::Ticket, platform::Reply)>,
@@ -79,6 +103,7 @@
         for event in events {
             match event {
                 Event::Arrived(request) => inbox.arrived.push(request),
+                Event::Refused(reason) => inbox.refused.push(reason),
                 Event::CallerGone(call) => inbox.callers_gone.push(call),
                 Event::RunEnded(call, end) => inbox.runs_ended.push((call, end)),
                 Event::ForwardEnded { call, end, pressure } => {
@@ -87,7 +112,7 @@
                 Event::RetriesReturned { call, retries } => {
                     inbox.retries_returned.push((call, retries));
                 }
-                Event::Peer { from, message } => inbox.messages.push((from, message)),
+                Event::Peer { from, message } => inbox.sort_message(from, message),
                 Event::Undelivered { to } => inbox.undelivered.push(to),
                 Event::Platform(ticket, reply) => inbox.platform.push((ticket, reply)),
                 Event::Target(report) => inbox.reports.push(report),
@@ -99,13 +124,27 @@
         }
         inbox
     }
+
+    fn sort_message(&mut self, from: NodeId, message: Message) {
+        match message {
+            Message::Membership(message) => self.membership.push((from, message)),
+            Message::Configuration(message) => self.configuration.push((from, message)),
+            Message::Epoch(message) => self.epoch.push((from, message)),
+            Message::Share(message) => self.share.push((from, message)),
+            message => self.messages.push((from, message)),
+        }
+    }
 }
 
 /// Runs every system once. Knowledge comes first, then what has ended, then what has arrived.
 pub(crate) fn run(world: &mut World, tick: &mut Tick) {
+    drain::run(world, tick);
     configuration::run(world, tick);
     membership::run(world, tick);
+    epoch::run(world, tick);
     freshness::run(world, tick);
+    proposal::run(world, tick);
+    registration::run(world, tick);
     limit::run(world, tick);
     ejection::run(world, tick);
     pressure::run(world, tick);
@@ -118,5 +157,5 @@
     recording::run(world, tick);
     queueing::run(world, tick);
     pressure::publish(world, tick);
-    drain::run(world, tick);
+    drain::leave(world, tick);
 }
--- a/crates/mustardpin-world/src/system/routing.rs
+++ b/crates/mustardpin-world/src/system/routing.rs
@@ -108,7 +108,8 @@
     let tables = &world.tables;
     let target = &tables.target;
     let route = tables.routes.get(call.route)?;
-    if route.service != *world.identity.service() || !target.present || call.lineage.own_tried {
+    let takes_work = target.present && !target.report.draining && !tables.leaving;
+    if route.service != *world.identity.service() || !takes_work || call.lineage.own_tried {
         return None;
     }
     if target.health.standing(now, target.running) == Standing::Ejected {
