--- a/crates/mustardpin-virtual/examples/experiments.rs
+++ b/crates/mustardpin-virtual/examples/experiments.rs
@@ -16,12 +16,12 @@
 };
 
 use mustardpin_virtual::experiment::{self, Deployment, IMPORTANCES, Outcome, Policy, Scenario};
-use mustardpin_world::config::Importance;
 
 const THREADS: usize = 4;
-const SCENARIOS: [(&str, Scenario); 8] = [
+const SCENARIOS: [(&str, Scenario); 9] = [
     ("a", Scenario::Slow),
     ("b", Scenario::Flood),
+    ("b-rated", Scenario::RatedFlood),
     ("c", Scenario::Halved),
     ("d-true", Scenario::TrueReports),
     ("d-late", Scenario::LateReports),
@@ -117,7 +117,7 @@
     }
     cells.push(format!("{:.4}", least(&|outcome| outcome.worst_team_but(0))));
     cells.push(format!("{:.4}", -least(&|outcome| -outcome.refused_but(0))));
-    let fair = |outcome: &Outcome| outcome.worst_fair_share(Importance::Normal, &deployment.teams);
+    let fair = |outcome: &Outcome| outcome.worst_fair_share(&deployment.teams);
     cells.push(format!("{:.2}", least(&fair)));
     let latency = outcomes.iter().map(|outcome| outcome.latency(99.0).0).max().unwrap_or(0);
     cells.push(latency.to_string());
--- a/crates/mustardpin-virtual/src/experiment/deployment.rs
+++ b/crates/mustardpin-virtual/src/experiment/deployment.rs
@@ -43,6 +43,8 @@
 }
 
 const DATA_CENTRES: [&str; 3] = ["one", "two", "three"];
+/// Far above what any team sends.
+const NO_LIMIT: u32 = 1_000_000;
 /// Eight teams, a few of them large.
 const TEAMS: [u32; 8] = [30, 25, 15, 10, 8, 6, 4, 2];
 
@@ -149,14 +151,18 @@
     }
 
     /// Writes configuration and announcements to the platform.
-    pub(super) fn configure(&self, fleet: &mut Fleet) {
+    pub(super) fn configure(&self, fleet: &mut Fleet, rate_factor: Option<f64>) {
         let external =
             self.demand.iter().enumerate().map(|(index, demand)| {
                 route(demand.path, self.service_of(index), demand.importance)
             });
         let internal =
             self.internal.iter().map(|(path, service)| route(path, service, Importance::Normal));
-        let teams = self.teams.iter().enumerate().flat_map(|(index, &weight)| team(index, weight));
+        let demand: f64 = self.demand.iter().map(|demand| demand.rate).sum();
+        let teams = self.team_shares().flat_map(|(index, share)| {
+            let rate = rate_factor.map(|factor| (demand * share * factor) as u32);
+            team(index, self.teams[index], rate.unwrap_or(NO_LIMIT))
+        });
         let rows = external.chain(internal).chain(teams);
         let rows = rows.map(|row| platform::Row::Configuration(row.path(), Some(row))).collect();
         fleet.platform.put(rows);
@@ -183,12 +189,9 @@
     })
 }
 
-fn team(index: usize, weight: u32) -> [Row; 2] {
-    /// Far above what any team sends: these experiments leave rates out.
-    const NO_LIMIT: u32 = 1_000_000;
-
+fn team(index: usize, weight: u32, rate: u32) -> [Row; 2] {
     let name = format!("team-{index}");
-    let team = Team { name: name.as_str().into(), rate: NO_LIMIT, burst: NO_LIMIT, weight };
+    let team = Team { name: name.as_str().into(), rate, burst: rate / 4, weight };
     let digest = KeyDigest::of(&key(index));
     let key = Key { id: name.as_str().into(), team: name.into(), digest, withdrawn: false };
     [Row::Team(team), Row::Key(key)]
--- a/crates/mustardpin-virtual/src/experiment/result.rs
+++ b/crates/mustardpin-virtual/src/experiment/result.rs
@@ -137,9 +137,21 @@
         1.0 - self.served_of(|sent| sent.team != excluded).1
     }
 
-    /// What the worst-served team got of its max-min fair share of what was served at one
-    /// importance, given the weights of the teams.
-    pub fn worst_fair_share(&self, importance: Importance, weights: &[u32]) -> f64 {
+    /// The importance of which a part was served and a part refused, each as large as possible:
+    /// the one that teams had to share while the cause lasted.
+    pub fn contested(&self) -> Importance {
+        let contest = |&importance: &Importance| {
+            let (sent, share) =
+                self.served_of(|sent| sent.is_deep && sent.importance == importance);
+            (sent as f64 * share * (1.0 - share)) as u64
+        };
+        Importance::ALL.into_iter().max_by_key(contest).unwrap_or_default()
+    }
+
+    /// What the worst-served team got of its max-min fair share of what was served at the
+    /// contested importance, given the weights of the teams.
+    pub fn worst_fair_share(&self, weights: &[u32]) -> f64 {
+        let importance = self.contested();
         let teams: Vec<(f64, f64)> = (0..self.teams)
             .map(|team| {
                 let (sent, share) =
--- a/crates/mustardpin-virtual/src/experiment/scenario.rs
+++ b/crates/mustardpin-virtual/src/experiment/scenario.rs
@@ -7,6 +7,8 @@
     Slow,
     /// B: one team sends ten times its rate.
     Flood,
+    /// B with rates: every team may send half as much again as it does at rest.
+    RatedFlood,
     /// C: half of the deep targets die, and come back cold.
     Halved,
     /// D, the yardstick: demand surges to twice capacity, with true reports.
@@ -42,11 +44,29 @@
     }
 
     fn floods(self) -> bool {
-        matches!(self, Scenario::Flood | Scenario::Everything | Scenario::EverythingNoPlatform)
+        !matches!(
+            self,
+            Scenario::Slow
+                | Scenario::Halved
+                | Scenario::TrueReports
+                | Scenario::LateReports
+                | Scenario::FalseReports
+        )
     }
 
     fn surges(self) -> bool {
-        !matches!(self, Scenario::Flood | Scenario::Halved)
+        !matches!(self, Scenario::Flood | Scenario::RatedFlood | Scenario::Halved)
+    }
+
+    /// Each team's rate as a multiple of its demand at rest, where rates are in force.
+    pub(super) fn rate_factor(self) -> Option<f64> {
+        const ROOM: f64 = 1.5;
+
+        match self {
+            Scenario::RatedFlood => Some(ROOM),
+            Scenario::Everything | Scenario::EverythingNoPlatform => Some(ROOM * SURGE / REST),
+            _ => None,
+        }
     }
 
     /// What the demand of a team is multiplied by while the cause lasts.
