--- a/crates/mustardpin-node/src/control.rs
+++ b/crates/mustardpin-node/src/control.rs
@@ -1,24 +1,24 @@
 //! The control thread: owns the world, and is told of events through a channel.
 
+mod operator;
 mod thread;
 
 use std::sync::{Arc, mpsc};
 
 use derive_more::{Display, Error};
 use mustardpin_world::{
-    World, config,
+    World,
     event::{Event, Proposal},
-    id::Revision,
     request::Request,
 };
 use tokio::sync::oneshot;
 
 use crate::{
-    clock::Clock, exchange::Exchange, log::Journal, metric::Meter, peer::Link, platform::Store,
-    traffic::Traffic,
+    admin::Answer, clock::Clock, exchange::Exchange, log::Journal, metric::Meter, peer::Link,
+    platform::Store, traffic::Traffic,
 };
 
-pub use self::thread::spawn;
+pub use self::{operator::Operator, thread::spawn};
 
 /// The control thread has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,9 +26,6 @@
 #[display("the control thread has ended")]
 pub struct Stopped;
 
-/// The answer to an operator's proposal.
-pub type Answer = Result<Revision, config::ChangeError>;
-
 /// What the control thread is told.
 pub enum Input {
     /// Something happened.
--- a/crates/mustardpin-node/src/node.rs
+++ b/crates/mustardpin-node/src/node.rs
@@ -17,7 +17,7 @@
 use crate::{
     admin,
     clock::Monotonic,
-    control::{self, Borders, Handle},
+    control::{self, Borders, Handle, Operator},
     launch::{Addresses, Launch, Limits},
     log, metric, peer,
     platform::Http,
@@ -57,6 +57,7 @@
 pub struct Node {
     addresses: Addresses,
     announcement: Announcement,
+    clock: Arc<Monotonic>,
     control: Handle,
     stage: watch::Receiver<Stage>,
     connections: TaskTracker,
@@ -112,7 +113,7 @@
         let stages = Stages::new(Arc::clone(&context));
         let stage = stages.subscribe();
         let borders = Borders {
-            clock,
+            clock: Arc::clone(&clock) as _,
             store: Box::new(Http::new(
                 launch.platform,
                 launch.platform_timeout,
@@ -133,6 +134,7 @@
         let node = Node {
             addresses,
             announcement,
+            clock,
             control,
             stage,
             connections: TaskTracker::new(),
@@ -231,8 +233,9 @@
             self.announcement.clone(),
             self.control.clone(),
         ));
-        let bridge = admin::Bridge::new(self.control.clone(), context.clock());
-        let desk = admin::Desk::new(launch.operator_credential, Arc::new(bridge));
+        let operator =
+            Operator { control: self.control.clone(), clock: Arc::clone(&self.clock) as _ };
+        let desk = admin::Desk::new(launch.operator_credential, Arc::new(operator));
         self.runtime.spawn(admin::serve(admin, Arc::new(desk), admin::Limits::default()));
         self.runtime.spawn(Arc::clone(context).watch_target());
         for &seed in &launch.seeds {
--- a/tests/testsuite/keys.rs
+++ b/tests/testsuite/keys.rs
@@ -47,7 +47,7 @@
 async fn withdrawn_while_queued() {
     let slow = ["--slots", "1", "--service-time-ms", "4000", "--distribution", "constant"];
     let mut plan = slot("north", "search").target(&slow);
-    plan.settings = "queueing:\n  initial-limit: 1\n".to_owned();
+    plan.settings = "limit:\n  initial: 1\n  least: 1\n  most: 1\n".to_owned();
     let fleet = Arc::new(Fleet::start(&[plan]).await);
     let key = fleet.issue_key("garage-1").await;
     let address = fleet.slots[0].callers;
--- a/tests/testsuite/process.rs
+++ b/tests/testsuite/process.rs
@@ -5,30 +5,52 @@
     net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus},
-    sync::atomic::{AtomicU32, Ordering},
+    sync::{Mutex, PoisonError},
     time::{Duration, Instant},
 };
 
-/// Ports below those that the machine gives to outgoing connections.
-const FIRST_PORT: u32 = 10_000;
-const PORTS: u32 = 20_000;
+/// Ports below those that the machine gives to outgoing connections, in blocks.
+const FIRST_PORT: u16 = 10_000;
+const BLOCK_SIZE: u16 = 50;
+const BLOCKS: u16 = 400;
 
 /// How long a process may take to end.
 const END_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// A free port of the loopback interface, given once in this run.
+/// Ports that belong to this run: it holds the first one of the block.
+struct Block {
+    guard: TcpListener,
+    used: u16,
+}
+
+/// A free port of the loopback interface, given once in this run and to no other run.
 pub fn free_address() -> SocketAddr {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
+    static BLOCKS: Mutex<Vec<Block>> = Mutex::new(Vec::new());
+    let mut blocks = BLOCKS.lock().unwrap_or_else(PoisonError::into_inner);
     loop {
-        let number = NEXT.fetch_add(1, Ordering::Relaxed);
-        let port = FIRST_PORT + (std::process::id() * 251 + number) % PORTS;
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port as u16));
+        if blocks.last().is_none_or(|block| block.used + 1 == BLOCK_SIZE) {
+            blocks.push(claim_block());
+        }
+        let block = blocks.last_mut().expect("a block was just claimed");
+        block.used += 1;
+        let mut address = block.guard.local_addr().expect("a bound address");
+        address.set_port(address.port() + block.used);
         if TcpListener::bind(address).is_ok() {
             return address;
         }
     }
 }
 
+/// Claims a block that no other run holds. Runs start to look at different places.
+fn claim_block() -> Block {
+    let first = std::process::id() as u16 % BLOCKS;
+    let mut blocks = (first..BLOCKS).chain(0..first);
+    let guard = blocks.find_map(|block| {
+        TcpListener::bind((Ipv4Addr::LOCALHOST, FIRST_PORT + block * BLOCK_SIZE)).ok()
+    });
+    Block { guard: guard.expect("a block of ports is free"), used: 0 }
+}
+
 /// The program of this name beside the command.
 pub fn program(name: &str) -> PathBuf {
     Path::new(env!("CARGO_BIN_EXE_mustardpin")).with_file_name(name)
