--- a/crates/mustardpin-node/src/admin.rs
+++ b/crates/mustardpin-node/src/admin.rs
@@ -3,6 +3,7 @@
 //! [`Desk`] answers one request at a time out of what [`Control`] gives; [`server::serve`] puts it
 //! on a listener. Paths and bodies are those of [`mustardpin_wire::admin`].
 
+mod bridge;
 mod server;
 
 use std::{sync::Arc, time::Duration};
@@ -24,7 +25,10 @@
 };
 use serde::Serialize;
 
-pub use self::server::{Limits, serve};
+pub use self::{
+    bridge::Bridge,
+    server::{Limits, serve},
+};
 
 /// The largest body of a request, in bytes.
 const BODY_SIZE_LIMIT: usize = 1 << 20;
--- a/crates/mustardpin-node/src/control.rs
+++ b/crates/mustardpin-node/src/control.rs
@@ -1,6 +1,5 @@
 //! The control thread: owns the world, and is told of events through a channel.
 
-mod operator;
 mod thread;
 
 use std::sync::{Arc, mpsc};
@@ -18,7 +17,7 @@
     platform::Store, traffic::Traffic,
 };
 
-pub use self::{operator::Operator, thread::spawn};
+pub use self::thread::spawn;
 
 /// The control thread has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/mustardpin-node/src/traffic/context.rs
+++ b/crates/mustardpin-node/src/traffic/context.rs
@@ -71,6 +71,11 @@
         })
     }
 
+    /// The clock that all parts of the node share.
+    pub fn clock(&self) -> Arc<dyn Clock> {
+        Arc::clone(&self.clock)
+    }
+
     /// Says what the node tells its peers with each answer.
     pub fn publish(&self, pressure: Pressure) {
         *self.pressure.lock().unwrap_or_else(PoisonError::into_inner) = pressure;
--- a/crates/mustardpin-node/src/traffic/service.rs
+++ b/crates/mustardpin-node/src/traffic/service.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
+use http::{Method, Response, StatusCode};
 use hyper::body::Incoming;
 use mustardpin_wire::{
     header,
@@ -13,6 +13,7 @@
 use mustardpin_world::{
     Event,
     refusal::{Reason, Refusal},
+    request::{Origin, Request},
 };
 use tokio::sync::{mpsc, oneshot};
 
@@ -29,7 +30,7 @@
 pub(super) async fn answer(
     context: Arc<Context>,
     port: Port,
-    request: Request<Incoming>,
+    request: http::Request<Incoming>,
 ) -> Result<Response<Body>, Broken> {
     if port == Port::Local && is_announcement(&request) {
         return Ok(announce(&context, request).await);
@@ -47,7 +48,7 @@
 async fn hand_over(
     context: &Arc<Context>,
     port: Port,
-    request: Request<Incoming>,
+    request: http::Request<Incoming>,
 ) -> Result<oneshot::Receiver<Response<Body>>, Reason> {
     let permit =
         Arc::clone(&context.requests).try_acquire_owned().map_err(|_| Reason::InProgressLimit)?;
@@ -65,14 +66,18 @@
         parts: &parts,
         body: whole.as_deref(),
     };
-    let request = incoming.try_into().map_err(|error: request::Error| error.reason())?;
+    let request: Request = incoming.try_into().map_err(|error: request::Error| error.reason())?;
+    let retries = match &request.origin {
+        Origin::Peer(forwarded) => Some(forwarded.retry_allowance),
+        Origin::Caller { .. } | Origin::Target { .. } => None,
+    };
     let secret = request::secret(&parts.headers).map_err(|error| error.reason())?;
 
     let (sender, orders) = mpsc::unbounded_channel();
     let (caller, answer) = oneshot::channel();
     let courier = Courier {
         context: Arc::clone(context),
-        watch: Watch::new(Arc::clone(context), orders, caller),
+        watch: Watch::new(Arc::clone(context), orders, caller, retries),
         outbound: Outbound::new(parts, payload, secret),
         port,
     };
@@ -85,12 +90,12 @@
     Ok(answer)
 }
 
-fn is_announcement(request: &Request<Incoming>) -> bool {
+fn is_announcement(request: &http::Request<Incoming>) -> bool {
     request.method() == Method::POST && request.uri().path() == ANNOUNCE_PATH
 }
 
 /// Takes an announcement of the own target.
-async fn announce(context: &Context, request: Request<Incoming>) -> Response<Body> {
+async fn announce(context: &Context, request: http::Request<Incoming>) -> Response<Body> {
     match context.announcements.read(request.into_body()).await {
         Ok((address, announcement)) => {
             context.target.set_address(address);
--- a/crates/mustardpin-node/src/traffic/watch.rs
+++ b/crates/mustardpin-node/src/traffic/watch.rs
@@ -37,6 +37,8 @@
     caller: Caller,
     call: Option<CallKey>,
     gone_reported: bool,
+    /// The retries left to a call that a peer passed on.
+    retries: Option<u32>,
 }
 
 impl Watch {
@@ -44,9 +46,15 @@
         context: Arc<Context>,
         orders: mpsc::UnboundedReceiver<Order>,
         caller: oneshot::Sender<Response<Body>>,
+        retries: Option<u32>,
     ) -> Watch {
         let caller = Caller::Waiting(caller);
-        Watch { context, orders, pending: None, caller, call: None, gone_reported: false }
+        Watch { context, orders, pending: None, caller, call: None, gone_reported: false, retries }
+    }
+
+    /// The retries left to a call that a peer passed on.
+    pub(super) fn retries(&self) -> Option<u32> {
+        self.retries
     }
 
     /// From now on the call names the request.
@@ -62,7 +70,10 @@
         loop {
             select! {
                 biased;
-                order = self.orders.recv() => return order,
+                order = self.orders.recv() => match order {
+                    Some(Order::Retries(retries)) => self.retries = Some(retries),
+                    order => return order,
+                },
                 () = self.caller.gone(), if self.may_report() => self.report_gone(),
             }
         }
@@ -76,6 +87,10 @@
             select! {
                 () = &mut sleep => return,
                 order = self.orders.recv() => {
+                    if let Some(Order::Retries(retries)) = order {
+                        self.retries = Some(retries);
+                        continue;
+                    }
                     self.pending = order.filter(|order| *order != Order::Cancel);
                     return;
                 }
--- a/crates/mustardpin-settings/src/settings.rs
+++ b/crates/mustardpin-settings/src/settings.rs
@@ -348,8 +348,6 @@
     queueing.capacity =
         reader.count("queueing.capacity", queueing.capacity as u64, 0..=65_536) as usize;
     routing.max_hops = reader.count("routing.max-hops", routing.max_hops.into(), 1..=8) as u8;
-    let most_shards = rating.max_shards.into();
-    rating.max_shards = reader.count("rating.max-shards", most_shards, 1..=most_shards) as u8;
     let mut length = |key, value: &mut Millis, least, most| {
         *value = reader.length(key, *value, Millis(least)..=Millis(most));
     };
--- a/crates/mustardpin-wire/src/forward.rs
+++ b/crates/mustardpin-wire/src/forward.rs
@@ -22,6 +22,7 @@
 const DEPTH: HeaderName = HeaderName::from_static("mustardpin-depth");
 const HOPS: HeaderName = HeaderName::from_static("mustardpin-hops");
 const PRESSURE: HeaderName = HeaderName::from_static("mustardpin-pressure");
+const RETRIES_LEFT: HeaderName = HeaderName::from_static("mustardpin-retries-left");
 const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("mustardpin-retry-after-ms");
 
 /// A header of a forwarded request is missing or cannot be read.
@@ -111,6 +112,27 @@
     Some(Pressure { least_importance, running: next()?, queued: next()?, limit: next()? })
 }
 
+/// Puts the number of retries that are given back into the headers of an answer to a peer.
+pub fn encode_retries(retries: Option<u32>, headers: &mut HeaderMap) {
+    if let Some(retries) = retries {
+        headers.insert(RETRIES_LEFT, HeaderValue::from(retries));
+    }
+}
+
+/// Reads the number of retries that a peer gives back.
+///
+/// ```
+/// use http::HeaderMap;
+/// use mustardpin_wire::forward;
+///
+/// let mut headers = HeaderMap::new();
+/// forward::encode_retries(Some(2), &mut headers);
+/// assert_eq!(forward::decode_retries(&headers), Some(2));
+/// ```
+pub fn decode_retries(headers: &HeaderMap) -> Option<u32> {
+    number(headers, RETRIES_LEFT).ok()
+}
+
 /// Puts the exact time to wait into the headers of a refusal to a peer.
 pub fn encode_wait(wait: Option<Millis>, headers: &mut HeaderMap) {
     if let Some(wait) = wait {
--- a/crates/mustardpin-world/src/system.rs
+++ b/crates/mustardpin-world/src/system.rs
@@ -157,5 +157,6 @@
     recording::run(world, tick);
     queueing::run(world, tick);
     pressure::publish(world, tick);
+    retry::report(world, tick);
     drain::leave(world, tick);
 }
