Run the operators' page in a test, and show limits in the status

The page's commands ran only by hand, and one of them removed a team that a later one refers to. A test now runs every command of the page in its order. The status shows the limit, latency and least importance of the target.

--- a/crates/mustardpin-wire/src/admin/status.rs
+++ b/crates/mustardpin-wire/src/admin/status.rs
@@ -87,6 +87,12 @@
     pub running: u32,
     /// Requests waiting for it.
     pub queued: u32,
+    /// How many requests may run on it at once, as the node measures.
+    pub limit: u32,
+    /// How long a run takes, as measured, in milliseconds.
+    pub latency_ms: u64,
+    /// Requests below this importance find no place in the queue at present.
+    pub least_importance: CompactString,
 }
 
 /// Another node.
@@ -169,6 +175,9 @@
             slots: target.report.slots,
             running: target.running,
             queued: target.queued,
+            limit: target.limit,
+            latency_ms: target.latency.0,
+            least_importance: target.least_importance.to_compact_string(),
         }
     }
 }
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -73,11 +73,24 @@
     let rows = [[
         state.to_owned(),
         slots,
+        target.limit.to_string(),
         target.running.to_string(),
         target.queued.to_string(),
+        format!("{} ms", target.latency_ms),
+        target.least_importance.to_string(),
         status.calls.to_string(),
     ]];
-    table::print(["target", "slots it reports", "running", "queued", "calls"], &rows);
+    let titles = [
+        "target",
+        "slots it reports",
+        "limit",
+        "running",
+        "queued",
+        "latency",
+        "least importance",
+        "calls",
+    ];
+    table::print(titles, &rows);
     println!();
 }
 
--- a/tests/testsuite/pages.rs
+++ b/tests/testsuite/pages.rs
@@ -1,10 +1,17 @@
-//! The pages name every setting, reason and counter.
+//! The pages name every setting, reason and counter, and their commands run.
+
+use std::process::Command;
 
 use mustardpin_world::{
     refusal::Reason,
     table::counter::{Retry, Work},
 };
 
+use crate::{
+    fleet::{Fleet, slot},
+    process::program,
+};
+
 const CALLERS: &str = include_str!("../../docs/CALLERS.md");
 const OPERATING: &str = include_str!("../../docs/OPERATING.md");
 const EXAMPLE: &str = include_str!("../../settings.example.yaml");
@@ -57,3 +64,38 @@
     }
     assert!(missing.is_empty(), "docs/OPERATING.md does not list {missing:?}");
 }
+
+/// The words of a line, as a shell splits it.
+fn split(line: &str) -> Vec<String> {
+    let mut words = vec![String::new()];
+    let mut quoted = false;
+    for character in line.chars() {
+        match character {
+            '\'' => quoted = !quoted,
+            ' ' if !quoted => words.push(String::new()),
+            character => words.last_mut().expect("there is a word").push(character),
+        }
+    }
+    words
+}
+
+/// Runs every command of the operators' page, in its order, against a fleet. What starts a node
+/// or reads a node's settings is run by the tests' own fleet.
+#[tokio::test(flavor = "multi_thread")]
+async fn commands_of_the_operators_page_run() {
+    let fleet =
+        Fleet::start(&[slot("north", "slot-search"), slot("south", "booking-ledger")]).await;
+    let lines = OPERATING.lines().filter_map(|line| line.strip_prefix("    mustardpin "));
+    let mut ran = 0;
+    for line in lines.filter(|line| !line.contains("--settings") && !line.contains("--admin")) {
+        let words = split(line);
+        let words: Vec<_> = words.iter().map(String::as_str).collect();
+        fleet.operate(&words);
+        fleet.wait_until_in_force().await;
+        ran += 1;
+    }
+    assert!(ran > 10, "the page has lost its commands");
+    let check = ["check", "--settings", "settings.example.yaml"];
+    let status = Command::new(program("mustardpin")).args(check).status();
+    assert!(status.expect("the command runs").success());
+}
