--- a/crates/mustardpin-node/src/control/thread.rs
+++ b/crates/mustardpin-node/src/control/thread.rs
@@ -128,6 +128,7 @@
             Command::Run(run) => self.order(run.call, Order::Run(run)),
             Command::Forward(forward) => self.order(forward.call, Order::Forward(forward)),
             Command::Cancel(call) => self.order(call, Order::Cancel),
+            Command::ReturnRetries { call, retries } => self.order(call, Order::Retries(retries)),
             Command::Finish(call, verdict) => {
                 self.order(call, Order::Finish(verdict));
                 self.calls.remove(&call);
--- a/crates/mustardpin-node/src/exchange.rs
+++ b/crates/mustardpin-node/src/exchange.rs
@@ -17,6 +17,8 @@
     Run(Run),
     /// Pass the request to a peer.
     Forward(Forward),
+    /// Say on the answer to a peer that so many retries are left.
+    Retries(u32),
     /// Stop the run or the forwarded request in progress.
     Cancel,
     /// Answer the caller. No further order follows.
--- a/crates/mustardpin-node/src/node.rs
+++ b/crates/mustardpin-node/src/node.rs
@@ -17,7 +17,7 @@
 use crate::{
     admin,
     clock::Monotonic,
-    control::{self, Borders, Handle, Operator},
+    control::{self, Borders, Handle},
     launch::{Addresses, Launch, Limits},
     log, metric, peer,
     platform::Http,
@@ -57,7 +57,6 @@
 pub struct Node {
     addresses: Addresses,
     announcement: Announcement,
-    clock: Arc<Monotonic>,
     control: Handle,
     stage: watch::Receiver<Stage>,
     connections: TaskTracker,
@@ -113,7 +112,7 @@
         let stages = Stages::new(Arc::clone(&context));
         let stage = stages.subscribe();
         let borders = Borders {
-            clock: Arc::clone(&clock) as _,
+            clock,
             store: Box::new(Http::new(
                 launch.platform,
                 launch.platform_timeout,
@@ -134,7 +133,6 @@
         let node = Node {
             addresses,
             announcement,
-            clock,
             control,
             stage,
             connections: TaskTracker::new(),
@@ -175,9 +173,7 @@
             let _ = stage.wait_for(|stage| *stage != Stage::Serving).await;
             let linger = time::sleep(limits.close_linger);
             let _ = stage.wait_for(|stage| *stage == Stage::Exiting).await;
-            if !connections.is_empty() {
-                linger.await;
-            }
+            linger.await;
             connections.close();
             // What still stalls after this time is cut off.
             let _ = time::timeout(limits.exit_grace, connections.wait()).await;
@@ -220,13 +216,14 @@
         for (listener, side) in
             [(callers, Side::Callers), (local, Side::Local), (traffic, Side::Peers)]
         {
-            self.runtime.spawn(traffic::serve(
+            let serving = traffic::serve(
                 listener,
                 side,
                 Arc::clone(context),
                 self.stage.clone(),
                 self.connections.clone(),
-            ));
+            );
+            self.connections.spawn_on(serving, self.runtime.handle());
         }
         self.runtime.spawn(peer::serve(
             control,
@@ -234,9 +231,8 @@
             self.announcement.clone(),
             self.control.clone(),
         ));
-        let operator =
-            Operator { control: self.control.clone(), clock: Arc::clone(&self.clock) as _ };
-        let desk = admin::Desk::new(launch.operator_credential, Arc::new(operator));
+        let bridge = admin::Bridge::new(self.control.clone(), context.clock());
+        let desk = admin::Desk::new(launch.operator_credential, Arc::new(bridge));
         self.runtime.spawn(admin::serve(admin, Arc::new(desk), admin::Limits::default()));
         self.runtime.spawn(Arc::clone(context).watch_target());
         for &seed in &launch.seeds {
--- a/crates/mustardpin-node/src/traffic/courier.rs
+++ b/crates/mustardpin-node/src/traffic/courier.rs
@@ -79,7 +79,7 @@
                 Order::Run(run) => self.run_on_target(run).await,
                 Order::Forward(forward) => self.pass_to_peer(forward).await,
                 // The attempt that it was meant for has ended.
-                Order::Cancel => {}
+                Order::Cancel | Order::Retries(_) => {}
                 Order::Reject(refusal) => return self.refuse(refusal),
                 Order::Finish(verdict) => return self.finish(verdict),
             }
@@ -166,6 +166,9 @@
             Err(Failure::Broken) => return (ForwardEnd::Broken, None),
         };
         let pressure = forward::decode_pressure(response.headers());
+        if let Some(retries) = forward::decode_retries(response.headers()) {
+            context.control.event(Event::RetriesReturned { call: forward.call, retries });
+        }
         if let Some(refusal) = forward::decode_refusal(response.headers()) {
             return (ForwardEnd::Refused(refusal), pressure);
         }
@@ -242,12 +245,15 @@
     }
 
     fn refuse(&mut self, refusal: Refusal) {
-        self.watch.answer(refuse(&self.context, self.port, refusal));
+        let mut response = refuse(&self.context, self.port, refusal);
+        self.mark(response.headers_mut());
+        self.watch.answer(response);
     }
 
     fn mark(&self, headers: &mut http::HeaderMap) {
         if let Port::Peers(_) = self.port {
             forward::encode_pressure(self.context.pressure(), headers);
+            forward::encode_retries(self.watch.retries(), headers);
         }
     }
 }
--- a/crates/mustardpin-node/src/traffic/watch.rs
+++ b/crates/mustardpin-node/src/traffic/watch.rs
@@ -39,6 +39,8 @@
     held: Option<Response<Body>>,
     call: Option<CallKey>,
     gone_reported: bool,
+    /// The retries left to a call that a peer passed on.
+    retries: Option<u32>,
 }
 
 impl Watch {
@@ -46,6 +48,7 @@
         context: Arc<Context>,
         orders: mpsc::UnboundedReceiver<Order>,
         caller: oneshot::Sender<Response<Body>>,
+        retries: Option<u32>,
     ) -> Watch {
         let caller = Caller::Waiting(caller);
         Watch {
@@ -56,9 +59,15 @@
             held: None,
             call: None,
             gone_reported: false,
+            retries,
         }
     }
 
+    /// The retries left to a call that a peer passed on.
+    pub(super) fn retries(&self) -> Option<u32> {
+        self.retries
+    }
+
     /// From now on the call names the request.
     pub(super) fn accept(&mut self, call: CallKey) {
         self.call = Some(call);
@@ -72,7 +81,10 @@
         loop {
             select! {
                 biased;
-                order = self.orders.recv() => return order,
+                order = self.orders.recv() => match order {
+                    Some(Order::Retries(retries)) => self.retries = Some(retries),
+                    order => return order,
+                },
                 () = self.caller.gone(), if self.may_report() => self.report_gone(),
             }
         }
@@ -86,6 +98,10 @@
             select! {
                 () = &mut sleep => return,
                 order = self.orders.recv() => {
+                    if let Some(Order::Retries(retries)) = order {
+                        self.retries = Some(retries);
+                        continue;
+                    }
                     self.pending = order.filter(|order| *order != Order::Cancel);
                     return;
                 }
--- a/crates/mustardpin-settings/src/document.rs
+++ b/crates/mustardpin-settings/src/document.rs
@@ -5,6 +5,9 @@
 use compact_str::{CompactString, ToCompactString as _, format_compact};
 use serde::de::{Deserialize, Deserializer, MapAccess, SeqAccess, Visitor};
 
+/// Stands for the key of a file that is not a section.
+const WHOLE_FILE: &str = "(the whole file)";
+
 /// A value without a type of its own yet.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Node {
@@ -52,7 +55,8 @@
             serde_saphyr::from_str::<Node>(yaml).map_err(Box::new)?
         };
         let mut document = Document::default();
-        document.flatten("", root);
+        let key = if matches!(root, Node::Mapping(_)) { "" } else { WHOLE_FILE };
+        document.flatten(key, root);
         Ok(document)
     }
 
--- a/crates/mustardpin-standin/src/load/sender.rs
+++ b/crates/mustardpin-standin/src/load/sender.rs
@@ -62,6 +62,7 @@
     /// Sends a request until it is answered or the retries are spent.
     pub async fn run(&self, job: Job) {
         let team = &self.arguments.teams[job.team.0];
+        let is_open = self.arguments.routes[job.route.0].open;
         let withdrawn = self.withdrawn_for(team);
         let mut attempts = 0;
         let end = loop {
@@ -72,7 +73,7 @@
             }
         };
         let end = match end {
-            End::Whole if withdrawn.is_some_and(|age| age > WITHDRAWAL_TARGET) => {
+            End::Whole if !is_open && withdrawn.is_some_and(|age| age > WITHDRAWAL_TARGET) => {
                 End::RanAfterWithdrawal
             }
             end => end,
--- a/crates/mustardpin-world/src/table.rs
+++ b/crates/mustardpin-world/src/table.rs
@@ -4,9 +4,12 @@
 pub mod configuration;
 pub mod counter;
 pub mod data_centre;
+pub mod demand;
 pub mod epoch;
 pub mod exception;
+pub mod health;
 pub mod peer;
+pub mod resend;
 pub mod route;
 pub mod share;
 pub mod target;
@@ -26,8 +29,12 @@
     pub data_centres: data_centre::DataCentres,
     /// Exceptions.
     pub exceptions: exception::Exceptions,
+    /// What is asked of each route, and what comes of it.
+    pub demand: demand::Demand,
     /// Other nodes.
     pub peers: peer::Peers,
+    /// Root requests that failed a short time ago.
+    pub failed: resend::Failed,
     /// Routes.
     pub routes: route::Routes,
     /// Rate tokens.
