Share the failure of a dead peer, bound the connect to the target, and tighten the tests

Cause: eight requests for a peer that takes connections but does not answer waited for one attempt after the other, a second each. A connect to a frozen target had no limit but the deadline. A request with both a length and chunks could go on with the wrong length. Change: requests that wait while a connection is made share its failure; a connect ends with start_by; the length goes if the body came in chunks. Tests tell a closed connection from one left open, and a cancelled call from one that ran into its deadline.

--- a/crates/mustardpin-node/src/traffic/outbound.rs
+++ b/crates/mustardpin-node/src/traffic/outbound.rs
@@ -33,14 +33,14 @@
     pub(super) fn new(parts: Parts, payload: Payload, secret: Secret) -> Outbound {
         let Parts { method, uri, mut headers, .. } = parts;
         let host = host(&uri, &headers);
+        if payload.is_kept() || headers.contains_key(header::TRANSFER_ENCODING) {
+            // The length is that of the bytes kept, or not known.
+            headers.remove(header::CONTENT_LENGTH);
+        }
         scrub::remove_key(&mut headers, &secret);
         scrub::remove_hop_by_hop(&mut headers);
         scrub::remove_internal(&mut headers);
         headers.remove(names::REQUEST_TIMEOUT_MS);
-        if payload.is_kept() {
-            // The length is that of the bytes kept.
-            headers.remove(header::CONTENT_LENGTH);
-        }
         headers.insert(header::TE, TRAILERS);
         if !secret.is_in(host.as_bytes()) {
             headers.insert(header::HOST, host);
--- a/crates/mustardpin-node/src/traffic/peers.rs
+++ b/crates/mustardpin-node/src/traffic/peers.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     sync::{Arc, Mutex, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use compact_str::CompactString;
@@ -28,7 +28,22 @@
 const PING_TIMEOUT: Duration = Duration::from_secs(2);
 
 type Sender = http2::SendRequest<Outgoing>;
-type Slot = Arc<tokio::sync::Mutex<Option<Sender>>>;
+type Slot = Arc<tokio::sync::Mutex<Connection>>;
+
+/// The connection to one peer.
+#[derive(Default)]
+struct Connection {
+    sender: Option<Sender>,
+    /// When the last attempt to make the connection failed.
+    failed: Option<Instant>,
+}
+
+impl Connection {
+    /// The sender, while the connection is open.
+    fn open(&self) -> Option<&Sender> {
+        self.sender.as_ref().filter(|sender| !sender.is_closed())
+    }
+}
 
 /// The client to all peers.
 pub(super) struct Peers {
@@ -56,18 +71,21 @@
         })
     }
 
-    /// The connection to a peer. Callers that come while it is being made wait for it.
+    /// The connection to a peer. Callers that come while it is being made wait for it, and share
+    /// its failure.
     async fn connection(&self, to: NodeId, address: &CompactString) -> Option<Sender> {
+        let asked = Instant::now();
         let slot = self.slot(to, address);
-        let mut slot = slot.lock().await;
-        if let Some(sender) = &*slot
-            && !sender.is_closed()
-        {
+        let mut connection = slot.lock().await;
+        if let Some(sender) = connection.open() {
             return Some(sender.clone());
         }
-        *slot = None;
-        let sender = self.connect(to, address).await?;
-        Some(slot.insert(sender).clone())
+        if connection.failed.is_some_and(|failed| failed > asked) {
+            return None;
+        }
+        connection.sender = self.connect(to, address).await;
+        connection.failed = connection.sender.is_none().then(Instant::now);
+        connection.sender.clone()
     }
 
     fn slot(&self, to: NodeId, address: &CompactString) -> Slot {
@@ -78,9 +96,7 @@
         // Peers that have gone leave slots behind that nobody holds.
         slots.retain(|_, slot| {
             Arc::strong_count(slot) > 1
-                || slot
-                    .try_lock()
-                    .is_ok_and(|slot| slot.as_ref().is_some_and(|sender| !sender.is_closed()))
+                || slot.try_lock().is_ok_and(|connection| connection.open().is_some())
         });
         Arc::clone(slots.entry((to, address.clone())).or_default())
     }
--- a/crates/mustardpin-node/src/traffic/target.rs
+++ b/crates/mustardpin-node/src/traffic/target.rs
@@ -11,7 +11,7 @@
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use mustardpin_world::Millis;
-use tokio::{net::TcpStream, task::AbortHandle};
+use tokio::{net::TcpStream, task::AbortHandle, time};
 
 use crate::{
     clock::Clock,
@@ -105,7 +105,9 @@
                 result => return result,
             }
         }
-        let connection = self.connect().await.ok_or(Failure::NotSent)?;
+        let left = Duration::from_millis((start_by - self.clock.now()).0);
+        let connected = time::timeout(left, self.connect()).await;
+        let connection = connected.ok().flatten().ok_or(Failure::NotSent)?;
         let Some(request) = request() else { return Err(Failure::Broken) };
         exchange(connection, request, start_by).await
     }
--- a/crates/mustardpin-node/tests/testsuite/fake.rs
+++ b/crates/mustardpin-node/tests/testsuite/fake.rs
@@ -7,7 +7,7 @@
 mod target;
 
 pub use self::{
-    caller::{Answer, call, exchange, get, http2, read_all},
+    caller::{Answer, End, call, exchange, get, http2, read_all},
     fleet::{Fleet, KEY},
     platform::Platform,
     side::{TrafficSide, run},
--- a/crates/mustardpin-node/tests/testsuite/fake/caller.rs
+++ b/crates/mustardpin-node/tests/testsuite/fake/caller.rs
@@ -1,7 +1,7 @@
 //! Callers that speak HTTP/1.1 byte by byte.
 
 use std::{
-    io::{Read as _, Write as _},
+    io::{ErrorKind, Read as _, Write as _},
     net::{SocketAddr, TcpStream},
     time::Duration,
 };
@@ -12,11 +12,22 @@
 use hyper::{body::Incoming, client::conn::http2};
 use hyper_util::rt::{TokioExecutor, TokioIo};
 
-/// All bytes that came back, and whether the connection was closed in order.
+/// How a connection came to its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// The node closed it in order.
+    Closed,
+    /// The node broke it off.
+    Reset,
+    /// It was still open after five seconds without a byte.
+    LeftOpen,
+}
+
+/// All bytes that came back, and how the connection came to its end.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Answer {
     pub text: String,
-    pub clean: bool,
+    pub end: End,
 }
 
 impl Answer {
@@ -51,14 +62,15 @@
     stream.set_read_timeout(Some(Duration::from_secs(5))).expect("the time is not zero");
     let mut bytes = Vec::new();
     let mut buffer = [0; 16 * 1024];
-    let clean = loop {
+    let end = loop {
         match stream.read(&mut buffer) {
-            Ok(0) => break true,
+            Ok(0) => break End::Closed,
             Ok(count) => bytes.extend_from_slice(&buffer[..count]),
-            Err(_) => break false,
+            Err(error) if error.kind() == ErrorKind::WouldBlock => break End::LeftOpen,
+            Err(_) => break End::Reset,
         }
     };
-    Answer { text: String::from_utf8_lossy(&bytes).into_owned(), clean }
+    Answer { text: String::from_utf8_lossy(&bytes).into_owned(), end }
 }
 
 /// Sends a request whose connection ends with the answer.
--- a/crates/mustardpin-node/tests/testsuite/input.rs
+++ b/crates/mustardpin-node/tests/testsuite/input.rs
@@ -12,7 +12,7 @@
 use mustardpin_wire::peer::handshake::{GREETING_BYTES, Greeting};
 use mustardpin_world::id::{KeyDigest, NodeId};
 
-use crate::fake::{Fleet, KEY, Script, Step, call, exchange, get, read_all, text, wait_until};
+use crate::fake::{End, Fleet, KEY, Script, Step, call, exchange, get, read_all, text, wait_until};
 
 const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
 
@@ -29,7 +29,8 @@
         .head()
         .lines()
         .find_map(|line| line.strip_prefix("mustardpin-reason: ").map(str::to_owned));
-    format!("{name}: {} {}", answer.status(), reason.unwrap_or_default())
+    let end = if answer.end == End::LeftOpen { " and left open" } else { "" };
+    format!("{name}: {} {}{end}", answer.status(), reason.unwrap_or_default())
 }
 
 #[test]
@@ -58,6 +59,17 @@
                 format!("{head}content-length: 1\r\ncontent-length: 2\r\n\r\nab").as_bytes(),
             ),
         ),
+        (
+            "length and chunks",
+            exchange(
+                callers,
+                format!(
+                    "{head}connection: close\r\ncontent-length: 3\r\n\
+                     transfer-encoding: chunked\r\n\r\n4\r\nslot\r\n0\r\n\r\n"
+                )
+                .as_bytes(),
+            ),
+        ),
         ("large header", call(callers, "GET /slots", &[("x-large", &"x".repeat(40_000))], "")),
         (
             "no path",
@@ -102,7 +114,13 @@
     ];
     let lines: Vec<_> = cases.iter().map(|(name, answer)| summary(name, answer)).collect();
     insta::assert_snapshot!(lines.join("\n"));
-    assert_eq!(fleet.targets[0].seen().len(), 1);
+    let seen = fleet.targets[0].seen();
+    assert_eq!(seen.len(), 2);
+    for request in seen {
+        // One length at most, and never a second request in the body.
+        assert!(!request.contains("content-length: 3"), "{request}");
+        assert_eq!(request.matches("HTTP/1.1").count(), 1, "{request}");
+    }
 }
 
 #[test]
@@ -140,12 +158,13 @@
     }
 }
 
-/// Sends bytes to a port for peers; returns how many bytes came back before it was closed.
-fn knock(address: SocketAddr, bytes: &[u8]) -> usize {
+/// Sends bytes to a port for peers; tells how many bytes came back before it was closed.
+fn knock(address: SocketAddr, bytes: &[u8]) -> String {
     let mut stream = TcpStream::connect(address).expect("the node listens");
     let _ = stream.write_all(bytes);
     let answer = read_all(stream);
-    answer.text.len()
+    let end = if answer.end == End::LeftOpen { "left open" } else { "closed" };
+    format!("{end} after {} bytes", answer.text.len())
 }
 
 #[test]
@@ -170,11 +189,11 @@
             ("another node", greeting("fleet", Some(NodeId(5)))),
         ];
         for (name, bytes) in cases {
-            lines.push(format!("{port}, {name}: {} bytes", knock(address, &bytes)));
+            lines.push(format!("{port}, {name}: {}", knock(address, &bytes)));
         }
     }
     for (name, bytes) in [("large frame", large_frame), ("garbage frame", garbage_frame)] {
-        lines.push(format!("control, {name}: {} bytes", knock(addresses.control, &bytes)));
+        lines.push(format!("control, {name}: {}", knock(addresses.control, &bytes)));
     }
     insta::assert_snapshot!(lines.join("\n"));
     assert_eq!(get(fleet.callers(0), "/slots").status(), 200);
--- a/crates/mustardpin-node/tests/testsuite/leave.rs
+++ b/crates/mustardpin-node/tests/testsuite/leave.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use crate::fake::{Fleet, KEY, Script, Step, get, http2, read_all, text};
+use crate::fake::{End, Fleet, KEY, Script, Step, get, http2, read_all, text};
 
 fn script() -> Script {
     Arc::new(|request| {
@@ -65,7 +65,7 @@
     }
     let answer = fleet.runtime.block_on(http2).expect("no panic").expect("a whole answer");
     assert_eq!(answer.1, "hello".repeat(4));
-    assert!(read_all(idle).clean);
+    assert_eq!(read_all(idle).end, End::Closed);
     ended.recv_timeout(Duration::from_secs(5)).expect("the process ends");
     assert!(start.elapsed() < Duration::from_secs(5));
 }
--- a/crates/mustardpin-node/tests/testsuite/path.rs
+++ b/crates/mustardpin-node/tests/testsuite/path.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::fake::{Fleet, KEY, Script, call, get, text};
+use crate::fake::{End, Fleet, KEY, Script, call, get, text};
 
 fn hello() -> Script {
     Arc::new(|_| text("HTTP/1.1 200 OK\r\ncontent-length: 5\r\nx-own: 1\r\n\r\nhello"))
@@ -13,7 +13,7 @@
     let fleet = Fleet::start(&[("slots", hello())]);
     let answer = get(fleet.callers(0), "/slots?day=2");
     insta::assert_snapshot!(format!("{}\n\n{}", answer.head(), answer.body()));
-    assert!(answer.clean);
+    assert_eq!(answer.end, End::Closed);
     let seen = fleet.targets[0].seen();
     assert_eq!(seen.len(), 1);
     assert!(seen[0].starts_with("GET /slots?day=2 HTTP/1.1\r\n"), "{seen:?}");
--- a/crates/mustardpin-node/tests/testsuite/run.rs
+++ b/crates/mustardpin-node/tests/testsuite/run.rs
@@ -2,16 +2,18 @@
 
 use std::{
     io::Write as _,
-    net::{Shutdown, TcpStream},
+    net::{Shutdown, TcpListener, TcpStream},
     sync::Arc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use mustardpin_node::{exchange::Order, launch::Limits};
 use mustardpin_world::{
     Event, Millis,
+    config::Importance,
+    id::NodeId,
     refusal::{Reason, Refusal},
-    request::{Run, RunEnd, Verdict},
+    request::{Forward, ForwardEnd, Forwarded, Run, RunEnd, Verdict},
 };
 
 use crate::fake::{KEY, Script, Step, Target, TrafficSide, read_all, run, text, wait_until};
@@ -185,3 +187,43 @@
         wait_until(|| target.closed() == number);
     }
 }
+
+#[test]
+fn requests_that_wait_for_a_dead_peer_share_its_failure() {
+    const WAITING: usize = 8;
+    let (side, _target) = start(text(WHOLE), Limits::default());
+    // Connections to it are made, but nobody answers.
+    let silent = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = silent.local_addr().expect("a bound address");
+    let begin = Instant::now();
+    let callers: Vec<_> = (0..WAITING).map(|_| book(&side)).collect();
+    let mut exchanges: Vec<_> = callers.iter().map(|_| side.accept().1).collect();
+    for exchange in &mut exchanges {
+        exchange.order(Order::Forward(forward(&address.to_string())));
+    }
+    for _ in 0..WAITING {
+        let (call, end, pressure) = (run().call, ForwardEnd::NotSent, None);
+        assert_eq!(side.event(), Event::ForwardEnded { call, end, pressure });
+    }
+    // The handshake may take a second.
+    assert!(begin.elapsed() < Duration::from_secs(3), "{:?}", begin.elapsed());
+}
+
+fn forward(address: &str) -> Forward {
+    Forward {
+        call: run().call,
+        to: NodeId(2),
+        address: address.into(),
+        forwarded: Forwarded {
+            from: NodeId(1),
+            key_id: None,
+            route: "slots".into(),
+            importance: Importance::Normal,
+            retry_allowance: 0,
+            depth: 0,
+            hops: 1,
+        },
+        deadline: Millis::from_secs(10),
+        repeatable: true,
+    }
+}
--- a/crates/mustardpin-node/tests/testsuite/stream.rs
+++ b/crates/mustardpin-node/tests/testsuite/stream.rs
@@ -8,7 +8,7 @@
         atomic::{AtomicUsize, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crate::fake::{Fleet, KEY, Script, Step, call, get, text, wait_until};
@@ -111,6 +111,9 @@
         let task = fleet.runtime.spawn(async move { caller.collect("/slots").await });
         wait_until(|| fleet.targets[0].seen().len() > seen);
         task.abort();
+        let start = Instant::now();
         wait_until(|| fleet.targets[0].closed() > before);
+        // The route's time limit of three seconds would cancel it too.
+        assert!(start.elapsed() < Duration::from_secs(2), "through node {node}");
     }
 }
