--- a/src/cmd/keys.rs
+++ b/src/cmd/keys.rs
@@ -7,6 +7,7 @@
 
 use compact_str::{CompactString, ToCompactString as _, format_compact};
 use lexopt::Parser;
+use mustardpin_wire::admin::Rejection;
 use mustardpin_world::{
     config::{Key, Kind, Path, Row},
     id::KeyDigest,
@@ -14,7 +15,7 @@
 
 use crate::{
     access,
-    client::Client,
+    client::{self, Client},
     cmd::proposal::{self, Arguments, Session},
     error::Error,
     table,
@@ -32,6 +33,8 @@
 force on the nodes it knows of, and shows it per data centre; give --admin for a node of each data
 centre. It ends with exit code 6 if that takes more than 10 s. To look again, run it again.";
 
+/// How often a withdrawal is proposed while other changes come first.
+const WITHDRAW_ATTEMPTS: u32 = 10;
 /// How long to wait for a withdrawal to be in force everywhere.
 const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(10);
 /// The pause between two looks.
@@ -77,20 +80,37 @@
 }
 
 async fn withdraw(arguments: Arguments, id: CompactString) -> Result<(), Error> {
-    let session = Session::open(arguments).await?;
+    let mut session = Session::open(arguments).await?;
     let path = Path { kind: Kind::Key, name: id };
-    let Some(Row::Key(key)) = session.row(&path) else {
+    let mut attempts = 1;
+    let revision = loop {
+        match write_withdrawn(&session, &path).await {
+            // Another operator's change does not stand in the way of a withdrawal.
+            Err(Error::Client(client::Error::Rejected(Rejection::Conflict { .. })))
+                if attempts < WITHDRAW_ATTEMPTS =>
+            {
+                attempts += 1;
+                tokio::time::sleep(LOOK_PAUSE).await;
+                session.refresh().await?;
+            }
+            result => break result?,
+        }
+    };
+    wait_in_force(&session.client, revision).await
+}
+
+/// Writes the key as withdrawn, unless it is so already, and gives the revision.
+async fn write_withdrawn(session: &Session, path: &Path) -> Result<u64, Error> {
+    let Some(Row::Key(key)) = session.row(path) else {
         return Err(Error::Missing(path.to_compact_string()));
     };
-    let revision = if key.withdrawn {
+    if key.withdrawn {
         println!("{path} was withdrawn before");
-        session.expected
-    } else {
-        let revision = session.write(Row::Key(Key { withdrawn: true, ..key.clone() })).await?;
-        println!("{path} is withdrawn as of revision {revision}");
-        revision
-    };
-    wait_in_force(&session.client, revision).await
+        return Ok(session.expected);
+    }
+    let revision = session.write(Row::Key(Key { withdrawn: true, ..key.clone() })).await?;
+    println!("{path} is withdrawn as of revision {revision}");
+    Ok(revision)
 }
 
 /// Nodes of a data centre, and how many of them have a revision.
--- a/src/cmd/proposal.rs
+++ b/src/cmd/proposal.rs
@@ -101,6 +101,14 @@
         })
     }
 
+    /// Reads the configuration again, and expects its revision from now on.
+    pub async fn refresh(&mut self) -> Result<(), Error> {
+        let Configuration { revision, rows } = self.client.configuration().await?;
+        self.rows = rows.into_iter().filter_map(|row| Row::try_from(row).ok()).collect();
+        self.expected = revision;
+        Ok(())
+    }
+
     /// The row of this path.
     pub fn row(&self, path: &Path) -> Option<&Row> {
         self.rows.iter().find(|row| row.path() == *path)
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -230,6 +230,12 @@
         panic!("slot {slot}: {what} does not come true: {last:#?}\n{}", self.logs());
     }
 
+    /// Starts the node of a slot again, after it has ended. Its target has stayed.
+    pub fn restart(&mut self, slot: usize) {
+        let name = format!("{slot}-again");
+        self.slots[slot].node = start_node(&self.slots[slot].settings, &self.directory, &name);
+    }
+
     /// The last lines that every process wrote.
     pub fn logs(&self) -> String {
         let files = fs::read_dir(&self.directory).expect("the scratch directory is there");
--- a/tests/testsuite/operators.rs
+++ b/tests/testsuite/operators.rs
@@ -56,3 +56,21 @@
         assert!(message.contains(named), "{words:?}: {message}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_withdrawal_does_not_lose_to_other_changes() {
+    let fleet = Fleet::start(&[slot("north", "search"), slot("south", "search")]).await;
+    fleet.issue_key("garage-1").await;
+    let change = |rate: u32| {
+        let rate = format!("rate={rate}");
+        fleet.command(&[1], &["defaults", "set", "team", "garages", &rate]).status.code()
+    };
+    thread::scope(|scope| {
+        let others = scope.spawn(|| (1_000..1_020).map(change).collect::<Vec<_>>());
+        fleet.operate(&["keys", "withdraw", "garage-1"]);
+        let codes = others.join().expect("the command runs");
+        assert!(codes.iter().all(|code| matches!(code, Some(0 | 3))), "{codes:?}");
+    });
+    let listed = fleet.operate(&["keys", "list"]);
+    assert!(listed.contains("withdrawn"), "{listed}");
+}
--- a/tests/testsuite/stop.rs
+++ b/tests/testsuite/stop.rs
@@ -44,3 +44,25 @@
     let status = fleet.slots[0].node.wait();
     assert_eq!(status.code(), Some(0), "{}", fleet.logs());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_is_replaced_while_its_target_stays() {
+    let mut fleet = Fleet::start(&[slot("north", "search"), slot("south", "ledger")]).await;
+    let key = fleet.issue_key("garage-1").await;
+    fleet.slots[0].node.signal("TERM");
+    assert_eq!(fleet.slots[0].node.wait().code(), Some(0), "{}", fleet.logs());
+
+    fleet.restart(0);
+    fleet
+        .wait_for(0, "the new node serves", |status| status.target.present && status.view.fresh)
+        .await;
+    fleet
+        .wait_for(1, "the other node knows the new one", |status| {
+            status.peers.iter().any(|peer| peer.state == "alive")
+        })
+        .await;
+    for slot in &fleet.slots {
+        let reply = Ask::get("/slots", &key).send(&http::caller(false), slot.callers).await;
+        assert_eq!((reply.status, reply.reason.as_str()), (200, ""), "{}", fleet.logs());
+    }
+}
