--- a/crates/mustardpin-settings/src/document.rs
+++ b/crates/mustardpin-settings/src/document.rs
@@ -61,11 +61,21 @@
     }
 
     /// Takes out the value of a dotted key.
+    ///
+    /// ```
+    /// use mustardpin_settings::document::Document;
+    /// assert_eq!(Document::default().take("service"), None);
+    /// ```
     pub fn take(&mut self, key: &str) -> Option<Node> {
         self.values.remove(key)
     }
 
     /// The dotted keys that have not been taken out, with their values.
+    ///
+    /// ```
+    /// let document = mustardpin_settings::document::Document::parse("a: {b: 1}").unwrap();
+    /// assert_eq!(document.rest().next().unwrap().0, "a.b");
+    /// ```
     pub fn rest(&self) -> impl Iterator<Item = (&CompactString, &Node)> {
         self.values.iter()
     }
--- a/crates/mustardpin-settings/src/reader.rs
+++ b/crates/mustardpin-settings/src/reader.rs
@@ -42,6 +42,13 @@
     }
 
     /// All problems, with those of keys that nobody asked for.
+    ///
+    /// ```
+    /// # use mustardpin_settings::{document::Document, reader::Reader};
+    /// # use mustardpin_world::Millis;
+    /// let mut reader = Reader::new(Document::parse("servce: ledger").unwrap());
+    /// assert!(reader.finish()[0].to_string().contains("unknown key"));
+    /// ```
     pub fn finish(mut self) -> Vec<Problem> {
         for (key, value) in self.document.rest() {
             self.problems.push(Problem::Unknown {
@@ -54,11 +61,26 @@
     }
 
     /// Adds a problem.
+    ///
+    /// ```
+    /// use mustardpin_settings::{document::Document, error::Problem, reader::Reader};
+    ///
+    /// let mut reader = Reader::new(Document::default());
+    /// reader.report(Problem::Missing { key: "service".into(), expected: "a name".into() });
+    /// assert_eq!(reader.finish().len(), 1);
+    /// ```
     pub fn report(&mut self, problem: Problem) {
         self.problems.push(problem);
     }
 
     /// A text that has to be set: letters, digits, hyphens and underscores.
+    ///
+    /// ```
+    /// # use mustardpin_settings::{document::Document, reader::Reader};
+    /// # use mustardpin_world::Millis;
+    /// let mut reader = Reader::new(Document::parse("service: ledger").unwrap());
+    /// assert_eq!(reader.name("service"), "ledger");
+    /// ```
     pub fn name(&mut self, key: &'static str) -> CompactString {
         const EXPECTED: &str = "a name of 1 to 64 letters, digits, hyphens or underscores";
         let Some(text) = self.required(key, EXPECTED) else { return CompactString::default() };
@@ -69,6 +91,13 @@
     }
 
     /// A secret that has to be set: at least 16 visible characters.
+    ///
+    /// ```
+    /// # use mustardpin_settings::{document::Document, reader::Reader};
+    /// # use mustardpin_world::Millis;
+    /// let mut reader = Reader::new(Document::parse("fleet-credential: 0123456789abcdef").unwrap());
+    /// assert_eq!(reader.secret("fleet-credential").len(), 16);
+    /// ```
     pub fn secret(&mut self, key: &'static str) -> CompactString {
         const EXPECTED: &str = "a secret of 16 to 256 visible characters";
         let Some(text) = self.required(key, EXPECTED) else { return CompactString::default() };
@@ -80,6 +109,13 @@
     }
 
     /// An address that has to be set.
+    ///
+    /// ```
+    /// # use mustardpin_settings::{document::Document, reader::Reader};
+    /// # use mustardpin_world::Millis;
+    /// let mut reader = Reader::new(Document::parse("admin: 127.0.0.1:7004").unwrap());
+    /// assert_eq!(reader.address("admin").port(), 7004);
+    /// ```
     pub fn address(&mut self, key: &'static str) -> SocketAddr {
         const EXPECTED: &str = "an address such as 127.0.0.1:7000";
         let Some(text) = self.required(key, EXPECTED) else { return unspecified() };
@@ -87,12 +123,26 @@
     }
 
     /// An address that may be left out.
+    ///
+    /// ```
+    /// # use mustardpin_settings::{document::Document, reader::Reader};
+    /// # use mustardpin_world::Millis;
+    /// let mut reader = Reader::new(Document::parse("admin: 127.0.0.1:7004").unwrap());
+    /// assert_eq!(reader.optional_address("statsd"), None);
+    /// ```
     pub fn optional_address(&mut self, key: &'static str) -> Option<SocketAddr> {
         let text = self.optional(key, "an address such as 127.0.0.1:7000")?;
         Some(self.parse_address(key, &text))
     }
 
     /// A list of addresses that may be left out.
+    ///
+    /// ```
+    /// # use mustardpin_settings::{document::Document, reader::Reader};
+    /// # use mustardpin_world::Millis;
+    /// let mut reader = Reader::new(Document::parse("seeds: [127.0.0.1:7002]").unwrap());
+    /// assert_eq!(reader.addresses("seeds").len(), 1);
+    /// ```
     pub fn addresses(&mut self, key: &'static str) -> Vec<SocketAddr> {
         const EXPECTED: &str = "a list of addresses such as [127.0.0.1:7000]";
         let nodes = match self.take(key) {
@@ -114,6 +164,13 @@
     }
 
     /// One of several words, each with its meaning. The first is the default.
+    ///
+    /// ```
+    /// # use mustardpin_settings::{document::Document, reader::Reader};
+    /// # use mustardpin_world::Millis;
+    /// let mut reader = Reader::new(Document::parse("format: text").unwrap());
+    /// assert!(!reader.choice("format", &[("json", true), ("text", false)]));
+    /// ```
     pub fn choice<T: Copy>(&mut self, key: &'static str, choices: &[(&str, T)]) -> T {
         let words: Vec<_> = choices.iter().map(|(word, _)| *word).collect();
         let expected = format!("one of {}", words.join(", "));
@@ -126,6 +183,13 @@
     }
 
     /// A number without a unit.
+    ///
+    /// ```
+    /// # use mustardpin_settings::{document::Document, reader::Reader};
+    /// # use mustardpin_world::Millis;
+    /// let mut reader = Reader::new(Document::parse("connections: 9").unwrap());
+    /// assert_eq!(reader.count("connections", 100, 1..=1_000), 9);
+    /// ```
     pub fn count(&mut self, key: &'static str, default: u64, range: RangeInclusive<u64>) -> u64 {
         const EXPECTED: &str = "a whole number such as 64";
         let Some(text) = self.optional(key, EXPECTED) else { return default };
@@ -139,6 +203,13 @@
     }
 
     /// A size such as `64KiB`, in bytes.
+    ///
+    /// ```
+    /// # use mustardpin_settings::{document::Document, reader::Reader};
+    /// # use mustardpin_world::Millis;
+    /// let mut reader = Reader::new(Document::parse("body: 2KiB").unwrap());
+    /// assert_eq!(reader.size("body", 0, 0..=4_096), 2_048);
+    /// ```
     pub fn size(&mut self, key: &'static str, default: u64, range: RangeInclusive<u64>) -> u64 {
         const EXPECTED: &str = "a size such as 512B, 64KiB or 8MiB";
         let Some(text) = self.optional(key, EXPECTED) else { return default };
@@ -152,6 +223,13 @@
     }
 
     /// A length of time such as `500ms`.
+    ///
+    /// ```
+    /// # use mustardpin_settings::{document::Document, reader::Reader};
+    /// # use mustardpin_world::Millis;
+    /// let mut reader = Reader::new(Document::parse("window: 2s").unwrap());
+    /// assert_eq!(reader.length("window", Millis(1), Millis(1)..=Millis(5_000)), Millis(2_000));
+    /// ```
     pub fn length(
         &mut self,
         key: &'static str,
--- a/crates/mustardpin-settings/src/settings.rs
+++ b/crates/mustardpin-settings/src/settings.rs
@@ -56,6 +56,15 @@
 
 impl Addresses {
     /// Every address with its dotted key.
+    ///
+    /// ```
+    /// use mustardpin_settings::settings::Addresses;
+    ///
+    /// let any = ([127, 0, 0, 1], 7000).into();
+    /// let addresses =
+    ///     Addresses { callers: any, local: any, control: any, traffic: any, admin: any };
+    /// assert_eq!(addresses.entries()[0].0, "addresses.callers");
+    /// ```
     pub fn entries(&self) -> [(&'static str, SocketAddr); 5] {
         [
             ("addresses.callers", self.callers),
--- a/crates/mustardpin-wire/src/admin/status.rs
+++ b/crates/mustardpin-wire/src/admin/status.rs
@@ -128,6 +128,21 @@
 
 impl Status {
     /// The state of a node at a point in time of its clock.
+    ///
+    /// ```
+    /// use mustardpin_wire::admin::status::Status;
+    /// use mustardpin_world::{Identity, Millis, Options, World, id::NodeId, platform::Announcement};
+    ///
+    /// let announcement = Announcement {
+    ///     node: NodeId(1),
+    ///     data_centre: "north".into(),
+    ///     service: "ledger".into(),
+    ///     control_address: "127.0.0.1:7101".into(),
+    ///     traffic_address: "127.0.0.1:7102".into(),
+    /// };
+    /// let world = World::new(Identity { announcement }, Options::default(), 42);
+    /// assert_eq!(Status::of(&world, Millis(0)).data_centre, "north");
+    /// ```
     pub fn of(world: &World, now: Millis) -> Status {
         let tables = world.tables();
         let identity = world.identity();
