Add up counters in the test that they are sent

Change: the test adds up the lines of each counter until all four counts have come, and compares the same totals as before. Conclusion: same verdict whatever the order.

--- a/crates/mustardpin-node/tests/testsuite/control.rs
+++ b/crates/mustardpin-node/tests/testsuite/control.rs
@@ -1,6 +1,7 @@
 //! The control thread, with fakes at its borders.
 
 use std::{
+    collections::BTreeMap,
     net::UdpSocket,
     sync::{
         Arc,
@@ -128,14 +129,18 @@
         timeout: None,
     };
     control.arrived(request, Box::new(Nobody));
-    let mut lines: Vec<String> = (0..3)
-        .map(|_| {
-            let mut buffer = [0; 512];
-            let count = socket.recv(&mut buffer).expect("a counter comes");
-            String::from_utf8_lossy(&buffer[..count]).into_owned()
-        })
-        .collect();
-    lines.sort();
+    // What is counted before and after a flush comes in two lines.
+    let mut totals: BTreeMap<String, u64> = BTreeMap::new();
+    while totals.values().sum::<u64>() < 4 {
+        let mut buffer = [0; 512];
+        let count = socket.recv(&mut buffer).expect("a counter comes");
+        let line = String::from_utf8_lossy(&buffer[..count]).into_owned();
+        let (name, value) = line.split_once(':').expect("a name and a value");
+        let value = value.strip_suffix("|c").expect("the value of a counter");
+        *totals.entry(name.to_owned()).or_default() += value.parse::<u64>().expect("a number");
+    }
+    let lines: Vec<String> =
+        totals.iter().map(|(name, total)| format!("{name}:{total}|c")).collect();
     control.halt();
     insta::assert_snapshot!(lines.join("\n"));
 }
