--- a/crates/mustardpin-node/src/admin/server.rs
+++ b/crates/mustardpin-node/src/admin/server.rs
@@ -42,6 +42,20 @@
 }
 
 /// Serves operators until the task is dropped.
+///
+/// ```
+/// use std::sync::Arc;
+///
+/// use mustardpin_node::admin::{Control, Desk, Limits, serve};
+/// use mustardpin_world::id::KeyDigest;
+///
+/// async fn start(control: Arc<dyn Control>) -> std::io::Result<()> {
+///     let listener = tokio::net::TcpListener::bind("127.0.0.1:7004").await?;
+///     let desk = Desk::new(KeyDigest::of("an-operator-credential"), control);
+///     serve(listener, Arc::new(desk), Limits::default()).await;
+///     Ok(())
+/// }
+/// ```
 pub async fn serve(listener: TcpListener, desk: Arc<Desk>, limits: Limits) {
     let permits = Arc::new(Semaphore::new(limits.connections));
     loop {
--- a/crates/mustardpin-standin/src/arguments.rs
+++ b/crates/mustardpin-standin/src/arguments.rs
@@ -45,6 +45,11 @@
 }
 
 /// An address that has to be there.
+///
+/// ```
+/// use mustardpin_standin::arguments::{Error, required};
+/// assert!(matches!(required(None, "--node"), Err(Error::Missing("--node"))));
+/// ```
 pub fn required(address: Option<SocketAddr>, option: &'static str) -> Result<SocketAddr, Error> {
     address.ok_or(Error::Missing(option))
 }
--- a/crates/mustardpin-standin/src/http.rs
+++ b/crates/mustardpin-standin/src/http.rs
@@ -92,11 +92,25 @@
 }
 
 /// A whole body of these bytes.
+///
+/// ```
+/// use http_body_util::BodyExt as _;
+/// # tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(async {
+/// let body = mustardpin_standin::http::full("hello");
+/// assert_eq!(body.collect().await.unwrap().to_bytes(), "hello");
+/// # });
+/// ```
 pub fn full(bytes: impl Into<Bytes>) -> Body {
     Full::new(bytes.into()).map_err(|never: Infallible| match never {}).boxed()
 }
 
 /// An answer with a JSON body.
+///
+/// ```
+/// use http::StatusCode;
+/// let response = mustardpin_standin::http::json(StatusCode::OK, &[1, 2]);
+/// assert_eq!(response.headers()["content-type"], "application/json");
+/// ```
 pub fn json(status: StatusCode, value: &impl Serialize) -> Response<Body> {
     match serde_json::to_vec(value) {
         Ok(bytes) => {
@@ -111,6 +125,12 @@
 }
 
 /// An answer with a text body.
+///
+/// ```
+/// use http::StatusCode;
+/// let response = mustardpin_standin::http::text(StatusCode::NOT_FOUND, "no such object");
+/// assert_eq!(response.status(), 404);
+/// ```
 pub fn text(status: StatusCode, text: impl Into<Bytes>) -> Response<Body> {
     let mut response = Response::new(full(text));
     *response.status_mut() = status;
--- a/crates/mustardpin-standin/src/load/inspect.rs
+++ b/crates/mustardpin-standin/src/load/inspect.rs
@@ -55,6 +55,10 @@
 }
 
 /// Headers in which a target saw one of the keys, or its secret part.
+///
+/// ```
+/// assert_eq!(mustardpin_standin::load::inspect::keys_seen(&[], &["garage-1.s3cret"]), 0);
+/// ```
 pub fn keys_seen(runs: &[Run], keys: &[&str]) -> usize {
     let secrets: Vec<_> =
         keys.iter().map(|key| key.split_once('.').map_or(*key, |(_, secret)| secret)).collect();
@@ -63,6 +67,10 @@
 }
 
 /// The idempotency keys that ran more than once on the same path.
+///
+/// ```
+/// assert!(mustardpin_standin::load::inspect::run_twice(&[]).is_empty());
+/// ```
 pub fn run_twice(runs: &[Run]) -> Vec<CompactString> {
     let mut counts: BTreeMap<(&str, &str), u32> = BTreeMap::new();
     for run in runs {
--- a/crates/mustardpin-standin/src/load/tally.rs
+++ b/crates/mustardpin-standin/src/load/tally.rs
@@ -51,6 +51,11 @@
 
 impl End {
     /// Whether the whole answer came.
+    ///
+    /// ```
+    /// use mustardpin_standin::load::tally::End;
+    /// assert!(!End::CutOff.is_whole());
+    /// ```
     pub fn is_whole(&self) -> bool {
         *self == End::Whole
     }
@@ -141,6 +146,11 @@
 
 impl Tally {
     /// Empty tables for the teams and routes in the arguments.
+    ///
+    /// ```
+    /// use mustardpin_standin::load::{arguments::Arguments, tally::Tally};
+    /// assert_eq!(Tally::new(&Arguments::default()).attempts, 0);
+    /// ```
     pub fn new(arguments: &Arguments) -> Tally {
         let route_name = |method: &str, path: &str| {
             let path = path.split('?').next().unwrap_or(path);
@@ -161,6 +171,11 @@
     }
 
     /// How often something failed in this way.
+    ///
+    /// ```
+    /// use mustardpin_standin::load::{arguments::Arguments, tally::Tally};
+    /// assert_eq!(Tally::new(&Arguments::default()).failures_of("cut off"), 0);
+    /// ```
     pub fn failures_of(&self, kind: &str) -> u64 {
         self.failures.get(kind).copied().unwrap_or(0)
     }
--- a/crates/mustardpin-standin/src/platform/table.rs
+++ b/crates/mustardpin-standin/src/platform/table.rs
@@ -136,6 +136,11 @@
 
 impl Store {
     /// All rows changed after a revision, in the order of their revisions.
+    ///
+    /// ```
+    /// use mustardpin_standin::platform::table::{Changes, Store};
+    /// assert_eq!(Store::default().changes(0), Changes::default());
+    /// ```
     pub fn changes(&self, after: u64) -> Changes {
         let changed = self.rows.iter().filter(|(_, (revision, _))| *revision > after);
         let mut rows: Vec<Row> = changed
--- a/crates/mustardpin-standin/src/target/answer.rs
+++ b/crates/mustardpin-standin/src/target/answer.rs
@@ -90,6 +90,11 @@
 }
 
 /// Checks that a body is whole and answers this request.
+///
+/// ```
+/// use mustardpin_standin::target::answer::{Flaw, check};
+/// assert_eq!(check(b"hello", "r-1"), Err(Flaw::Foreign));
+/// ```
 pub fn check(body: &[u8], request: &str) -> Result<(), Flaw> {
     let end = body.iter().position(|&byte| byte == b'\n').ok_or(Flaw::Foreign)?;
     let line = std::str::from_utf8(&body[..end]).map_err(|_| Flaw::Foreign)?;
