Remove from the epoch only those whom the platform's rows bear out

Cause: a node that proposes an epoch judged signs of life by rows that it may have read several seconds before, since the age of what is known of the platform is passed on between nodes but the rows are not. Close epochs also let none settle, so that a holder in all of them stopped; and a node isolated from its own data centre could propose.

Change: a due proposal is judged as of the proposer's own last reading of the rows, and reads again when that does not bear it out. may_use asks for one piece of state whether this node held it in every epoch of the fence. Only nodes in contact with their own data centre propose and accept changes. A peer joins once heard. A leaving node stays known as such for two minutes.

The check of the other key's runs stays at more than 100 and gains one: none refused for want of knowledge. The faults now isolate single nodes too.

Conclusion: whoever can tell the platform that it lives stays a member.

--- a/crates/mustardpin-virtual/src/fleet.rs
+++ b/crates/mustardpin-virtual/src/fleet.rs
@@ -325,11 +325,20 @@
     pub fn resume(&mut self, site: Site) {
         let node = &mut self.nodes[site.0];
         node.frozen = false;
-        for step in std::mem::take(&mut node.held_back) {
+        let held_back = std::mem::take(&mut node.held_back);
+        let is_tick = |step: &Step| matches!(step, Step::Tick { .. });
+        let (ticks, others): (Vec<Step>, Vec<Step>) = held_back.into_iter().partition(is_tick);
+        // The first tick sees all that has come in the meantime, as in a process.
+        for step in others.into_iter().chain(ticks) {
             self.schedule(site, self.now, step);
         }
     }
 
+    /// Cuts a node off from all other nodes, but not from the platform, until [`Network::heal`].
+    pub fn isolate(&mut self, site: Site) {
+        self.network.isolate(site.0);
+    }
+
     /// Asks a node to leave, as SIGTERM does.
     pub fn stop(&mut self, site: Site) {
         self.deliver_later(site, Millis(0), Event::Stop);
@@ -935,6 +944,9 @@
     }
 
     fn delay(&self, one: Site, other: Site) -> Option<Millis> {
+        if self.network.is_isolated(one.0) || self.network.is_isolated(other.0) {
+            return None;
+        }
         self.network.between(&self.nodes[one.0].data_centre, &self.nodes[other.0].data_centre)
     }
 
--- a/crates/mustardpin-virtual/src/network.rs
+++ b/crates/mustardpin-virtual/src/network.rs
@@ -30,6 +30,7 @@
     pub lose: Option<fn(&Message) -> bool>,
     cuts: BTreeSet<(String, String)>,
     from_platform: BTreeSet<String>,
+    isolated: BTreeSet<usize>,
 }
 
 impl Network {
@@ -44,10 +45,21 @@
         self.from_platform.insert(data_centre.to_owned());
     }
 
+    /// Cuts a single node off from all others, by its index.
+    pub(crate) fn isolate(&mut self, node: usize) {
+        self.isolated.insert(node);
+    }
+
+    /// Whether a single node is cut off from all others.
+    pub(crate) fn is_isolated(&self, node: usize) -> bool {
+        self.isolated.contains(&node)
+    }
+
     /// Ends all cuts.
     pub fn heal(&mut self) {
         self.cuts.clear();
         self.from_platform.clear();
+        self.isolated.clear();
     }
 
     /// The delay from one data centre to another, or `None` if they are cut off.
--- a/crates/mustardpin-virtual/tests/testsuite/configuration.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/configuration.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, fmt::Write as _};
 
-use mustardpin_virtual::{PlatformMode, Site};
+use mustardpin_virtual::{PlatformMode, Received, Site};
 use mustardpin_world::{
     Millis,
     config::{
@@ -11,6 +11,8 @@
     },
     event::Proposal,
     message::{Message, configuration},
+    refusal::Reason,
+    request::Verdict,
 };
 
 use crate::{
@@ -158,6 +160,8 @@
             let recent = scenario.fleet.now - Millis(2_000);
             let kept = scenario.runs_of(KEPT).filter(|&at| at >= recent).count();
             assert!(kept > 100, "{name}, seed {seed}: {kept} runs of the other key at the end");
+            let refused = refused_unknowing(&scenario, recent);
+            assert_eq!(refused, 0, "{name}, seed {seed}: the other key refused at the end");
             if seed == 0 {
                 let answer = scenario.fleet.answers.get(&1);
                 let answer =
@@ -170,6 +174,18 @@
     insta::assert_snapshot!(report);
 }
 
+/// Refusals of the key that stays, since a point, for want of knowledge.
+fn refused_unknowing(scenario: &Scenario, since: Millis) -> usize {
+    let is_refused = |received: &&Received| {
+        let Some(Verdict::Refuse(refusal)) = &received.verdict else { return false };
+        let reasons = [Reason::CutOff, Reason::KeyUnknown, Reason::KeyWithdrawn, Reason::Starting];
+        reasons.contains(&refusal.reason)
+    };
+    let received = scenario.fleet.received.iter();
+    let recent = received.filter(|received| received.root % 3 == 1 && received.sent >= since);
+    recent.filter(is_refused).count()
+}
+
 /// Keys issued and withdrawn one after another while anything may fail: none works again.
 #[test]
 fn a_withdrawn_key_never_works_again_whatever_fails() {
--- a/crates/mustardpin-virtual/tests/testsuite/faults.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/faults.rs
@@ -38,7 +38,7 @@
         let site = Site(self.rng.random_range(0..sites));
         let data_centre = DATA_CENTRES[self.rng.random_range(0..DATA_CENTRES.len())];
         let other = DATA_CENTRES[self.rng.random_range(0..DATA_CENTRES.len())];
-        match self.rng.random_range(0..12) {
+        match self.rng.random_range(0..13) {
             0 if !self.is_frozen(site) => {
                 fleet.freeze(site);
                 self.frozen.push(site);
@@ -54,7 +54,8 @@
             7 => fleet.platform.mode = PlatformMode::Down,
             8 => fleet.platform.mode = PlatformMode::LoseAnswers,
             9 | 10 => fleet.platform.mode = PlatformMode::Up,
-            11 if !self.is_frozen(site) => {
+            11 => fleet.isolate(site),
+            12 if !self.is_frozen(site) => {
                 fleet.restart(site);
                 scenario.seed(site, Site((site.0 + 4) % sites));
             }
--- /dev/null
+++ b/crates/mustardpin-virtual/tests/testsuite/freshness.rs
@@ -0,0 +1,134 @@
+//! Data centres cut off from each other, from the platform and from both.
+
+use std::fmt::Write as _;
+
+use mustardpin_virtual::{PlatformMode, Site};
+use mustardpin_world::{
+    Millis,
+    config::{Change, CutOffPolicy, Exception, Row},
+};
+
+use crate::scenario::{Scenario, WITHDRAWN, for_seeds};
+
+/// How long each cut lasts.
+const CUT: Millis = Millis::from_secs(20);
+/// For how long a policy lets a cut-off data centre go on.
+const GRACE: Millis = Millis::from_secs(8);
+/// The window of freshness, with the time between two ticks.
+const WINDOW: Millis = Millis(2_600);
+
+type Cut = fn(&mut Scenario);
+
+const CUTS: [(&str, Cut); 5] = [
+    ("west from the others", |scenario| cut_west(scenario)),
+    ("west from the platform", |scenario| scenario.fleet.network.cut_platform("west")),
+    ("west from both", |scenario| {
+        cut_west(scenario);
+        scenario.fleet.network.cut_platform("west");
+    }),
+    ("the platform down", |scenario| scenario.fleet.platform.mode = PlatformMode::Down),
+    ("west from the others, the platform down", |scenario| {
+        cut_west(scenario);
+        scenario.fleet.platform.mode = PlatformMode::Down;
+    }),
+];
+
+fn cut_west(scenario: &mut Scenario) {
+    scenario.fleet.network.cut("north", "west");
+    scenario.fleet.network.cut("south", "west");
+}
+
+fn exception() -> Row {
+    Row::Exception(Exception {
+        name: "counter-staff".into(),
+        change: Change::ServeCutOff { team: "garage".into(), grace: GRACE },
+        reason: "a car waits on the ramp".into(),
+    })
+}
+
+/// What each data centre serves and refuses during a cut and after it, under each policy.
+#[test]
+fn what_a_cut_off_data_centre_serves() {
+    let policies = [
+        ("refuse", CutOffPolicy::Refuse, vec![]),
+        ("serve for 8 s", CutOffPolicy::Serve(GRACE), vec![]),
+        ("refuse, but serve one team for 8 s", CutOffPolicy::Refuse, vec![exception()]),
+    ];
+    let mut report = String::new();
+    for (policy_name, policy, rows) in policies {
+        for (cut_name, cut) in CUTS {
+            let mut scenario = Scenario::start_with(1, policy, rows.clone());
+            scenario.load_for(Millis::from_secs(3));
+            let start = scenario.fleet.now;
+            cut(&mut scenario);
+            scenario.load_for(CUT);
+            scenario.fleet.network.heal();
+            scenario.fleet.platform.mode = PlatformMode::Up;
+            scenario.load_for(Millis::from_secs(8));
+            writeln!(report, "{policy_name}; cut: {cut_name}").unwrap();
+            let phases = [
+                ("0 to 2 s", Millis(0), Millis(2_000)),
+                ("3 to 8 s", Millis(3_000), Millis(8_000)),
+                ("9 to 20 s", Millis(9_000), CUT),
+                ("3 s after", CUT + Millis(3_000), CUT + Millis(7_000)),
+            ];
+            for (phase, from, to) in phases {
+                let [north, west] = ["north", "west"]
+                    .map(|data_centre| scenario.outcomes(data_centre, start + from, start + to));
+                writeln!(report, "  {phase}, north: {north}").unwrap();
+                writeln!(report, "  {phase}, west: {west}").unwrap();
+            }
+        }
+    }
+    insta::assert_snapshot!(report);
+}
+
+/// A policy to go on bounds how long a withdrawn key works in the data centre that goes on.
+#[test]
+fn a_policy_to_go_on_ends_with_its_grace() {
+    for_seeds(|seed| {
+        let mut scenario = Scenario::start(seed, CutOffPolicy::Serve(GRACE));
+        scenario.load_for(Millis::from_secs(2));
+        cut_west(&mut scenario);
+        scenario.fleet.network.cut_platform("west");
+        let cut = scenario.fleet.now;
+        scenario.withdraw(Site(0));
+        scenario.load_until_accepted();
+        scenario.load_for(CUT);
+        let last = scenario.runs_of(WITHDRAWN).next_back().unwrap();
+        assert!(last > cut + WINDOW, "seed {seed}: west went on");
+        assert!(last <= cut + GRACE, "seed {seed}: ran {} after the cut", last - cut);
+    });
+}
+
+/// An outage of the platform alone stops nothing, however long.
+#[test]
+fn an_outage_of_the_platform_alone_stops_nothing() {
+    for_seeds(|seed| {
+        let mut scenario = Scenario::start(seed, CutOffPolicy::Refuse);
+        let start = scenario.fleet.now;
+        scenario.fleet.platform.mode = PlatformMode::Down;
+        scenario.load_for(Millis::from_secs(60));
+        scenario.fleet.run_for(Millis::from_secs(5));
+        let received = scenario.fleet.received.iter().filter(|received| received.sent >= start);
+        let refused = received.filter(|received| !received.is_whole()).count();
+        assert_eq!(refused, 0, "seed {seed}");
+    });
+}
+
+/// A process that was frozen sees the age of its knowledge before it admits anything.
+#[test]
+fn a_resumed_node_admits_nothing_on_old_knowledge() {
+    for_seeds(|seed| {
+        let mut scenario = Scenario::start(seed, CutOffPolicy::Refuse);
+        scenario.load_for(Millis::from_secs(2));
+        scenario.fleet.freeze(Site(7));
+        scenario.withdraw(Site(0));
+        let accepted = scenario.load_until_accepted();
+        scenario.load_for(Millis::from_secs(6));
+        scenario.fleet.resume(Site(7));
+        scenario.load_for(Millis(100));
+        let last = scenario.runs_of(WITHDRAWN).next_back().unwrap();
+        assert!(last < accepted + WINDOW, "seed {seed}: ran {} after", last - accepted);
+    });
+}
--- a/crates/mustardpin-virtual/tests/testsuite/main.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/main.rs
@@ -1,7 +1,9 @@
 //! Tests of the virtual fleet.
 
 mod configuration;
+mod epoch;
 mod faults;
+mod freshness;
 mod membership;
 mod path;
 mod rating;
--- a/crates/mustardpin-virtual/tests/testsuite/scenario.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/scenario.rs
@@ -1,12 +1,15 @@
 //! A small fleet under steady load, for the tests of what nodes agree on.
 
-use mustardpin_virtual::{Fleet, Request, Service, Site};
+use std::collections::BTreeMap;
+
+use mustardpin_virtual::{Fleet, Received, Request, Service, Site};
 use mustardpin_world::{
     Event, Millis, Options,
     config::{self, CutOffPolicy, Importance, Kind, Path, Row},
     event::Proposal,
     id::{KeyDigest, Revision},
     platform,
+    request::Verdict,
 };
 
 /// The key that operators withdraw.
@@ -70,6 +73,11 @@
 impl Scenario {
     /// A fleet that has agreed on its configuration and its first epoch.
     pub fn start(seed: u64, cut_off: CutOffPolicy) -> Scenario {
+        Scenario::start_with(seed, cut_off, Vec::new())
+    }
+
+    /// The same with more rows in the configuration.
+    pub fn start_with(seed: u64, cut_off: CutOffPolicy, more: Vec<Row>) -> Scenario {
         let mut fleet = Fleet::new(seed, Options::default());
         for data_centre in DATA_CENTRES {
             for _ in 0..3 {
@@ -85,8 +93,11 @@
             route("search", false),
             route("public", true),
         ];
-        let rows = rows.map(|row| platform::Row::Configuration(row.path(), Some(row)));
-        fleet.platform.put(rows.into_iter().chain([platform::Row::Head(Vec::new())]).collect());
+        let rows = rows
+            .into_iter()
+            .chain(more)
+            .map(|row| platform::Row::Configuration(row.path(), Some(row)));
+        fleet.platform.put(rows.chain([platform::Row::Head(Vec::new())]).collect());
         let mut scenario = Scenario { fleet, keys: [WITHDRAWN, KEPT].map(str::to_owned), sent: 0 };
         scenario.fleet.run_for(Millis::from_secs(8));
         scenario
@@ -166,4 +177,32 @@
         let ran = self.fleet.ran.iter().filter(move |ran| ran.key_id.as_deref() == Some(key));
         ran.map(|ran| ran.at)
     }
+
+    /// What callers that sent between two points to nodes of a data centre received, counted by
+    /// key and outcome.
+    pub fn outcomes(&self, data_centre: &str, from: Millis, to: Millis) -> String {
+        let mut counts: BTreeMap<(&str, String), usize> = BTreeMap::new();
+        for received in &self.fleet.received {
+            let identity = self.fleet.world_at(received.site).identity();
+            if identity.data_centre() == data_centre && received.sent >= from && received.sent < to
+            {
+                let key = [WITHDRAWN, KEPT, "no key"][received.root as usize % 3];
+                *counts.entry((key, outcome(received))).or_default() += 1;
+            }
+        }
+        if counts.keys().all(|(_, what)| what == "whole") {
+            return format!("all {} whole", counts.values().sum::<usize>());
+        }
+        let counts = counts.into_iter().map(|((key, what), count)| format!("{key} {count} {what}"));
+        counts.collect::<Vec<_>>().join(", ")
+    }
+}
+
+/// What a caller received, in a word or two.
+fn outcome(received: &Received) -> String {
+    match &received.verdict {
+        None => "broken".to_owned(),
+        Some(Verdict::Pass | Verdict::Replay(_)) => "whole".to_owned(),
+        Some(Verdict::Refuse(refusal)) => format!("{} ({})", refusal.reason, refusal.outcome),
+    }
 }
--- a/crates/mustardpin-world/src/system/epoch.rs
+++ b/crates/mustardpin-world/src/system/epoch.rs
@@ -3,6 +3,8 @@
 //! Any node with news from the platform may propose the next epoch once the nodes it believes
 //! alive differ from the members for a while. The platform accepts one proposal for each epoch.
 
+use compact_str::CompactString;
+
 use crate::{
     clock::Millis,
     command::{Change, Command},
@@ -28,6 +30,11 @@
 /// A node that has written to the platform within this time is not removed.
 const SIGN_OF_LIFE: Millis = Millis::from_secs(10);
 
+/// A peer that this node has not heard itself counts as alive after this time without a suspicion.
+const PROVEN_AFTER: Millis = Millis::from_secs(4);
+/// Rows of dead nodes that one proposal removes.
+const MAX_REMOVED_ROWS: usize = 64;
+
 /// What the system remembers from tick to tick.
 #[derive(Debug, Default)]
 pub(crate) struct State {
@@ -148,7 +155,8 @@
 
 fn adopt(world: &mut World, tick: &mut Tick, epoch: Epoch) {
     let (number, members) = (epoch.number, epoch.members.len());
-    if !world.tables.epoch.adopt(epoch, tick.now) {
+    let window = world.options.freshness.window;
+    if !world.tables.epoch.adopt(epoch, tick.now, window) {
         return;
     }
     world.systems.epoch.due = None;
@@ -174,7 +182,10 @@
     let options = &world.options.epoch;
     let platform_age = world.tables.freshness.platform_age(tick.now);
     let Some(since) = world.systems.epoch.platform_since else { return };
-    if platform_age >= world.options.freshness.window || world.systems.epoch.proposal.is_some() {
+    let is_cut_off = platform_age >= world.options.freshness.window;
+    // Others may go by news from this data centre, so a node that is parted from it stays quiet.
+    let may_propose = !is_cut_off && world.tables.freshness.is_with_own;
+    if !may_propose || world.systems.epoch.proposal.is_some() {
         world.systems.epoch.due = None;
         return;
     }
@@ -196,8 +207,18 @@
         return;
     };
     if tick.now >= due {
-        propose(world, tick, members);
+        propose_if_sure(world, tick);
+    }
+}
+
+/// Proposes what the platform's rows bear out: a node may have shown life there since this node
+/// last read them.
+fn propose_if_sure(world: &mut World, tick: &mut Tick) {
+    let members = living(world, freshness::rows_as_of(world));
+    if members == world.tables.epoch.current.members {
+        return freshness::poll_once(world, tick);
     }
+    propose(world, tick, members);
 }
 
 fn propose(world: &mut World, tick: &mut Tick, members: Vec<Member>) {
@@ -205,14 +226,25 @@
     let guards = vec![(Guard::Epoch, current.revision)];
     let number = current.number + 1;
     let epoch = Epoch { number, revision: Default::default(), members };
-    let removed = current.members.iter().filter(|member| !epoch.contains(member.node));
-    let mut rows: Vec<Row> = removed.map(|member| Row::Node(member.node, None)).collect();
+    let mut rows: Vec<Row> = stale_rows(world, freshness::rows_as_of(world));
     rows.push(Row::Epoch(epoch.clone()));
     let ticket = world.ask_platform(tick, Operation::Transact { guards, rows });
     world.systems.epoch.proposal = Some((ticket, epoch));
     world.systems.epoch.due = None;
 }
 
+/// Removals of the platform's rows of nodes that are gone.
+fn stale_rows(world: &World, now: Millis) -> Vec<Row> {
+    let peers = world.tables.peers.iter().map(|(_, peer)| peer);
+    let is_stale = |peer: &&Peer| {
+        peer.state == peer::State::Dead
+            && peer.row_seen.is_some_and(|seen| now - seen >= SIGN_OF_LIFE)
+            && may_remove(world, now, &peer.announcement.data_centre, peer.since)
+    };
+    let stale = peers.filter(is_stale).take(MAX_REMOVED_ROWS);
+    stale.map(|peer| Row::Node(peer.announcement.node, None)).collect()
+}
+
 /// The members that the next epoch should have.
 fn living(world: &World, now: Millis) -> Vec<Member> {
     let current = &world.tables.epoch.current;
@@ -224,6 +256,7 @@
         .iter()
         .map(|(_, peer)| peer)
         .filter(|peer| peer.state == peer::State::Alive)
+        .filter(|peer| current.number == 0 || peer.heard || now - peer.since >= PROVEN_AFTER)
         .map(|peer| &peer.announcement);
     let own = Some(&world.identity.announcement).filter(|_| !world.tables.leaving);
     for announcement in new_peers.chain(own) {
@@ -253,38 +286,43 @@
         Some(Peer { state: peer::State::Leaving, .. }) => false,
         Some(Peer { state: peer::State::Dead, row_seen, since, .. }) => {
             let shows_life = row_seen.is_some_and(|seen| now - seen < SIGN_OF_LIFE);
-            shows_life || !may_remove(world, now, member, *since)
+            shows_life || !may_remove(world, now, &member.data_centre, *since)
         }
         None => {
             let adopted = world.tables.epoch.adopted.unwrap_or(now);
-            !may_remove(world, now, member, adopted + SIGN_OF_LIFE)
+            !may_remove(world, now, &member.data_centre, adopted + SIGN_OF_LIFE)
         }
     }
 }
 
-/// Whether this node is in a position to say that a member is gone that it has believed dead since
-/// a point.
-fn may_remove(world: &World, now: Millis, member: &Member, since: Millis) -> bool {
-    let window = world.options.freshness.window;
+/// Whether this node is in a position to say that a node is gone that it has believed dead since a
+/// point.
+fn may_remove(world: &World, now: Millis, data_centre: &CompactString, since: Millis) -> bool {
     if !has_own_majority(world) {
         return false;
     }
     let data_centres = &world.tables.data_centres;
-    let name = &member.data_centre;
-    let own = world.identity.data_centre();
-    let key = data_centres.by_name(name).and_then(|key| data_centres.get(key));
+    let row = data_centres.by_name(data_centre).and_then(|key| data_centres.get(key));
     // Others in its data centre have been heard since: it alone is gone, not the way there.
-    if key.and_then(|row| row.as_of).is_some_and(|as_of| as_of > since) {
+    if row.and_then(|row| row.as_of).is_some_and(|as_of| as_of > since) {
         return true;
     }
-    if name == own {
-        return data_centres.silence(name, now) > SIGN_OF_LIFE;
-    }
-    // The whole data centre is out of reach: it may be alive, and a policy may let it go on.
+    // Nobody can tell: it may be alive, and a policy may let it go on.
     let grace = match world.tables.configuration.fleet.cut_off {
         CutOffPolicy::Refuse => Millis::ZERO,
         CutOffPolicy::Serve(grace) => grace,
     };
     let grace = grace.max(world.tables.exceptions.longest_grace().unwrap_or_default());
-    data_centres.silence(name, now) > SIGN_OF_LIFE.max(grace + window + window)
+    let window = world.options.freshness.window;
+    let silence = match has_living_peer(world, data_centre) {
+        true => now - since,
+        false => data_centres.silence(data_centre, now),
+    };
+    silence > SIGN_OF_LIFE.max(grace + window + window)
+}
+
+fn has_living_peer(world: &World, data_centre: &CompactString) -> bool {
+    world.tables.peers.iter().any(|(_, peer)| {
+        peer.announcement.data_centre == *data_centre && peer.state < peer::State::Leaving
+    })
 }
--- a/crates/mustardpin-world/src/system/freshness.rs
+++ b/crates/mustardpin-world/src/system/freshness.rs
@@ -46,6 +46,8 @@
     next_required: Millis,
     has_own_majority: bool,
     platform: bool,
+    /// When the last question to the platform was sent that this node has had a reply to.
+    rows_as_of: Millis,
 }
 
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
@@ -76,6 +78,21 @@
     ticket
 }
 
+/// The last point as of which this node itself has read the platform's rows.
+///
+/// What it knows of the platform may be younger, since peers pass on the age of what they know, but
+/// not the rows by which nodes announce themselves.
+pub(super) fn rows_as_of(world: &World) -> Millis {
+    world.systems.freshness.rows_as_of
+}
+
+/// Asks the platform for news, unless a question is under way.
+pub(super) fn poll_once(world: &mut World, tick: &mut Tick) {
+    if world.systems.freshness.polls.is_empty() {
+        poll(world, tick);
+    }
+}
+
 /// The data centres that together have all news: those of members and of peers that have not left,
 /// the own one too if other nodes are in it.
 pub(super) fn required(world: &World) -> &[CompactString] {
@@ -91,7 +108,10 @@
         let (_, sent) = state.polls.remove(index);
         let as_of = &mut world.tables.freshness.platform_as_of;
         match reply {
-            platform::Reply::Changes { .. } => *as_of = (*as_of).max(Some(sent)),
+            platform::Reply::Changes { .. } => {
+                *as_of = (*as_of).max(Some(sent));
+                state.rows_as_of = state.rows_as_of.max(sent);
+            }
             _ => {
                 let pause = world.options.freshness.poll_age;
                 world.systems.freshness.next_poll = tick.now + pause;
@@ -181,22 +201,29 @@
     (is_alone || is_heard) && world.systems.freshness.has_own_majority
 }
 
+/// The data centres of members and of peers that have not left. The own one is not in it if no
+/// other node of it is alive and this one still makes half of its members.
 fn look_up_required(world: &World) -> Vec<CompactString> {
-    let own = world.identity.node();
+    let (identity, peers) = (&world.identity, &world.tables.peers);
     let members = world.tables.epoch.current.members.iter();
     let members = members
-        .filter(|member| member.node != own)
-        .filter(|member| !has_left(world, member.node))
+        .filter(|member| member.node != identity.node() && !has_left(world, member.node))
         .map(|member| &member.data_centre);
-    let peers = world
-        .tables
-        .peers
+    let others = peers
         .iter()
         .filter(|(_, peer)| peer.state != PeerState::Leaving)
         .map(|(_, peer)| &peer.announcement.data_centre);
-    let mut names: Vec<&CompactString> = members.chain(peers).collect();
+    let mut names: Vec<&CompactString> = members.chain(others).collect();
     names.sort();
     names.dedup();
+    let own = identity.data_centre();
+    let has_company = peers.iter().any(|(_, peer)| {
+        peer.announcement.data_centre == *own
+            && matches!(peer.state, PeerState::Alive | PeerState::Suspect)
+    });
+    if !has_company && epoch::has_own_majority(world) {
+        names.retain(|name| *name != own);
+    }
     names.into_iter().cloned().collect()
 }
 
--- a/crates/mustardpin-world/src/system/membership.rs
+++ b/crates/mustardpin-world/src/system/membership.rs
@@ -11,7 +11,7 @@
 use crate::{
     clock::Millis,
     command::{Change, Command},
-    id::PeerKey,
+    id::{NodeId, PeerKey},
     message::membership::{Digest, Message, Update},
     platform::{Announcement, Reply, Row},
     table::peer::{Peer, State as PeerState},
@@ -44,11 +44,13 @@
                     discover(world, tick, announcement);
                 }
                 merge(world, tick, updates);
+                hear(world, from);
                 exchange::reply(world, tick, from, number, page_after);
                 notice(world, tick, from, &digest);
             }
             Message::Reply { number, digest, updates, page } => {
                 merge(world, tick, updates);
+                hear(world, from);
                 notice(world, tick, from, &digest);
                 exchange::replied(world, tick, from, number, digest, page);
             }
@@ -143,11 +145,18 @@
 }
 
 /// Passes on to the systems concerned what a peer says of its knowledge.
-fn notice(world: &mut World, tick: &mut Tick, from: crate::id::NodeId, digest: &Digest) {
+fn notice(world: &mut World, tick: &mut Tick, from: NodeId, digest: &Digest) {
     super::configuration::notice(world, tick, from, digest.revision);
     super::epoch::notice(world, tick, from, digest.epoch);
 }
 
+fn hear(world: &mut World, from: NodeId) {
+    let peer = world.tables.peers.by_node(from);
+    if let Some(peer) = peer.and_then(|peer| world.tables.peers.get_mut(peer)) {
+        peer.heard = peer.state != PeerState::Dead;
+    }
+}
+
 /// Takes in what another node believes.
 fn merge(world: &mut World, tick: &mut Tick, updates: Vec<Update>) {
     for update in updates {
@@ -183,13 +192,16 @@
     set_state(world, tick, key, update.state);
 }
 
-/// Answers a claim that this node is gone with a higher incarnation.
+/// Answers a claim that this node is gone: with a higher incarnation, if it takes one, and with the
+/// present one for those who have missed it.
 fn refute(world: &mut World, update: &Update) {
     let own = own_update(world);
-    if (update.incarnation, update.state) <= (own.incarnation, own.state) {
+    if update.state == own.state {
         return;
     }
-    world.systems.membership.incarnation = update.incarnation + 1;
+    if (update.incarnation, update.state) > (own.incarnation, own.state) {
+        world.systems.membership.incarnation = update.incarnation + 1;
+    }
     let own = own_update(world);
     update::spread(world, own);
 }
@@ -202,6 +214,7 @@
     }
     peer.state = state;
     peer.since = tick.now;
+    peer.heard &= state != PeerState::Dead;
     let update = update_of(peer, state == PeerState::Alive);
     tick.commands.push(Command::Log(Change::Peer {
         node: update.node,
--- a/crates/mustardpin-world/src/system/membership/exchange.rs
+++ b/crates/mustardpin-world/src/system/membership/exchange.rs
@@ -107,6 +107,9 @@
     let mut updates = update::take(world);
     let Some(peer) = world.tables.peers.get(key) else { return };
     add_doubt(&mut updates, peer);
+    if world.tables.leaving {
+        updates.push(own_update(world));
+    }
     let introduction = (!peer.introduced).then(|| world.identity.announcement.clone());
     let exchanges = &mut world.systems.membership.exchanges;
     exchanges.last_number += 1;
@@ -234,9 +237,10 @@
         return Some(peer);
     }
     let wants_near = !world.rng.random_ratio(1, REMOTE_SHARE);
-    let fits = |peer: &Peer| !is_dead(peer) && is_near(peer) == wants_near;
+    let is_alive = |peer: &Peer| matches!(peer.state, PeerState::Alive | PeerState::Suspect);
+    let fits = |peer: &Peer| is_alive(peer) && is_near(peer) == wants_near;
     let peer = world.sample(1, fits).pop();
-    let peer = peer.or_else(|| world.sample(1, |peer| !is_dead(peer)).pop());
+    let peer = peer.or_else(|| world.sample(1, is_alive).pop());
     peer.or_else(|| world.sample(1, is_dead).pop())
 }
 
@@ -261,7 +265,7 @@
         }
         tick.wake(next_ask);
         let fits = |peer: &Peer| peer.announcement.data_centre == name;
-        let alive = |peer: &Peer| fits(peer) && peer.state != PeerState::Dead;
+        let alive = |peer: &Peer| fits(peer) && peer.state < PeerState::Leaving;
         let peer = world.sample(1, alive).pop().or_else(|| world.sample(1, fits).pop());
         if let Some(peer) = peer {
             ask(world, tick, peer, None);
--- a/crates/mustardpin-world/src/system/membership/probe.rs
+++ b/crates/mustardpin-world/src/system/membership/probe.rs
@@ -2,6 +2,7 @@
 
 use super::{Message, PeerState, exchange, set_state};
 use crate::{
+    clock::Millis,
     id::{NodeId, PeerKey},
     table::peer::Peer,
     world::{Tick, World},
@@ -9,6 +10,8 @@
 
 /// How many peers are asked to try a peer that did not reply.
 const HELPERS: usize = 3;
+/// A peer that has left is forgotten after this time.
+const LEFT_RETENTION: Millis = Millis::from_secs(120);
 
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
     for node in std::mem::take(&mut tick.inbox.undelivered) {
@@ -89,14 +92,13 @@
 /// A peer has replied neither to this node nor to others.
 fn doubt(world: &mut World, tick: &mut Tick, key: PeerKey) {
     let Some(peer) = world.tables.peers.get(key) else { return };
-    match peer.state {
-        PeerState::Alive => set_state(world, tick, key, PeerState::Suspect),
-        PeerState::Leaving => set_state(world, tick, key, PeerState::Dead),
-        PeerState::Suspect | PeerState::Dead => {}
+    if peer.state == PeerState::Alive {
+        set_state(world, tick, key, PeerState::Suspect);
     }
 }
 
-/// Declares peers dead that have not refuted a suspicion, and forgets those long dead.
+/// Declares peers dead that have not refuted a suspicion, and forgets those that have left or are
+/// long dead.
 fn run_suspicions(world: &mut World, tick: &mut Tick) {
     let options = &world.options.membership;
     let (suspicion, retention) = (options.suspicion, options.retention);
@@ -106,6 +108,7 @@
         match peer.state {
             PeerState::Suspect if tick.now - peer.since >= suspicion => dead.push(key),
             PeerState::Suspect => tick.wake(peer.since + suspicion),
+            PeerState::Leaving if tick.now - peer.since >= LEFT_RETENTION => gone.push(key),
             PeerState::Dead if tick.now - peer.since >= retention => gone.push(key),
             _ => {}
         }
--- a/crates/mustardpin-world/src/system/proposal.rs
+++ b/crates/mustardpin-world/src/system/proposal.rs
@@ -129,11 +129,12 @@
 
 /// Whether others know this node as one through which changes come.
 ///
-/// While the platform is down, nodes go by news from the data centres of the epoch's members, so
-/// only those may accept a change.
+/// While the platform is down, nodes go by news from the data centres of the epoch's members. So
+/// only members accept changes, and only while they are in contact with their own data centre.
 fn may_accept(world: &World) -> bool {
     let epoch = &world.tables.epoch;
-    epoch.current.number == 0 || epoch.contains(world.identity.node())
+    let is_known = epoch.current.number == 0 || epoch.contains(world.identity.node());
+    is_known && world.tables.freshness.is_with_own
 }
 
 fn transaction(world: &World, proposal: &Proposal) -> Operation {
--- a/crates/mustardpin-world/src/table/epoch.rs
+++ b/crates/mustardpin-world/src/table/epoch.rs
@@ -22,6 +22,9 @@
     pub adopted: Option<Millis>,
     /// The last steps, in order, without a gap, up to the current epoch.
     pub steps: VecDeque<Step>,
+    /// Earlier epochs with the time of their adoption, in order, without a gap, up to the one
+    /// before the current one. They reach back over the time that it takes to settle.
+    pub earlier: VecDeque<(Millis, Epoch)>,
 }
 
 impl Standing {
@@ -29,29 +32,41 @@
     ///
     /// Those who lose something stop once they hear of the epoch, or within the window by losing
     /// freshness; twice the window covers both, and the way of the news. The first epoch of a
-    /// fleet takes nothing from anyone.
+    /// fleet takes nothing from anyone. Where epochs follow each other closely, none settles:
+    /// [`Standing::may_use`] asks for one piece of state.
     ///
     /// ```
     /// use mustardpin_world::{Millis, table::epoch::Standing};
     /// assert!(!Standing::default().is_settled(Millis(9_000), Millis(2_500)));
     /// ```
     pub fn is_settled(&self, now: Millis, window: Millis) -> bool {
-        if self.current.number == 1 {
-            return true;
-        }
-        self.adopted.is_some_and(|adopted| now - adopted >= window + window)
+        is_old(self.current.number, self.adopted, now, window)
     }
 
-    /// Whether a node may use something that the current epoch gives it, knowing whether the
-    /// previous epoch gave it to the same node.
+    /// Whether a node may use a piece of state, given which epochs it is the holder of it in.
+    ///
+    /// It may if it has been the holder in every epoch of the time that it takes to settle.
     ///
     /// ```
     /// use mustardpin_world::{Millis, table::epoch::Standing};
-    /// assert!(!Standing::default().may_use(true, Millis(9_000), Millis(2_500)));
+    /// assert!(!Standing::default().may_use(|_| true, Millis(9_000), Millis(2_500)));
     /// ```
-    pub fn may_use(&self, held_before: bool, now: Millis, window: Millis) -> bool {
-        let follows = self.previous.number > 0 && self.previous.number + 1 == self.current.number;
-        (held_before && follows) || self.is_settled(now, window)
+    pub fn may_use(&self, holds: impl Fn(&Epoch) -> bool, now: Millis, window: Millis) -> bool {
+        if !holds(&self.current) {
+            return false;
+        }
+        if self.is_settled(now, window) {
+            return true;
+        }
+        for (adopted, epoch) in self.earlier.iter().rev() {
+            if !holds(epoch) {
+                return false;
+            }
+            if is_old(epoch.number, Some(*adopted), now, window) {
+                return true;
+            }
+        }
+        false
     }
 
     /// Whether the node is a member of the current epoch.
@@ -60,17 +75,23 @@
     }
 
     /// Moves to a later epoch. Returns `false` if it is not later.
-    pub(crate) fn adopt(&mut self, epoch: Epoch, now: Millis) -> bool {
+    pub(crate) fn adopt(&mut self, epoch: Epoch, now: Millis, window: Millis) -> bool {
         if epoch.number <= self.current.number {
             return false;
         }
-        if epoch.number > self.current.number + 1 {
+        if epoch.number == self.current.number + 1 {
+            self.steps.push_back(step(&self.current, &epoch));
+            self.earlier.push_back((self.adopted.unwrap_or(now), self.current.clone()));
+        } else {
             self.steps.clear();
+            self.earlier.clear();
         }
-        self.steps.push_back(step(&self.current, &epoch));
         if self.steps.len() > STEPS {
             self.steps.pop_front();
         }
+        while self.earlier.get(1).is_some_and(|(adopted, _)| now - *adopted >= window + window) {
+            self.earlier.pop_front();
+        }
         self.previous = std::mem::replace(&mut self.current, epoch);
         self.adopted = Some(now);
         true
@@ -85,6 +106,10 @@
     }
 }
 
+fn is_old(number: u64, adopted: Option<Millis>, now: Millis, window: Millis) -> bool {
+    number == 1 || adopted.is_some_and(|adopted| now - adopted >= window + window)
+}
+
 /// The epoch that a step leads to, if it starts from this one.
 pub(crate) fn follow(epoch: &Epoch, step: Step) -> Option<Epoch> {
     if step.number != epoch.number + 1 {
--- a/crates/mustardpin-world/src/table/peer.rs
+++ b/crates/mustardpin-world/src/table/peer.rs
@@ -56,6 +56,8 @@
     pub since: Millis,
     /// Whether it has replied to this node, and so knows it.
     pub introduced: bool,
+    /// Whether this node has had a message from it since it last counted as dead.
+    pub heard: bool,
     /// When its row in the platform was last seen to be written.
     pub row_seen: Option<Millis>,
     /// Calls this node has passed to it that have not ended.
@@ -77,6 +79,7 @@
             state: State::Alive,
             since: now,
             introduced: false,
+            heard: false,
             row_seen: None,
             in_flight: 0,
             pressure: None,
