Let teams, routes, tenant keys and exceptions share one registry

Cause: the same arena with an index by name stood four times, alike but for the row's type. Change: table::registry::Registry<K, R>; the four tables are names for it, with what is their own.

--- a/crates/mustardpin-world/src/system/intake.rs
+++ b/crates/mustardpin-world/src/system/intake.rs
@@ -63,7 +63,7 @@
             let tenant = match key {
                 None => None,
                 Some((id, digest)) => {
-                    let tenant = tables.tenants.by_id(id);
+                    let tenant = tables.tenants.by_name(id);
                     tenant.filter(|&tenant| {
                         tables.tenants.get(tenant).is_some_and(|key| key.digest == *digest)
                     })
@@ -113,7 +113,7 @@
         Origin::Peer(_) if tables.leaving => return Err(Reason::Leaving),
         Origin::Peer(forwarded) => {
             let route = tables.routes.by_name(&forwarded.route).ok_or(Reason::RouteUnknown)?;
-            let tenant = forwarded.key_id.as_ref().and_then(|id| tables.tenants.by_id(id));
+            let tenant = forwarded.key_id.as_ref().and_then(|id| tables.tenants.by_name(id));
             Arrival {
                 route,
                 tenant,
--- a/crates/mustardpin-world/src/system/validation.rs
+++ b/crates/mustardpin-world/src/system/validation.rs
@@ -85,7 +85,7 @@
 /// A withdrawn key stays withdrawn.
 fn check_tombstone(tables: &Tables, path: &Path, row: &Row) -> Result<(), ChangeError> {
     let Row::Key(key) = row else { return Ok(()) };
-    let known = tables.tenants.by_id(&key.id).and_then(|tenant| tables.tenants.get(tenant));
+    let known = tables.tenants.by_name(&key.id).and_then(|tenant| tables.tenants.get(tenant));
     if known.is_some_and(|known| known.withdrawn && !key.withdrawn) {
         return Err(invalid(path, "was withdrawn for good: issue a new key"));
     }
--- a/crates/mustardpin-world/src/table.rs
+++ b/crates/mustardpin-world/src/table.rs
@@ -9,6 +9,7 @@
 pub mod exception;
 pub mod health;
 pub mod peer;
+pub mod registry;
 pub mod resend;
 pub mod route;
 pub mod share;
--- a/crates/mustardpin-world/src/table/exception.rs
+++ b/crates/mustardpin-world/src/table/exception.rs
@@ -1,48 +1,16 @@
 //! Exceptions, derived from the configuration.
 
-use std::collections::BTreeMap;
-
-use compact_str::CompactString;
-use slotmap::SlotMap;
-
 use crate::{
     clock::Millis,
     config::{self, Change, Importance},
     id::ExceptionKey,
+    table::registry::Registry,
 };
 
 /// The table of exceptions. It is short, so questions go through the whole of it.
-#[derive(Debug, Default)]
-pub struct Exceptions {
-    rows: SlotMap<ExceptionKey, config::Exception>,
-    by_name: BTreeMap<CompactString, ExceptionKey>,
-}
+pub type Exceptions = Registry<ExceptionKey, config::Exception>;
 
 impl Exceptions {
-    /// Adds an exception or replaces the one of the same name, whose key stays.
-    pub fn put(&mut self, exception: config::Exception) -> ExceptionKey {
-        if let Some(&key) = self.by_name.get(&exception.name) {
-            self.rows[key] = exception;
-            return key;
-        }
-        let name = exception.name.clone();
-        let key = self.rows.insert(exception);
-        self.by_name.insert(name, key);
-        key
-    }
-
-    /// Removes the exception of this name.
-    pub fn remove(&mut self, name: &str) {
-        if let Some(key) = self.by_name.remove(name) {
-            self.rows.remove(key);
-        }
-    }
-
-    /// All exceptions, in the order of their names.
-    pub fn iter(&self) -> impl Iterator<Item = (ExceptionKey, &config::Exception)> {
-        self.by_name.values().map(|&key| (key, &self.rows[key]))
-    }
-
     /// The rate and burst that an exception gives a team.
     pub fn rate(&self, wanted: &str) -> Option<(u32, u32)> {
         self.iter().find_map(|(_, exception)| match &exception.change {
--- /dev/null
+++ b/crates/mustardpin-world/src/table/registry.rs
@@ -0,0 +1,97 @@
+//! A table whose rows have names that the whole fleet knows them by.
+
+use std::collections::BTreeMap;
+
+use compact_str::CompactString;
+use slotmap::SlotMap;
+
+use crate::config;
+
+/// A row with a name.
+pub trait Row {
+    /// The name, one of a kind in its table.
+    fn name(&self) -> &CompactString;
+}
+
+impl Row for config::Exception {
+    fn name(&self) -> &CompactString {
+        &self.name
+    }
+}
+
+impl Row for config::Key {
+    fn name(&self) -> &CompactString {
+        &self.id
+    }
+}
+
+impl Row for config::Route {
+    fn name(&self) -> &CompactString {
+        &self.name
+    }
+}
+
+impl Row for config::Team {
+    fn name(&self) -> &CompactString {
+        &self.name
+    }
+}
+
+/// An arena of named rows. A row keeps its key for as long as its name is there.
+#[derive(Debug)]
+pub struct Registry<K: slotmap::Key, R> {
+    rows: SlotMap<K, R>,
+    by_name: BTreeMap<CompactString, K>,
+}
+
+impl<K: slotmap::Key, R> Default for Registry<K, R> {
+    fn default() -> Registry<K, R> {
+        Registry { rows: SlotMap::with_key(), by_name: BTreeMap::new() }
+    }
+}
+
+impl<K: slotmap::Key, R: Row> Registry<K, R> {
+    /// Adds a row or replaces the one of the same name.
+    ///
+    /// ```
+    /// use mustardpin_world::{config::Team, table::team::Teams};
+    ///
+    /// let mut teams = Teams::default();
+    /// let team = Team { name: "garage".into(), rate: 10, burst: 5, weight: 1 };
+    /// let key = teams.put(team.clone());
+    /// assert_eq!(teams.put(Team { rate: 20, ..team }), key);
+    /// assert_eq!(teams.get(key).map(|team| team.rate), Some(20));
+    /// ```
+    pub fn put(&mut self, row: R) -> K {
+        if let Some(&key) = self.by_name.get(row.name()) {
+            self.rows[key] = row;
+            return key;
+        }
+        let name = row.name().clone();
+        let key = self.rows.insert(row);
+        self.by_name.insert(name, key);
+        key
+    }
+
+    /// Removes the row of this name.
+    pub fn remove(&mut self, name: &str) {
+        if let Some(key) = self.by_name.remove(name) {
+            self.rows.remove(key);
+        }
+    }
+
+    /// The row with this key.
+    pub fn get(&self, key: K) -> Option<&R> {
+        self.rows.get(key)
+    }
+
+    /// The key of the row of this name.
+    pub fn by_name(&self, name: &str) -> Option<K> {
+        self.by_name.get(name).copied()
+    }
+
+    /// All rows, in the order of their names.
+    pub fn iter(&self) -> impl Iterator<Item = (K, &R)> {
+        self.by_name.values().map(|&key| (key, &self.rows[key]))
+    }
+}
