--- a/crates/mustardpin-virtual/src/fleet.rs
+++ b/crates/mustardpin-virtual/src/fleet.rs
@@ -796,7 +796,11 @@
         if !self.is_running(site, life, call, run) {
             return;
         }
-        let calls = self.nodes[site.0].target.service.calls.len();
+        let target = &self.nodes[site.0].target;
+        if let Some(status) = target.failing {
+            return self.end_run(site, call, status);
+        }
+        let calls = target.service.calls.len();
         if calls == 0 {
             return self.end_run(site, call, 200);
         }
--- a/crates/mustardpin-virtual/src/target.rs
+++ b/crates/mustardpin-virtual/src/target.rs
@@ -45,7 +45,7 @@
     Prompt,
     /// What was true this long ago.
     Late(Millis),
-    /// Anything.
+    /// Far too few slots or far too many, and any load and health.
     False,
 }
 
@@ -92,6 +92,8 @@
     pub service: Service,
     /// Factor on the service time.
     pub slowdown: f64,
+    /// It answers every request with this status instead of calling others.
+    pub failing: Option<u16>,
     /// It crashes when it begins to run one of these.
     pub poison: BTreeSet<Fingerprint>,
     /// Whether its process is there.
@@ -123,6 +125,7 @@
         Target {
             service,
             slowdown: 1.0,
+            failing: None,
             poison: BTreeSet::new(),
             up: true,
             started: Millis::ZERO,
@@ -151,9 +154,9 @@
                 self.past.front().map(|(_, report)| report.clone()).unwrap_or_default()
             }
             Reports::False => {
-                let slots = Some(rng.random_range(1..=1_000));
+                let slots = Some(if rng.random() { 1 } else { 1_000 });
                 let running = Some(rng.random_range(0..=1_000));
-                TargetReport { slots, running, ..truth }
+                TargetReport { slots, running, healthy: rng.random(), ..truth }
             }
         }
     }
--- /dev/null
+++ b/crates/mustardpin-virtual/tests/testsuite/retry.rs
@@ -0,0 +1,138 @@
+//! Retries stay bounded from end to end, however deep and wide the chain.
+
+use mustardpin_virtual::{Fleet, Request, Service, Site};
+use mustardpin_world::{
+    Millis, Options,
+    config::{Fleet as Defaults, Row},
+    options::{Retry, RetryPolicy},
+};
+
+use crate::support;
+
+const DEPTH: usize = 17;
+/// At these depths a service makes two different calls to the next one.
+const WIDE: [usize; 2] = [4, 9];
+/// First attempts at the deepest service for each root request: two at each wide depth.
+const FIRST_ATTEMPTS: usize = 4;
+/// How often each target, and each caller, sends a failed request again.
+const RESENDS: u32 = 5;
+
+fn allowance() -> usize {
+    Defaults::default().retry_allowance as usize
+}
+
+/// A budget from successes so large that only the allowance is left to bound anything.
+fn options(policy: RetryPolicy) -> Options {
+    let retry = Retry {
+        policy,
+        ratio_percent: 100_000,
+        ratio_burst: 1_000,
+        resend_burst: 1_000,
+        ..Retry::default()
+    };
+    Options { retry, ..Options::default() }
+}
+
+fn chain(seed: u64, options: Options) -> Fleet {
+    let mut fleet = Fleet::new(seed, options);
+    let mut rows = vec![support::team("garage", 10_000, 10_000), support::key("garage")];
+    for depth in 0..DEPTH {
+        let mut service = Service::leaf(&format!("level-{depth:02}"), 64, 2.0);
+        service.resends = RESENDS;
+        service.parallel = true;
+        if depth + 1 < DEPTH {
+            let next = format!("/level-{:02}", depth + 1);
+            service.calls.push(format!("{next}/one"));
+            if WIDE.contains(&depth) {
+                service.calls.push(format!("{next}/two"));
+            }
+        }
+        rows.push(Row::Route(support::route(&service.name)));
+        fleet.add("north", service);
+    }
+    support::put(&mut fleet, rows);
+    fleet.run_for(Millis::from_secs(3));
+    fleet
+}
+
+/// Sends requests that succeed and earn repeats, then lets the deepest service fail. Returns the
+/// largest number of attempts there for one root request.
+fn most_attempts(seed: u64, policy: RetryPolicy) -> usize {
+    const SERVED: u64 = 50;
+    const FAILED: u64 = 20;
+
+    let mut fleet = chain(seed, options(policy));
+    let entry = Site(0);
+    let send = |fleet: &mut Fleet, number: u64| {
+        let request = Request {
+            fingerprint: number,
+            resends: RESENDS,
+            ..Request::get("/level-00", "garage-1.secret")
+        };
+        let root = fleet.send(entry, request);
+        fleet.run_for(Millis(100));
+        root
+    };
+    for number in 0..SERVED {
+        send(&mut fleet, number);
+    }
+    fleet.run_for(Millis::from_secs(1));
+    let whole = fleet.received.iter().filter(|received| received.is_whole()).count();
+    assert_eq!(whole as u64, SERVED, "seed {seed}: the chain works before it fails");
+    fleet.target(Site(DEPTH - 1)).failing = Some(500);
+    let roots: Vec<u64> = (0..FAILED).map(|number| send(&mut fleet, SERVED + number)).collect();
+    fleet.run_for(Millis::from_secs(20));
+    let deepest = format!("/level-{:02}", DEPTH - 1);
+    let attempts = |root: u64| {
+        fleet.ran.iter().filter(|ran| ran.root == root && ran.path.starts_with(&deepest)).count()
+    };
+    roots.into_iter().map(attempts).max().unwrap_or(0)
+}
+
+/// Each repeat in the chain costs one of the allowance and causes at most as many first attempts
+/// below it as the root request; a caller's resend has no allowance of its own, and there are at
+/// most as many as the allowance.
+fn bound() -> usize {
+    FIRST_ATTEMPTS * (1 + allowance() + allowance())
+}
+
+#[test]
+fn attempts_at_the_deepest_service_stay_bounded_when_every_level_fails() {
+    for seed in support::seeds(3) {
+        let attempts = most_attempts(seed, RetryPolicy::Chain);
+        assert!(attempts >= FIRST_ATTEMPTS, "seed {seed}: {attempts} attempts");
+        assert!(attempts <= bound(), "seed {seed}: {attempts} attempts, bound {}", bound());
+    }
+}
+
+#[test]
+fn a_nested_call_is_repeated_once_for_each_retry_of_the_allowance() {
+    let mut fleet = Fleet::new(1, options(RetryPolicy::Chain));
+    let mut front = Service::leaf("front", 8, 2.0);
+    front.calls = vec!["/back".to_owned()];
+    front.resends = RESENDS;
+    let front = fleet.add("north", front);
+    let back = fleet.add("north", Service::leaf("back", 8, 2.0));
+    let rows = vec![
+        support::team("garage", 100, 100),
+        support::key("garage"),
+        Row::Route(support::route("front")),
+        Row::Route(support::route("back")),
+    ];
+    support::put(&mut fleet, rows);
+    fleet.run_for(Millis::from_secs(3));
+    fleet.send(front, Request::get("/front", "garage-1.secret"));
+    fleet.run_for(Millis::from_secs(1));
+    fleet.target(back).failing = Some(500);
+    let request = Request { fingerprint: 7, ..Request::get("/front", "garage-1.secret") };
+    let root = fleet.send(front, request);
+    fleet.run_for(Millis::from_secs(2));
+    let attempts = fleet.ran.iter().filter(|ran| ran.root == root && ran.path == "/back").count();
+    assert_eq!(attempts, 1 + allowance(), "unspent retries come back with each answer");
+}
+
+#[test]
+fn local_budgets_alone_do_not_bound_the_chain() {
+    let attempts = most_attempts(1, RetryPolicy::Ratio);
+    assert!(attempts > bound(), "{attempts} attempts");
+}
--- /dev/null
+++ b/crates/mustardpin-virtual/tests/testsuite/shedding.rs
@@ -0,0 +1,106 @@
+//! Important requests are refused last, at every node of a chain.
+
+use mustardpin_virtual::{Fleet, Request, Service, Site};
+use mustardpin_world::{
+    Millis, Options,
+    config::{Importance, Row},
+    options::{Discipline, Queueing},
+};
+
+use crate::support;
+
+const SERVICES: [&str; 3] = ["front", "middle", "deep"];
+/// Requests a second that the narrow service can run.
+const CAPACITY: f64 = 400.0;
+/// The share of important requests that must be served while less important ones are.
+const BOUND: f64 = 0.99;
+
+/// What callers send, by team, path, importance and share of the capacity.
+const DEMAND: [(&str, &str, Importance, f64); 3] = [
+    ("desk", "/front/book", Importance::Critical, 0.3),
+    ("garage", "/front/search", Importance::Normal, 0.3),
+    ("flood", "/front/browse", Importance::Low, 5.0),
+];
+
+fn fleet(seed: u64, narrow: usize, discipline: Discipline) -> Fleet {
+    let queueing = Queueing { discipline, ..Queueing::default() };
+    let mut fleet = Fleet::new(seed, Options { queueing, ..Options::default() });
+    let mut rows = Vec::new();
+    for (level, name) in SERVICES.into_iter().enumerate() {
+        let slots = if level == narrow { 20 } else { 100 };
+        let mut service = Service::leaf(name, slots, if level == narrow { 100.0 } else { 5.0 });
+        service.calls =
+            SERVICES.get(level + 1).map(|next| format!("/{next}")).into_iter().collect();
+        service.resends = 2;
+        for data_centre in ["north", "south"] {
+            fleet.add(data_centre, service.clone());
+        }
+        rows.push(Row::Route(support::route(name)));
+    }
+    for (team, path, importance, _) in DEMAND {
+        let mut route = support::route("front");
+        route.name = path.trim_start_matches("/front/").into();
+        route.path_prefix = path.into();
+        route.importance = importance;
+        route.timeout = Millis::from_secs(2);
+        rows.extend([Row::Route(route), support::team(team, 10_000, 10_000), support::key(team)]);
+    }
+    support::put(&mut fleet, rows);
+    fleet.run_for(Millis::from_secs(3));
+    fleet
+}
+
+/// The share of each kind of request that was served, the important ones first.
+fn served(seed: u64, narrow: usize, discipline: Discipline) -> Vec<f64> {
+    const LENGTH: u64 = 15_000;
+    /// Requests of the first seconds are left out: limits and shares are not known yet.
+    const LEARNING: u64 = 3_000;
+
+    let mut fleet = fleet(seed, narrow, discipline);
+    let mut sent = vec![Vec::new(); DEMAND.len()];
+    for now in 0..LENGTH {
+        for (kind, (team, path, _, share)) in DEMAND.into_iter().enumerate() {
+            let due = |now: u64| (now as f64 * share * CAPACITY / 1_000.0) as u64;
+            for number in due(now)..due(now + 1) {
+                let key = format!("{team}-1.secret");
+                let request = Request { fingerprint: number, ..Request::get(path, &key) };
+                let root = fleet.send(Site((number % 6) as usize), request);
+                if now >= LEARNING {
+                    sent[kind].push(root);
+                }
+            }
+        }
+        fleet.run_for(Millis(1));
+    }
+    fleet.run_for(Millis::from_secs(3));
+    let is_whole = |root: &&u64| fleet.answer_to(**root).is_some_and(|answer| answer.is_whole());
+    sent.iter()
+        .map(|roots| roots.iter().filter(is_whole).count() as f64 / roots.len() as f64)
+        .collect()
+}
+
+#[test]
+fn a_flood_of_unimportant_requests_costs_no_important_one() {
+    let mut report = String::new();
+    for seed in support::seeds(2) {
+        report.clear();
+        for (narrow, name) in SERVICES.into_iter().enumerate() {
+            let served = served(seed, narrow, Discipline::Fair);
+            let line = |what: &str, holds: bool| {
+                let verdict = if holds { "holds" } else { "fails" };
+                format!("narrow {name}: {what}: {verdict}\n")
+            };
+            report += &line("critical at least 99%", served[0] >= BOUND);
+            report += &line("normal at least 99%", served[1] >= BOUND);
+            report += &line("low less than normal", served[2] < served[1]);
+            assert!(!report.contains("fails"), "seed {seed}: {report}{served:?}");
+        }
+    }
+    insta::assert_snapshot!(report);
+}
+
+#[test]
+fn a_queue_in_order_of_arrival_refuses_important_requests() {
+    let served = served(0, 2, Discipline::Fifo);
+    assert!(served[0] < BOUND, "{served:?}");
+}
--- a/crates/mustardpin-world/src/system/limit/adaptive.rs
+++ b/crates/mustardpin-world/src/system/limit/adaptive.rs
@@ -21,17 +21,20 @@
 /// Latency above this multiple of the last probe's calls for a new probe at once.
 const PROBE_ABOVE: f64 = 2.0;
 /// Growth for each round.
-const GROWTH: f64 = 0.15;
+const GROWTH: f64 = 0.2;
 /// Growth for each round until the first probe.
 const START_GROWTH: f64 = 1.0;
 /// What the limit is multiplied by when the target declines requests.
 const DECLINED_FACTOR: f64 = 0.8;
 /// Samples of a round.
-const SAMPLES: u32 = 64;
+const SAMPLES: u32 = 32;
 /// The shortest round.
 const SHORTEST_ROUND: Millis = Millis(50);
 /// The longest round, however few samples there are.
-const LONGEST_ROUND: Millis = Millis(2_000);
+const LONGEST_ROUND: Millis = Millis(1_000);
+/// The longest round of a probe, and its samples: a probe leaves a part of the target unused.
+const LONGEST_PROBE: Millis = Millis(500);
+const PROBE_SAMPLES: u32 = 48;
 /// The shortest time between two probes.
 const SHORTEST_PERIOD: Millis = Millis(500);
 /// The shortest time between two probes without a sign of a queue.
@@ -163,7 +166,7 @@
 
 impl Algorithm for Adaptive {
     fn limit(&self) -> u32 {
-        self.limit as u32
+        self.limit.ceil() as u32
     }
 
     fn latency(&self) -> Millis {
@@ -189,10 +192,13 @@
         self.round.samples += 1;
         self.round.latency_sum += latency;
         self.round.held += u32::from(sample.in_flight >= self.limit());
+        let (samples, longest) = match self.phase {
+            Phase::Probe { .. } => (PROBE_SAMPLES.max(self.limit()), LONGEST_PROBE),
+            _ => (SAMPLES.max(self.limit()), LONGEST_ROUND),
+        };
         let length = sample.now - self.round.begun;
-        let enough =
-            self.round.samples >= SAMPLES.max(self.limit() * 2) && length >= SHORTEST_ROUND;
-        if enough || length >= LONGEST_ROUND {
+        let enough = self.round.samples >= samples && length >= SHORTEST_ROUND;
+        if enough || length >= longest {
             self.end_round(sample.now);
         }
     }
