--- /dev/null
+++ b/crates/mustardpin-node/src/admin/bridge.rs
@@ -0,0 +1,44 @@
+//! The control thread as the administration API sees it.
+
+use std::sync::Arc;
+
+use futures::future::BoxFuture;
+use mustardpin_wire::admin::{Configuration, status::Status};
+use mustardpin_world::event::Proposal;
+
+use crate::{
+    admin::{Answer, Control, Stopping},
+    clock::Clock,
+    control::Handle,
+};
+
+/// Asks the control thread.
+pub struct Bridge {
+    control: Handle,
+    clock: Arc<dyn Clock>,
+}
+
+impl Bridge {
+    /// A bridge to a control thread that lives by this clock.
+    pub fn new(control: Handle, clock: Arc<dyn Clock>) -> Bridge {
+        Bridge { control, clock }
+    }
+}
+
+impl Control for Bridge {
+    fn propose(&self, proposal: Proposal) -> BoxFuture<'_, Result<Answer, Stopping>> {
+        Box::pin(async { self.control.propose(proposal).await.map_err(|_| Stopping) })
+    }
+
+    fn status(&self) -> BoxFuture<'_, Result<Status, Stopping>> {
+        let clock = Arc::clone(&self.clock);
+        let read = move |world: &_| Status::of(world, clock.now());
+        Box::pin(async { self.control.report(read).await.map_err(|_| Stopping) })
+    }
+
+    fn configuration(&self) -> BoxFuture<'_, Result<Configuration, Stopping>> {
+        Box::pin(async {
+            self.control.report(|world| Configuration::from(world)).await.map_err(|_| Stopping)
+        })
+    }
+}
--- /dev/null
+++ b/crates/mustardpin-node/tests/testsuite/fake.rs
@@ -0,0 +1,26 @@
+//! Fakes and a builder for a small fleet.
+
+mod caller;
+mod fleet;
+mod platform;
+mod side;
+mod target;
+
+pub use self::{
+    caller::{Answer, End, call, exchange, get, http2, read_all},
+    fleet::{Fleet, KEY},
+    platform::Platform,
+    side::{TrafficSide, run},
+    target::{Script, Step, Target, text},
+};
+
+/// Waits until the condition comes true.
+pub fn wait_until(condition: impl Fn() -> bool) {
+    for _ in 0..500 {
+        if condition() {
+            return;
+        }
+        std::thread::sleep(std::time::Duration::from_millis(10));
+    }
+    panic!("the condition should have come true within five seconds");
+}
--- a/crates/mustardpin-settings/src/document.rs
+++ b/crates/mustardpin-settings/src/document.rs
@@ -5,6 +5,9 @@
 use compact_str::{CompactString, ToCompactString as _, format_compact};
 use serde::de::{Deserialize, Deserializer, MapAccess, SeqAccess, Visitor};
 
+/// Stands for the key of a file that is not a section.
+const WHOLE_FILE: &str = "(the whole file)";
+
 /// A value without a type of its own yet.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Node {
@@ -52,16 +55,27 @@
             serde_saphyr::from_str::<Node>(yaml).map_err(Box::new)?
         };
         let mut document = Document::default();
-        document.flatten("", root);
+        let key = if matches!(root, Node::Mapping(_)) { "" } else { WHOLE_FILE };
+        document.flatten(key, root);
         Ok(document)
     }
 
     /// Takes out the value of a dotted key.
+    ///
+    /// ```
+    /// use mustardpin_settings::document::Document;
+    /// assert_eq!(Document::default().take("service"), None);
+    /// ```
     pub fn take(&mut self, key: &str) -> Option<Node> {
         self.values.remove(key)
     }
 
     /// The dotted keys that have not been taken out, with their values.
+    ///
+    /// ```
+    /// let document = mustardpin_settings::document::Document::parse("a: {b: 1}").unwrap();
+    /// assert_eq!(document.rest().next().unwrap().0, "a.b");
+    /// ```
     pub fn rest(&self) -> impl Iterator<Item = (&CompactString, &Node)> {
         self.values.iter()
     }
--- a/crates/mustardpin-world/src/command.rs
+++ b/crates/mustardpin-world/src/command.rs
@@ -67,7 +67,9 @@
     /// Pass the call to a peer.
     Forward(Forward),
     /// Say on the answer to the peer that passed the call on how many of its retries are left.
-    /// Comes before the call's [`Command::Finish`].
+    /// The last word before the answer's head counts. Comes before the call's
+    /// [`Command::Finish`], and whenever the number changes; at first all retries are left that
+    /// came with the call.
     ReturnRetries {
         /// The call.
         call: CallKey,
--- a/crates/mustardpin-world/src/options.rs
+++ b/crates/mustardpin-world/src/options.rs
@@ -97,6 +97,21 @@
     }
 }
 
+/// Options of the configuration system.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Configuration {
+    /// An operator whose change has no known outcome after this time is told so.
+    pub proposal_timeout: Millis,
+    /// The time between two questions to the platform about the outcome of a change.
+    pub settle_period: Millis,
+}
+
+impl Default for Configuration {
+    fn default() -> Configuration {
+        Configuration { proposal_timeout: Millis::from_secs(5), settle_period: Millis(250) }
+    }
+}
+
 /// How many requests may run on the own target at once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum LimitAlgorithm {
@@ -155,21 +170,6 @@
     Codel,
 }
 
-/// Options of the configuration system.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Configuration {
-    /// An operator whose change has no known outcome after this time is told so.
-    pub proposal_timeout: Millis,
-    /// The time between two questions to the platform about the outcome of a change.
-    pub settle_period: Millis,
-}
-
-impl Default for Configuration {
-    fn default() -> Configuration {
-        Configuration { proposal_timeout: Millis::from_secs(5), settle_period: Millis(250) }
-    }
-}
-
 /// Options of the queueing system.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Queueing {
--- a/crates/mustardpin-world/src/system.rs
+++ b/crates/mustardpin-world/src/system.rs
@@ -81,11 +81,11 @@
     pub(crate) callers_gone: Vec<CallKey>,
     pub(crate) runs_ended: Vec<(CallKey, RunEnd)>,
     pub(crate) forwards_ended: Vec<(CallKey, ForwardEnd, Option<Pressure>)>,
-    pub(crate) retries_returned: Vec<(CallKey, u32)>,
     pub(crate) membership: Vec<(NodeId, message::membership::Message)>,
     pub(crate) configuration: Vec<(NodeId, message::configuration::Message)>,
     pub(crate) epoch: Vec<(NodeId, message::epoch::Message)>,
     pub(crate) share: Vec<(NodeId, message::share::Message)>,
+    pub(crate) retries_returned: Vec<(CallKey, u32)>,
     pub(crate) messages: Vec<(NodeId, Message)>,
     pub(crate) undelivered: Vec<NodeId>,
     pub(crate) platform: Vec<(platform::Ticket, platform::Reply)>,
@@ -109,10 +109,10 @@
                 Event::ForwardEnded { call, end, pressure } => {
                     inbox.forwards_ended.push((call, end, pressure));
                 }
+                Event::Peer { from, message } => inbox.sort_message(from, message),
                 Event::RetriesReturned { call, retries } => {
                     inbox.retries_returned.push((call, retries));
                 }
-                Event::Peer { from, message } => inbox.sort_message(from, message),
                 Event::Undelivered { to } => inbox.undelivered.push(to),
                 Event::Platform(ticket, reply) => inbox.platform.push((ticket, reply)),
                 Event::Target(report) => inbox.reports.push(report),
@@ -157,5 +157,6 @@
     recording::run(world, tick);
     queueing::run(world, tick);
     pressure::publish(world, tick);
+    retry::report(world, tick);
     drain::leave(world, tick);
 }
--- a/crates/mustardpin-world/src/system/retry.rs
+++ b/crates/mustardpin-world/src/system/retry.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     clock::Millis,
+    command::Command,
     id::CallKey,
     options::{self, RetryPolicy},
     refusal::{Outcome, Reason},
@@ -55,6 +56,8 @@
 #[derive(Debug)]
 pub(crate) struct State {
     policy: Box<dyn Policy>,
+    /// Calls whose allowance has changed since peers were last told.
+    changed: Vec<CallKey>,
 }
 
 impl State {
@@ -64,7 +67,7 @@
             RetryPolicy::Ratio => Box::new(ratio::Ratio),
             RetryPolicy::Unbounded => Box::new(unbounded::Unbounded),
         };
-        State { policy }
+        State { policy, changed: Vec::new() }
     }
 
     /// How often a caller may send a root request again.
@@ -78,6 +81,7 @@
         let Some(call) = world.tables.calls.get_mut(key) else { continue };
         call.retry_allowance += retries.min(call.lineage.lent);
         call.lineage.lent = 0;
+        world.systems.retry.changed.push(key);
     }
     for (key, end) in std::mem::take(&mut tick.inbox.runs_ended) {
         if let RunEnd::Answered { status, .. } = end {
@@ -170,9 +174,11 @@
     if !paid {
         return false;
     }
+    world.systems.retry.changed.push(key);
     if cause.price == Price::All {
         call.retry_allowance = 0;
     }
+    call.lineage.may_have_run |= cause.retry == Retry::Broken;
     let stage = call.stage;
     match (stage, call.peer.take()) {
         (Stage::Forwarded, Some(peer)) => call.tried.push(peer),
@@ -204,9 +210,29 @@
     let kept = call.retry_allowance / 2;
     let lent = call.retry_allowance - kept;
     call.retry_allowance = kept;
+    world.systems.retry.changed.push(key);
     lent
 }
 
+/// A call has got retries back.
+pub(super) fn returned(world: &mut World, key: CallKey) {
+    world.systems.retry.changed.push(key);
+}
+
+/// Tells the traffic side what calls of peers have left at present, for the heads of answers that
+/// may go out before the calls are over.
+pub(super) fn report(world: &mut World, tick: &mut Tick) {
+    let mut changed = std::mem::take(&mut world.systems.retry.changed);
+    changed.sort_unstable();
+    changed.dedup();
+    for key in changed {
+        let Some(call) = world.tables.calls.get(key) else { continue };
+        if call.from.is_some() {
+            tick.commands.push(Command::ReturnRetries { call: key, retries: call.retry_allowance });
+        }
+    }
+}
+
 /// What identifies a nested call among those of its parent.
 fn identity(request: &Request) -> u64 {
     let fingerprint = request.fingerprint.0.to_string();
--- a/crates/mustardpin-world/src/table.rs
+++ b/crates/mustardpin-world/src/table.rs
@@ -25,12 +25,12 @@
     pub calls: call::Calls,
     /// What has been counted.
     pub counters: counter::Counters,
-    /// What is asked of each route, and what comes of it.
-    pub demand: demand::Demand,
     /// Data centres.
     pub data_centres: data_centre::DataCentres,
     /// Exceptions.
     pub exceptions: exception::Exceptions,
+    /// What is asked of each route, and what comes of it.
+    pub demand: demand::Demand,
     /// Other nodes.
     pub peers: peer::Peers,
     /// Root requests that failed a short time ago.
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -49,6 +49,16 @@
     ]];
     table::print(["revision", "epoch", "knowledge", "news from the platform"], &rows);
     println!();
+    let rows: Vec<_> = view
+        .data_centres
+        .iter()
+        .map(|data_centre| {
+            let age = data_centre.age_ms.map_or("none".to_owned(), |age| format!("{age} ms"));
+            [data_centre.name.to_string(), age]
+        })
+        .collect();
+    table::print(["data centre", "age of its news"], &rows);
+    println!();
 }
 
 fn show_target(status: &Status) {
@@ -63,11 +73,24 @@
     let rows = [[
         state.to_owned(),
         slots,
+        target.limit.to_string(),
         target.running.to_string(),
         target.queued.to_string(),
+        format!("{} ms", target.latency_ms),
+        target.least_importance.to_string(),
         status.calls.to_string(),
     ]];
-    table::print(["target", "slots it reports", "running", "queued", "calls"], &rows);
+    let titles = [
+        "target",
+        "slots it reports",
+        "limit",
+        "running",
+        "queued",
+        "latency",
+        "least importance",
+        "calls",
+    ];
+    table::print(titles, &rows);
     println!();
 }
 
