--- a/crates/mustardpin-settings/src/settings.rs
+++ b/crates/mustardpin-settings/src/settings.rs
@@ -257,6 +257,15 @@
                 remedy: "give each its own port".into(),
             });
         }
+        let limit = &self.options.limit;
+        if limit.least > limit.most {
+            reader.report(Problem::Clash {
+                key: "limit.least".into(),
+                value: limit.least.to_compact_string(),
+                other: "limit.most".into(),
+                remedy: "choose a least that is not above the most".into(),
+            });
+        }
         let freshness = &self.options.freshness;
         if freshness.poll_age >= freshness.window {
             reader.report(Problem::Clash {
--- a/crates/mustardpin-settings/tests/testsuite/settings.rs
+++ b/crates/mustardpin-settings/tests/testsuite/settings.rs
@@ -70,6 +70,7 @@
             "poll age above window",
             format!("{EXAMPLE}\nfreshness:\n  window: 1s\n  poll-age: 1500ms\n"),
         ),
+        ("least above most", format!("{EXAMPLE}\nlimit:\n  least: 9\n  most: 8\n")),
         ("size without unit", format!("{EXAMPLE}\nlimits:\n  body-size: 4096\n")),
         ("size out of range", format!("{EXAMPLE}\nlimits:\n  body-size: 4096MiB\n")),
         ("not a count", format!("{EXAMPLE}\nlimits:\n  connections: many\n")),
