Let the added-time benchmark take short turns

Cause: with turns of 2 s the other work of the machine fell on single turns, so rounds of one way differed more than the ways did. Change: 15 turns of 300 ms each, added up.

--- a/crates/mustardpin-node/benches/added_time.rs
+++ b/crates/mustardpin-node/benches/added_time.rs
@@ -1,8 +1,8 @@
 //! The time that a node adds to a call, and the time of one decision of the control thread.
 //!
 //! Everything runs in this process on the loopback interface. Calls start at a fixed rate, whether
-//! earlier ones have ended or not; direct calls and calls through nodes take turns. A run takes
-//! about half a minute.
+//! earlier ones have ended or not. Direct calls and calls through nodes take turns many times, so
+//! that whatever else the machine does falls on all of them alike. A run takes about half a minute.
 
 #[path = "../tests/testsuite/fake/caller.rs"]
 #[allow(dead_code, reason = "the tests need more of it")]
@@ -46,10 +46,10 @@
     target::{Script, text},
 };
 
-/// How long one measurement lasts.
-const LENGTH: Duration = Duration::from_secs(2);
+/// How long one turn lasts.
+const LENGTH: Duration = Duration::from_millis(300);
 /// How often the measurements take turns.
-const ROUNDS: usize = 3;
+const ROUNDS: usize = 15;
 /// Calls a second.
 const CALL_RATE: u32 = 1_000;
 /// The longest time that is told apart, in microseconds.
@@ -61,24 +61,31 @@
     let script: Script = Arc::new(|_| text("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello"));
     let fleet = Fleet::start(&[("slots", Arc::clone(&script)), ("ledger", script)]);
     let runtime = Runtime::new().expect("threads");
-    for rate in DECISION_RATES {
-        for round in 1..=ROUNDS {
-            let control = fleet.nodes[0].control();
-            let histogram = runtime.block_on(decisions(control.clone(), rate));
-            print(&format!("decision, {rate}/s, round {round}"), &histogram);
-        }
-    }
-    let ways = [
-        ("direct", fleet.targets[0].address),
-        ("one node", fleet.callers(0)),
-        ("two nodes", fleet.callers(1)),
+    let control = fleet.nodes[0].control();
+    let mut decided = DECISION_RATES.map(|rate| (rate, histogram()));
+    let mut called = [
+        ("direct", fleet.targets[0].address, histogram()),
+        ("one node", fleet.callers(0), histogram()),
+        ("two nodes", fleet.callers(1), histogram()),
     ];
-    for round in 1..=ROUNDS {
-        for (way, address) in ways {
-            let histogram = runtime.block_on(calls(address));
-            print(&format!("call, {CALL_RATE}/s, {way}, round {round}"), &histogram);
+    for _ in 0..ROUNDS {
+        for (rate, times) in &mut decided {
+            *times += runtime.block_on(decisions(control.clone(), *rate));
         }
+        for (_, address, times) in &mut called {
+            *times += runtime.block_on(calls(*address));
+        }
+    }
+    for (rate, times) in &decided {
+        print(&format!("decision, {rate}/s"), times);
     }
+    for (way, _, times) in &called {
+        print(&format!("call, {CALL_RATE}/s, {way}"), times);
+    }
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_max(MAX_MICROS, 3).expect("three digits are possible")
 }
 
 fn print(name: &str, histogram: &Histogram<u64>) {
