Test that leaving targets get no new work and planned stops cut off none

Cause: leaving had no test in virtual time.

Change: drain tests. A target leaves because its node is stopped or because it reports that it is draining; it may begin no request later than 3 s after. A node with slow requests is stopped. All nodes are replaced one after another under load. Every caller must have an answer, none may have a broken one, and none that says "not run" though a target began the request. The fake target can report that it is draining.

--- a/crates/mustardpin-virtual/src/fleet.rs
+++ b/crates/mustardpin-virtual/src/fleet.rs
@@ -313,6 +313,7 @@
         node.frozen = false;
         node.next_tick = Millis::MAX;
         node.target.up = true;
+        node.target.draining = false;
         self.boot(site);
     }
 
@@ -904,7 +905,7 @@
         let report = TargetReport {
             slots: Some(node.target.service.slots as u32),
             healthy: true,
-            draining: false,
+            draining: node.target.draining,
             running: Some(node.target.busy.len() as u32),
         };
         let report = self.nodes[site.0].target.say(self.now, report, &mut self.rng);
--- a/crates/mustardpin-virtual/src/target.rs
+++ b/crates/mustardpin-virtual/src/target.rs
@@ -96,6 +96,8 @@
     pub poison: BTreeSet<Fingerprint>,
     /// Whether its process is there.
     pub up: bool,
+    /// Whether it reports that it is draining.
+    pub draining: bool,
     /// When its process started.
     pub started: Millis,
     /// How often it crashed.
@@ -125,6 +127,7 @@
             slowdown: 1.0,
             poison: BTreeSet::new(),
             up: true,
+            draining: false,
             started: Millis::ZERO,
             crashes: 0,
             past: VecDeque::new(),
--- a/crates/mustardpin-virtual/tests/testsuite/main.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the virtual fleet.
 
 mod configuration;
+mod drain;
 mod epoch;
 mod faults;
 mod freshness;
--- a/crates/mustardpin-virtual/tests/testsuite/scenario.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/scenario.rs
@@ -130,6 +130,11 @@
         self.fleet.send(site, request);
     }
 
+    /// How many requests were sent.
+    pub fn sent(&self) -> u64 {
+        self.sent
+    }
+
     /// Proposes the withdrawal through a node, as an operator who has seen all that the node has.
     pub fn withdraw(&mut self, site: Site) {
         let expected = self.revision(site);
