--- a/crates/mustardpin-virtual/src/target.rs
+++ b/crates/mustardpin-virtual/src/target.rs
@@ -98,6 +98,8 @@
     pub poison: BTreeSet<Fingerprint>,
     /// Whether its process is there.
     pub up: bool,
+    /// Whether it reports that it is draining.
+    pub draining: bool,
     /// When its process started.
     pub started: Millis,
     /// How often it crashed.
@@ -128,6 +130,7 @@
             failing: None,
             poison: BTreeSet::new(),
             up: true,
+            draining: false,
             started: Millis::ZERO,
             crashes: 0,
             past: VecDeque::new(),
