Check the order of shedding at narrow services of two sizes

Cause: the check had lost its narrow service of 5 slots and its flood of ten times the capacity while the limit was mended; the limit holds it now, so the stricter size comes back beside the other.

--- a/crates/mustardpin-virtual/tests/testsuite/shedding.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/shedding.rs
@@ -10,25 +10,42 @@
 use crate::support;
 
 const SERVICES: [&str; 3] = ["front", "middle", "deep"];
-/// Requests a second that the narrow service can run.
-const CAPACITY: f64 = 400.0;
+/// A narrow service: two targets of so many slots, and the flood as a multiple of its capacity.
+#[derive(Clone, Copy)]
+struct Narrow {
+    slots: usize,
+    mean: f64,
+    flood: f64,
+}
+
+const SIZES: [Narrow; 2] =
+    [Narrow { slots: 5, mean: 50.0, flood: 10.0 }, Narrow { slots: 20, mean: 100.0, flood: 5.0 }];
+
+impl Narrow {
+    /// Requests a second that its two targets can run.
+    fn capacity(self) -> f64 {
+        2.0 * self.slots as f64 * 1_000.0 / self.mean
+    }
+}
+
 /// The share of important requests that must be served while less important ones are.
 const BOUND: f64 = 0.99;
 
-/// What callers send, by team, path, importance and share of the capacity.
+/// What callers send, by team, path, importance and share of the capacity; of the last, as
+/// many times as the size says.
 const DEMAND: [(&str, &str, Importance, f64); 3] = [
     ("desk", "/front/book", Importance::Critical, 0.3),
     ("garage", "/front/search", Importance::Normal, 0.3),
-    ("flood", "/front/browse", Importance::Low, 5.0),
+    ("flood", "/front/browse", Importance::Low, 1.0),
 ];
 
-fn fleet(seed: u64, narrow: usize, discipline: Discipline) -> Fleet {
+fn fleet(seed: u64, narrow: usize, size: Narrow, discipline: Discipline) -> Fleet {
     let queueing = Queueing { discipline, ..Queueing::default() };
     let mut fleet = Fleet::new(seed, Options { queueing, ..Options::default() });
     let mut rows = Vec::new();
     for (level, name) in SERVICES.into_iter().enumerate() {
-        let slots = if level == narrow { 20 } else { 100 };
-        let mut service = Service::leaf(name, slots, if level == narrow { 100.0 } else { 5.0 });
+        let slots = if level == narrow { size.slots } else { 100 };
+        let mut service = Service::leaf(name, slots, if level == narrow { size.mean } else { 5.0 });
         service.calls =
             SERVICES.get(level + 1).map(|next| format!("/{next}")).into_iter().collect();
         service.resends = 2;
@@ -51,16 +68,18 @@
 }
 
 /// The share of each kind of request that was served, the important ones first.
-fn served(seed: u64, narrow: usize, discipline: Discipline) -> Vec<f64> {
+fn served(seed: u64, narrow: usize, size: Narrow, discipline: Discipline) -> Vec<f64> {
     const LENGTH: u64 = 15_000;
     /// Requests of the first seconds are left out: limits and shares are not known yet.
     const LEARNING: u64 = 3_000;
 
-    let mut fleet = fleet(seed, narrow, discipline);
+    let mut fleet = fleet(seed, narrow, size, discipline);
     let mut sent = vec![Vec::new(); DEMAND.len()];
     for now in 0..LENGTH {
         for (kind, (team, path, _, share)) in DEMAND.into_iter().enumerate() {
-            let due = |now: u64| (now as f64 * share * CAPACITY / 1_000.0) as u64;
+            let times = if kind + 1 == DEMAND.len() { size.flood } else { 1.0 };
+            let rate = share * times * size.capacity();
+            let due = |now: u64| (now as f64 * rate / 1_000.0) as u64;
             for number in due(now)..due(now + 1) {
                 let key = format!("{team}-1.secret");
                 let request = Request { fingerprint: number, ..Request::get(path, &key) };
@@ -84,11 +103,14 @@
     let mut report = String::new();
     for seed in support::seeds(2) {
         report.clear();
-        for (narrow, name) in SERVICES.into_iter().enumerate() {
-            let served = served(seed, narrow, Discipline::Fair);
+        let levels = SERVICES.into_iter().enumerate();
+        for ((narrow, name), size) in
+            levels.flat_map(|level| SIZES.into_iter().map(move |size| (level, size)))
+        {
+            let served = served(seed, narrow, size, Discipline::Fair);
             let line = |what: &str, holds: bool| {
                 let verdict = if holds { "holds" } else { "fails" };
-                format!("narrow {name}: {what}: {verdict}\n")
+                format!("narrow {name} of {} slots: {what}: {verdict}\n", size.slots)
             };
             report += &line("critical at least 99%", served[0] >= BOUND);
             report += &line("normal at least 99%", served[1] >= BOUND);
@@ -101,6 +123,6 @@
 
 #[test]
 fn a_queue_in_order_of_arrival_refuses_important_requests() {
-    let served = served(0, 2, Discipline::Fifo);
+    let served = served(0, 2, SIZES[1], Discipline::Fifo);
     assert!(served[0] < BOUND, "{served:?}");
 }
