--- a/crates/mustardpin-world/src/system/limit.rs
+++ b/crates/mustardpin-world/src/system/limit.rs
@@ -41,6 +41,11 @@
     /// The limit now.
     fn limit(&self) -> u32;
 
+    /// The limit apart from a probe that lowers it for a short time.
+    fn sustained(&self) -> u32 {
+        self.limit()
+    }
+
     /// How long a run takes, as measured.
     fn latency(&self) -> Millis {
         Millis::ZERO
@@ -90,5 +95,6 @@
         state.algorithm.observe(Sample { now: tick.now, latency, end, in_flight: target.running });
     }
     target.limit = state.algorithm.limit();
+    target.sustained_limit = state.algorithm.sustained();
     target.latency = state.algorithm.latency();
 }
--- a/crates/mustardpin-world/src/system/limit/adaptive.rs
+++ b/crates/mustardpin-world/src/system/limit/adaptive.rs
@@ -169,6 +169,13 @@
         self.limit.ceil() as u32
     }
 
+    fn sustained(&self) -> u32 {
+        match self.phase {
+            Phase::Probe { before, .. } => before as u32,
+            Phase::Start | Phase::Cruise => self.limit(),
+        }
+    }
+
     fn latency(&self) -> Millis {
         Millis(self.latency as u64)
     }
--- a/crates/mustardpin-world/src/system/queueing.rs
+++ b/crates/mustardpin-world/src/system/queueing.rs
@@ -181,7 +181,7 @@
 fn capacity(world: &World) -> usize {
     let target = &world.tables.target;
     let options = &world.options.queueing;
-    let limit = u64::from(target.limit.max(1));
+    let limit = u64::from(target.sustained_limit.max(1));
     let capacity = limit.saturating_mul(options.wait.0) / target.latency.0.max(1);
     capacity.max(LEAST_CAPACITY).min(options.capacity as u64) as usize
 }
--- a/crates/mustardpin-world/src/table/target.rs
+++ b/crates/mustardpin-world/src/table/target.rs
@@ -15,6 +15,8 @@
     pub queued: u32,
     /// How many requests may run on it at once.
     pub limit: u32,
+    /// The limit apart from a probe that lowers it for a short time.
+    pub sustained_limit: u32,
     /// How long a run takes, as measured.
     pub latency: Millis,
     /// Requests below this importance find no place in the queue at present.
