Carry bodies, losses and late messages in the virtual fleet

Cause: a check that a repeat gets the first answer needs the bodies callers receive, and a restarted node never ticked, because the time of its next tick was still the one of the process before. Change: callers' answers have bodies, the network loses and delays messages and loses answers between nodes, a kill forgets the next tick.

--- a/crates/mustardpin-virtual/src/fleet.rs
+++ b/crates/mustardpin-virtual/src/fleet.rs
@@ -19,7 +19,7 @@
         self, Answer, CallToken, Fingerprint, ForwardEnd, Origin, Pressure, RunEnd, Verdict,
     },
 };
-use rand::SeedableRng as _;
+use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 
 use crate::{
@@ -86,6 +86,8 @@
     pub at: Millis,
     /// The answer; `None` if the connection broke.
     pub verdict: Option<Verdict>,
+    /// The body of a whole answer.
+    pub body: Option<Vec<u8>>,
 }
 
 impl Received {
@@ -117,6 +119,8 @@
     waiter: Waiter,
     root: u64,
     request: Request,
+    /// The body of the answer that a target gave.
+    body: Option<Vec<u8>>,
 }
 
 #[derive(Debug)]
@@ -254,6 +258,7 @@
         let node = &mut self.nodes[site.0];
         node.up = false;
         node.life += 1;
+        node.next_tick = Millis::MAX;
         node.target.drop_work();
         let held: Vec<Held> = std::mem::take(&mut node.calls)
             .into_values()
@@ -470,7 +475,7 @@
             }
             Command::Reject(ticket, refusal) => {
                 if let Some(held) = self.nodes[site.0].tickets.remove(&ticket) {
-                    self.answer(site, held.waiter, Verdict::Refuse(refusal));
+                    self.answer(site, held.waiter, Verdict::Refuse(refusal), None);
                 }
             }
             Command::Run(run) => self.schedule(site, self.now, Step::Begin { life, run }),
@@ -478,7 +483,7 @@
             Command::Finish(call, verdict) => {
                 if let Some(held) = self.nodes[site.0].calls.remove(&call) {
                     self.nodes[site.0].forwarded.remove(&call);
-                    self.answer(site, held.waiter, verdict);
+                    self.answer(site, held.waiter, verdict, held.body);
                 }
             }
             Command::Cancel(call) => self.cancel(site, call),
@@ -519,7 +524,7 @@
             timeout: request.timeout,
         });
         let node = &mut self.nodes[site.0];
-        node.tickets.insert(ticket, Held { waiter, root, request });
+        node.tickets.insert(ticket, Held { waiter, root, request, body: None });
         node.pending.push(event);
         self.tick_at(site, self.now);
     }
@@ -540,7 +545,7 @@
 
     fn break_off(&mut self, site: Site, waiter: Waiter) {
         match waiter {
-            Waiter::Caller { root } => self.receive(root, None),
+            Waiter::Caller { root } => self.receive(root, None, None),
             Waiter::Node { site: sender, life, call } => {
                 if self.nodes[sender.0].life == life {
                     self.nodes[sender.0].forwarded.remove(&call);
@@ -556,9 +561,14 @@
         }
     }
 
-    fn answer(&mut self, site: Site, waiter: Waiter, verdict: Verdict) {
+    fn answer(&mut self, site: Site, waiter: Waiter, verdict: Verdict, body: Option<Vec<u8>>) {
+        let body = match &verdict {
+            Verdict::Pass => body,
+            Verdict::Replay(answer) => Some(answer.body.clone()),
+            Verdict::Refuse(_) => None,
+        };
         match waiter {
-            Waiter::Caller { root } => self.receive(root, Some(verdict)),
+            Waiter::Caller { root } => self.receive(root, Some(verdict), body),
             Waiter::Node { site: sender, life, call } => {
                 let pressure = self.nodes[site.0].pressure;
                 let end = match verdict {
@@ -566,7 +576,16 @@
                     Verdict::Replay(answer) => ForwardEnd::Answered { status: answer.status },
                     Verdict::Refuse(refusal) => ForwardEnd::Refused(refusal),
                 };
-                let delay = self.delay(site, sender);
+                let lost = self.network.answer_loss > 0.0
+                    && self.rng.random_bool(self.network.answer_loss);
+                let delay = self.delay(site, sender).filter(|_| !lost);
+                let node = &mut self.nodes[sender.0];
+                if delay.is_some()
+                    && node.life == life
+                    && let Some(held) = node.calls.get_mut(&call)
+                {
+                    held.body = body;
+                }
                 let event = match delay {
                     Some(_) => Event::ForwardEnded { call, end, pressure: Some(pressure) },
                     None => forward_ended(call, ForwardEnd::Broken),
@@ -583,9 +602,9 @@
         }
     }
 
-    fn receive(&mut self, root: u64, verdict: Option<Verdict>) {
+    fn receive(&mut self, root: u64, verdict: Option<Verdict>, body: Option<Vec<u8>>) {
         let Some((site, sent, _)) = self.roots.get(&root) else { return };
-        let received = Received { root, site: *site, sent: *sent, at: self.now, verdict };
+        let received = Received { root, site: *site, sent: *sent, at: self.now, verdict, body };
         self.received.push(received);
     }
 
@@ -770,9 +789,13 @@
 
     fn end_run(&mut self, site: Site, call: CallKey, status: u16) {
         let node = &mut self.nodes[site.0];
-        node.target.progress.remove(&call);
+        let progress = node.target.progress.remove(&call);
         node.target.busy.remove(&call);
-        let answer = Answer { status, headers: Vec::new(), body: call_body(call) };
+        let body = format!("run {}", progress.map_or(0, |progress| progress.run)).into_bytes();
+        if let Some(held) = node.calls.get_mut(&call) {
+            held.body = Some(body.clone());
+        }
+        let answer = Answer { status, headers: Vec::new(), body };
         let end = RunEnd::Answered { status, answer: Some(Arc::new(answer)) };
         self.deliver_later(site, Millis(0), Event::RunEnded(call, end));
         self.start_waiting(site);
@@ -802,8 +825,15 @@
         let (Some(receiver), Some(delay)) = (receiver, delay) else {
             return self.deliver_later(site, Millis(500), Event::Undelivered { to });
         };
+        if self.network.loss > 0.0 && self.rng.random_bool(self.network.loss) {
+            return;
+        }
+        let jitter = match self.network.jitter.0 {
+            0 => Millis(0),
+            jitter => Millis(self.rng.random_range(0..=jitter)),
+        };
         let from = self.nodes[site.0].world.identity().node();
-        self.deliver_later(receiver, delay, Event::Peer { from, message });
+        self.deliver_later(receiver, delay + jitter, Event::Peer { from, message });
     }
 
     fn ask_platform(
@@ -848,8 +878,3 @@
     let id = key.split('.').next().unwrap_or(key);
     (id.into(), KeyDigest::of(key))
 }
-
-/// A body that differs from call to call.
-fn call_body(call: CallKey) -> Vec<u8> {
-    format!("{call:?}").into_bytes()
-}
--- a/crates/mustardpin-virtual/src/network.rs
+++ b/crates/mustardpin-virtual/src/network.rs
@@ -26,6 +26,12 @@
 pub struct Network {
     /// How long messages take.
     pub delay: Delay,
+    /// Messages between worlds come up to this much later than the delay says, each by itself.
+    pub jitter: Millis,
+    /// The share of messages between worlds that get lost, from 0 to 1.
+    pub loss: f64,
+    /// The share of answers between nodes that get lost, from 0 to 1.
+    pub answer_loss: f64,
     cuts: BTreeSet<(String, String)>,
     from_platform: BTreeSet<String>,
 }
