Run non-repeatable requests at most once

Cause: nothing kept a resent booking from running again. Change: the home of a request reserves a record, has the mirror keep a copy in the same epoch and only then lets it run. Records move in handovers when the epoch changes; a new home serves a request once the home or the mirror of each earlier epoch back to a settled one has handed over. What both have lost is answered with 'outcome unknown' until retention has passed. Conclusion: any run needs two nodes in one epoch, so either can tell; the lease is a second line.

--- /dev/null
+++ b/crates/mustardpin-virtual/tests/testsuite/schedule.rs
@@ -0,0 +1,180 @@
+//! Random schedules of failures, decided by a seed.
+
+use mustardpin_virtual::Site;
+use mustardpin_world::Millis;
+use rand::{RngExt as _, SeedableRng as _, seq::IndexedRandom as _};
+use rand_pcg::Pcg64Mcg;
+
+use crate::bookings::{Bookings, CENTRES};
+
+/// The seeds to run: a few, or as many as `MUSTARDPIN_SEEDS` says.
+pub fn seeds(few: u64) -> std::ops::Range<u64> {
+    let wanted = std::env::var("MUSTARDPIN_SEEDS").ok().and_then(|text| text.parse().ok());
+    0..wanted.unwrap_or(few)
+}
+
+/// Which failures a schedule has.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Failures {
+    pub kills: bool,
+    pub freezes: bool,
+    pub cuts: bool,
+    pub losses: bool,
+    pub epochs: bool,
+    pub crashes: bool,
+}
+
+impl Failures {
+    pub const ALL: Failures = Failures {
+        kills: true,
+        freezes: true,
+        cuts: true,
+        losses: true,
+        epochs: true,
+        crashes: true,
+    };
+}
+
+const STEPS: usize = 150;
+
+struct Schedule {
+    bookings: Bookings,
+    failures: Failures,
+    rng: Pcg64Mcg,
+    keys: usize,
+    dead: Vec<Site>,
+    frozen: Vec<(Site, Millis)>,
+    healed_at: Millis,
+}
+
+/// Runs a schedule: bookings, repeats and failures, then quiet, then every booking once more.
+pub fn run(seed: u64, failures: Failures) -> Bookings {
+    let bookings = Bookings::new(seed, 2);
+    let rng = Pcg64Mcg::seed_from_u64(seed);
+    let (dead, frozen, healed_at) = (Vec::new(), Vec::new(), Millis::ZERO);
+    let mut schedule = Schedule { bookings, failures, rng, keys: 0, dead, frozen, healed_at };
+    if failures.losses {
+        schedule.bookings.fleet.network.loss = 0.05;
+        schedule.bookings.fleet.network.answer_loss = 0.05;
+        schedule.bookings.fleet.network.jitter = Millis(30);
+    }
+    for _ in 0..STEPS {
+        schedule.step();
+    }
+    schedule.end();
+    schedule.bookings
+}
+
+impl Schedule {
+    fn step(&mut self) {
+        self.recover();
+        self.book();
+        if self.rng.random_bool(0.15) {
+            self.fail();
+        }
+        if self.failures.crashes && self.rng.random_bool(0.1) {
+            let ledger = self.ledger();
+            self.bookings.fleet.crash_target(ledger);
+            self.bookings.fleet.run_for(Millis(50));
+            self.bookings.fleet.restart_target(ledger);
+        }
+        let length = self.rng.random_range(1..300);
+        self.bookings.fleet.run_for(Millis(length));
+    }
+
+    /// Sends a new booking, or one of the last ten again, to a node or two.
+    fn book(&mut self) {
+        for _ in 0..self.rng.random_range(1..5) {
+            let again = self.keys > 0 && self.rng.random_bool(0.6);
+            let number = match again {
+                true => self.rng.random_range(self.keys.saturating_sub(10)..self.keys),
+                false => self.keys,
+            };
+            self.keys = self.keys.max(number + 1);
+            let sites: Vec<Site> = self.bookings.fleet.sites().collect();
+            for _ in 0..self.rng.random_range(1..3) {
+                let Some(&site) = sites.choose(&mut self.rng) else { return };
+                self.bookings.book(site, &format!("key-{number}"));
+            }
+        }
+    }
+
+    fn ledger(&mut self) -> Site {
+        let index = self.rng.random_range(0..self.bookings.ledgers.len());
+        self.bookings.ledgers[index]
+    }
+
+    fn fail(&mut self) {
+        let ledger = self.ledger();
+        match self.rng.random_range(0..5) {
+            0 if self.failures.kills => {
+                self.bookings.fleet.kill(ledger);
+                self.dead.push(ledger);
+            }
+            1 if self.failures.freezes => {
+                let length = Millis(self.rng.random_range(100..8_000));
+                self.bookings.fleet.freeze(ledger);
+                self.frozen.push((ledger, self.bookings.fleet.now + length));
+            }
+            2 if self.failures.cuts => {
+                let (one, other) = (self.rng.random_range(0..3), self.rng.random_range(0..3));
+                self.bookings.fleet.network.cut(CENTRES[one], CENTRES[other]);
+                if self.rng.random_bool(0.5) {
+                    self.bookings.fleet.network.cut_platform(CENTRES[one]);
+                }
+                let length = Millis(self.rng.random_range(100..6_000));
+                self.healed_at = self.bookings.fleet.now + length;
+            }
+            _ if self.failures.epochs => self.adopt(),
+            _ => {}
+        }
+    }
+
+    /// Adopts an epoch without the dead, and at times without one or two others.
+    fn adopt(&mut self) {
+        let mut out = self.dead.clone();
+        for _ in 0..self.rng.random_range(0..3) {
+            out.push(self.ledger());
+        }
+        self.bookings.adopt(|site| !out.contains(&site));
+    }
+
+    /// Ends failures whose time is over, and restarts dead nodes at times.
+    fn recover(&mut self) {
+        let now = self.bookings.fleet.now;
+        if now >= self.healed_at {
+            self.bookings.fleet.network.heal();
+        }
+        let (over, still) = self.frozen.iter().partition(|(_, until)| now >= *until);
+        self.frozen = still;
+        let over: Vec<(Site, Millis)> = over;
+        for (site, _) in over {
+            self.bookings.fleet.resume(site);
+        }
+        if !self.dead.is_empty() && self.rng.random_bool(0.05) {
+            let site = self.dead.swap_remove(0);
+            self.frozen.retain(|(frozen, _)| *frozen != site);
+            self.bookings.fleet.restart(site);
+            self.bookings.announce();
+        }
+    }
+
+    fn end(&mut self) {
+        let bookings = &mut self.bookings;
+        bookings.fleet.network.heal();
+        bookings.fleet.network.loss = 0.0;
+        bookings.fleet.network.answer_loss = 0.0;
+        for (site, _) in self.frozen.drain(..) {
+            bookings.fleet.resume(site);
+        }
+        for site in self.dead.drain(..) {
+            bookings.fleet.restart(site);
+        }
+        bookings.announce();
+        bookings.fleet.run_for(Millis::from_secs(3));
+        bookings.adopt(|_| true);
+        bookings.fleet.run_for(Millis::from_secs(15));
+        bookings.book_all_again();
+        bookings.fleet.run_for(Millis::from_secs(5));
+    }
+}
--- a/crates/mustardpin-world/src/id.rs
+++ b/crates/mustardpin-world/src/id.rs
@@ -64,4 +64,6 @@
     pub struct PeerKey;
     /// Names a row of the call table: a request this node has taken in.
     pub struct CallKey;
+    /// Names a row of the record table: a non-repeatable request.
+    pub struct RecordKey;
 }
--- a/crates/mustardpin-world/src/options.rs
+++ b/crates/mustardpin-world/src/options.rs
@@ -13,6 +13,8 @@
     pub queueing: Queueing,
     /// Options of the routing system.
     pub routing: Routing,
+    /// Options of the recording system.
+    pub recording: Recording,
 }
 
 /// Options of the membership system.
@@ -72,3 +74,39 @@
         Routing { max_hops: 3, default_timeout: Millis::from_secs(30) }
     }
 }
+
+/// Options of the recording system.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Recording {
+    /// A request whose record is not mirrored within this time is refused.
+    pub mirror_timeout: Millis,
+    /// The time between two sendings of a message that has not been acknowledged.
+    pub resend_period: Millis,
+    /// Records that the node keeps at most.
+    pub record_limit: usize,
+    /// Bytes of recorded answers that the node keeps at most.
+    pub answer_bytes_limit: usize,
+    /// Records in one handover message.
+    pub batch_records: usize,
+    /// Bytes of recorded answers in one handover message; a single answer may exceed it.
+    pub batch_bytes: usize,
+    /// After this time in an epoch, records that nobody has handed over count as lost.
+    pub handover_timeout: Millis,
+    /// A node that has fallen behind the others for this long gives up its present epoch.
+    pub catch_up_after: Millis,
+}
+
+impl Default for Recording {
+    fn default() -> Recording {
+        Recording {
+            mirror_timeout: Millis(500),
+            resend_period: Millis(100),
+            record_limit: 100_000,
+            answer_bytes_limit: 32 << 20,
+            batch_records: 64,
+            batch_bytes: 48 << 10,
+            handover_timeout: Millis::from_secs(5),
+            catch_up_after: Millis::from_secs(1),
+        }
+    }
+}
--- a/crates/mustardpin-world/src/refusal.rs
+++ b/crates/mustardpin-world/src/refusal.rs
@@ -94,6 +94,8 @@
     WrongHome = "wrong_home", 503;
     /// The node that would mirror the record of this request did not answer.
     MirrorUnavailable = "mirror_unavailable", 503;
+    /// The node keeps as many records of non-repeatable requests as it may.
+    RecordsFull = "records_full", 503;
     /// The node has no recent knowledge of keys and configuration.
     CutOff = "cut_off", 503;
     /// The node has no configuration yet.
--- a/crates/mustardpin-world/src/system.rs
+++ b/crates/mustardpin-world/src/system.rs
@@ -1,5 +1,6 @@
 //! The systems, and the order in which they run each tick.
 
+mod adoption;
 mod completion;
 mod configuration;
 mod drain;
@@ -8,11 +9,13 @@
 mod intake;
 mod membership;
 mod permission;
+mod placement;
 mod queueing;
 mod rating;
-mod recording;
+pub(crate) mod recording;
 mod routing;
 mod screening;
+mod sending;
 
 use crate::{
     event::{Event, Proposal, ProposalTicket, TargetReport},
@@ -29,6 +32,7 @@
     pub(crate) last_ticket: platform::Ticket,
     pub(crate) freshness: freshness::State,
     pub(crate) queueing: queueing::State,
+    pub(crate) recording: recording::State,
 }
 
 /// The events of one tick, sorted by the system that reads them.
@@ -78,6 +82,7 @@
 pub(crate) fn run(world: &mut World, tick: &mut Tick) {
     configuration::run(world, tick);
     membership::run(world, tick);
+    adoption::run(world, tick);
     freshness::run(world, tick);
     completion::run(world, tick);
     intake::run(world, tick);
--- a/crates/mustardpin-world/src/system/completion.rs
+++ b/crates/mustardpin-world/src/system/completion.rs
@@ -5,7 +5,7 @@
     id::CallKey,
     refusal::{Outcome, Reason, Refusal},
     request::{ForwardEnd, RunEnd, Verdict},
-    system::finish,
+    system::{finish, placement, recording},
     table::call::Stage,
     world::{Tick, World},
 };
@@ -33,6 +33,8 @@
     let Some(call) = world.tables.calls.get_mut(key) else { return };
     call.abandoned = true;
     match call.stage {
+        // A non-repeatable run goes on, so that its answer is there for the caller's next try.
+        Stage::Running if call.record.is_some() => {}
         Stage::Running | Stage::Forwarded => tick.commands.push(Command::Cancel(key)),
         _ => {
             let refusal = Refusal::not_run(Reason::CallerGone);
@@ -42,6 +44,7 @@
 }
 
 fn run_ended(world: &mut World, tick: &mut Tick, key: CallKey, end: RunEnd) {
+    recording::run_ended(world, tick, key, &end);
     let verdict = match end {
         RunEnd::Answered { .. } => Verdict::Pass,
         RunEnd::Declined | RunEnd::NotSent => {
@@ -54,6 +57,9 @@
 }
 
 fn forward_ended(world: &mut World, tick: &mut Tick, key: CallKey, end: ForwardEnd) {
+    if placement::run_again(world, tick, key, &end) {
+        return;
+    }
     let verdict = match end {
         ForwardEnd::Answered { .. } => Verdict::Pass,
         ForwardEnd::Refused(refusal) => Verdict::Refuse(refusal),
--- a/crates/mustardpin-world/src/system/finish.rs
+++ b/crates/mustardpin-world/src/system/finish.rs
@@ -4,6 +4,7 @@
     command::Command,
     id::CallKey,
     request::Verdict,
+    system::recording,
     table::{call::Stage, counter::Work},
     world::{Tick, World},
 };
@@ -25,5 +26,6 @@
         Verdict::Replay(_) => tables.counters.work(Work::Replayed),
         Verdict::Refuse(refusal) => tables.counters.refuse(refusal.reason),
     }
+    recording::release(world, tick, key, &call);
     tick.commands.push(Command::Finish(key, verdict));
 }
--- a/crates/mustardpin-world/src/system/intake.rs
+++ b/crates/mustardpin-world/src/system/intake.rs
@@ -160,6 +160,8 @@
         peer: None,
         tried: Default::default(),
         abandoned: false,
+        record: None,
+        isolated: false,
     });
     tick.commands.push(Command::Accepted(request.ticket, call));
 }
--- a/crates/mustardpin-world/src/system/queueing.rs
+++ b/crates/mustardpin-world/src/system/queueing.rs
@@ -8,7 +8,7 @@
     id::CallKey,
     refusal::{Reason, Refusal},
     request::{Run, Verdict},
-    system::{finish, permission},
+    system::{finish, permission, recording},
     table::{call::Stage, counter::Work},
     world::{Tick, World},
 };
@@ -41,7 +41,9 @@
 /// Sends a call to the own target, unless its time is up or it may no longer run.
 fn dispatch(world: &mut World, tick: &mut Tick, key: CallKey) {
     let tables = &mut world.tables;
-    let Some(call) = tables.calls.get(key) else { return };
+    let Some(call) = tables.calls.get(key).filter(|call| call.stage == Stage::Queued) else {
+        return;
+    };
     if call.deadline <= tick.now {
         let refusal = Refusal::not_run(Reason::DeadlineBeforeRun);
         return finish::run(world, tick, key, Verdict::Refuse(refusal));
@@ -49,6 +51,17 @@
     if let Err(reason) = permission::check(tables, call.route, call.tenant) {
         return finish::run(world, tick, key, Verdict::Refuse(Refusal::not_run(reason)));
     }
+    match recording::start(world, tick, key) {
+        Ok(()) => {}
+        Err(recording::Hold::Record) => {
+            return world.tables.calls.advance(key, Stage::Recording, tick.now);
+        }
+        Err(recording::Hold::Refuse(refusal)) => {
+            return finish::run(world, tick, key, Verdict::Refuse(refusal));
+        }
+    }
+    let tables = &mut world.tables;
+    let Some(call) = tables.calls.get(key) else { return };
     let record = tables.routes.get(call.route).is_some_and(|route| !route.repeatable);
     tick.commands.push(Command::Run(Run {
         call: key,
--- a/crates/mustardpin-world/src/system/routing.rs
+++ b/crates/mustardpin-world/src/system/routing.rs
@@ -5,7 +5,7 @@
     id::{CallKey, PeerKey},
     refusal::{Reason, Refusal},
     request::{Forward, Forwarded, Verdict},
-    system::finish,
+    system::{finish, placement},
     table::{call::Stage, counter::Work, peer::State},
     world::{Tick, World},
 };
@@ -27,6 +27,9 @@
             Verdict::Refuse(Refusal::not_run(Reason::RouteUnknown)),
         );
     };
+    if !route.repeatable {
+        return placement::run(world, tick, key);
+    }
     let own = route.service == *world.identity.service() && tables.target.present;
     if own && call.tried.is_empty() {
         tables.calls.advance(key, Stage::Screening, tick.now);
@@ -60,7 +63,8 @@
         .map(|(peer_key, _)| peer_key)
 }
 
-fn forward(world: &mut World, tick: &mut Tick, key: CallKey, peer_key: PeerKey) {
+/// Passes a call to a peer.
+pub(super) fn forward(world: &mut World, tick: &mut Tick, key: CallKey, peer_key: PeerKey) {
     let tables = &mut world.tables;
     tables.calls.advance(key, Stage::Forwarded, tick.now);
     let Some(call) = tables.calls.get_mut(key) else { return };
--- a/crates/mustardpin-world/src/table.rs
+++ b/crates/mustardpin-world/src/table.rs
@@ -3,6 +3,7 @@
 pub mod call;
 pub mod counter;
 pub mod peer;
+pub mod record;
 pub mod route;
 pub mod target;
 pub mod team;
@@ -21,6 +22,8 @@
     pub counters: counter::Counters,
     /// Other nodes.
     pub peers: peer::Peers,
+    /// Records of non-repeatable requests.
+    pub records: record::Records,
     /// Routes.
     pub routes: route::Routes,
     /// The own target.
--- a/crates/mustardpin-world/src/table/call.rs
+++ b/crates/mustardpin-world/src/table/call.rs
@@ -10,7 +10,7 @@
 use crate::{
     clock::Millis,
     config::Importance,
-    id::{CallKey, NodeId, PeerKey, RouteKey, TeamKey, TenantKey},
+    id::{CallKey, NodeId, PeerKey, RecordKey, RouteKey, TeamKey, TenantKey},
     request::{CallToken, Fingerprint, Ticket},
 };
 
@@ -78,6 +78,10 @@
     pub tried: SmallVec<[PeerKey; 4]>,
     /// Whether the caller has gone.
     pub abandoned: bool,
+    /// The record that it runs under, if its route is non-repeatable.
+    pub record: Option<RecordKey>,
+    /// Whether it must run alone on the target.
+    pub isolated: bool,
 }
 
 /// The table of calls.
--- a/crates/mustardpin-world/src/world.rs
+++ b/crates/mustardpin-world/src/world.rs
@@ -112,6 +112,11 @@
         &self.tables
     }
 
+    /// Whether the node is in no epoch and others have all records it kept.
+    pub fn has_handed_over(&self) -> bool {
+        system::recording::handed_over(self)
+    }
+
     /// Who the node is.
     pub fn identity(&self) -> &Identity {
         &self.identity
