--- a/crates/mustardpin-virtual/src/network.rs
+++ b/crates/mustardpin-virtual/src/network.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use mustardpin_world::Millis;
+use mustardpin_world::{Millis, message::Message};
 
 /// The one-way delays of a network.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -32,6 +32,8 @@
     pub loss: f64,
     /// The share of answers between nodes that get lost, from 0 to 1.
     pub answer_loss: f64,
+    /// Messages between data centres that get lost, such as those too large for a path.
+    pub lose: Option<fn(&Message) -> bool>,
     cuts: BTreeSet<(String, String)>,
     from_platform: BTreeSet<String>,
 }
--- /dev/null
+++ b/crates/mustardpin-wire/tests/testsuite/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the wire types: round trips, and decoders that face the network.
+
+mod decode;
+mod platform;
--- a/crates/mustardpin-world/src/system/recording/handover.rs
+++ b/crates/mustardpin-world/src/system/recording/handover.rs
@@ -6,12 +6,9 @@
     clock::Millis,
     id::{NodeId, RecordKey},
     message::record::{Batch, Gap, Message},
-    system::{
-        recording::{
-            mirroring::merge,
-            turn::{Handed, Turn, has_hash},
-        },
-        sending::send,
+    system::recording::{
+        mirroring::merge,
+        turn::{Handed, Turn, has_hash},
     },
     table::record::{Record, State as RecordState},
     world::{Tick, World},
@@ -99,7 +96,7 @@
     };
     outbox.sent = Some(batch.clone());
     outbox.sent_at = tick.now;
-    send(world, tick, outbox.to, Message::Handover(batch));
+    world.send_to(tick, outbox.to, Message::Handover(batch));
 }
 
 /// Takes in a batch that another node handed over.
@@ -123,7 +120,7 @@
         merge(world, now, entry);
     }
     let reply = Message::HandedOver { epoch: batch.epoch, number: batch.number, want_full };
-    send(world, tick, from, reply);
+    world.send_to(tick, from, reply);
 }
 
 /// A receiver has a batch: sends it the next one.
@@ -178,7 +175,7 @@
             continue;
         }
         outbox.sent_at = tick.now;
-        send(world, tick, outbox.to, Message::Handover(batch.clone()));
+        world.send_to(tick, outbox.to, Message::Handover(batch.clone()));
     }
     world.systems.recording.outboxes = outboxes;
 }
