Stop requests that crash targets after two crashes in the fleet

Cause: a caller that sent a crashing request again crashed one target after another. Change: requests in flight at a crash are suspects, and every peer is told. Copies of a repeatable suspect go to one node, its home, and run there alone on the target, one at a time; an answer clears the suspect, a crash quarantines it in the whole fleet. What may have crashed a target is not repeated by the system. Not checked: copies sent to several nodes at the same moment, before the news of the first crash.

--- a/crates/mustardpin-virtual/tests/testsuite/main.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod membership;
 mod once;
 mod path;
+mod quarantine;
 mod rating;
 mod scenario;
 mod schedule;
--- a/crates/mustardpin-world/src/options.rs
+++ b/crates/mustardpin-world/src/options.rs
@@ -25,6 +25,8 @@
     pub routing: Routing,
     /// Options of the recording system.
     pub recording: Recording,
+    /// Options of the screening system.
+    pub screening: Screening,
     /// Options of the rating system.
     pub rating: Rating,
 }
@@ -325,3 +327,24 @@
         }
     }
 }
+
+/// Options of the screening system.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Screening {
+    /// How long a request is a suspect that was in flight at a crash.
+    pub suspicion: Millis,
+    /// How long a request stays in quarantine that was alone in flight at a crash.
+    pub quarantine: Millis,
+    /// Suspects that the node keeps at most.
+    pub limit: usize,
+}
+
+impl Default for Screening {
+    fn default() -> Screening {
+        Screening {
+            suspicion: Millis::from_secs(60),
+            quarantine: Millis::from_secs(600),
+            limit: 4_096,
+        }
+    }
+}
--- a/crates/mustardpin-world/src/system.rs
+++ b/crates/mustardpin-world/src/system.rs
@@ -52,6 +52,7 @@
     pub(crate) recording: recording::State,
     pub(crate) registration: registration::State,
     pub(crate) retry: retry::State,
+    pub(crate) screening: screening::State,
 }
 
 impl State {
@@ -72,6 +73,7 @@
             recording: recording::State::default(),
             registration: registration::State::default(),
             retry: retry::State::new(&options.retry),
+            screening: screening::State::default(),
         }
     }
 }
@@ -89,8 +91,8 @@
     pub(crate) epoch: Vec<(NodeId, message::epoch::Message)>,
     pub(crate) share: Vec<(NodeId, message::share::Message)>,
     pub(crate) records: Vec<(NodeId, message::record::Message)>,
+    pub(crate) quarantine: Vec<(NodeId, message::quarantine::Message)>,
     pub(crate) retries_returned: Vec<(CallKey, u32)>,
-    pub(crate) messages: Vec<(NodeId, Message)>,
     pub(crate) undelivered: Vec<NodeId>,
     pub(crate) platform: Vec<(platform::Ticket, platform::Reply)>,
     pub(crate) reports: Vec<TargetReport>,
@@ -136,7 +138,7 @@
             Message::Epoch(message) => self.epoch.push((from, message)),
             Message::Share(message) => self.share.push((from, message)),
             Message::Record(message) => self.records.push((from, message)),
-            message => self.messages.push((from, message)),
+            Message::Quarantine(message) => self.quarantine.push((from, message)),
         }
     }
 }
@@ -153,6 +155,7 @@
     limit::run(world, tick);
     ejection::run(world, tick);
     pressure::run(world, tick);
+    screening::observe(world, tick);
     retry::run(world, tick);
     completion::run(world, tick);
     intake::run(world, tick);
--- a/crates/mustardpin-world/src/system/finish.rs
+++ b/crates/mustardpin-world/src/system/finish.rs
@@ -25,6 +25,10 @@
         Verdict::Refuse(refusal) => tables.counters.refuse(refusal.reason),
     }
     recording::release(world, tick, key, &call);
+    if world.tables.target.trial == Some(key) {
+        world.tables.target.trial = None;
+        tick.wake(tick.now);
+    }
     let tables = &mut world.tables;
     return_to_parent(tables, key, &call, &verdict);
     if let Some(parent) = call.parent {
--- a/crates/mustardpin-world/src/system/queueing.rs
+++ b/crates/mustardpin-world/src/system/queueing.rs
@@ -103,6 +103,11 @@
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
     for key in world.tables.calls.take(Stage::Queued) {
         let Some(call) = world.tables.calls.get(key) else { continue };
+        if call.isolated {
+            // Waits outside the queue until the target is idle.
+            world.tables.calls.keep(key);
+            continue;
+        }
         let entry = entry(world, key, call);
         world.systems.queueing.discipline.push(entry);
     }
@@ -149,6 +154,9 @@
 
 /// Sends calls to the target for as long as it has room.
 fn fill(world: &mut World, tick: &mut Tick) {
+    if let Some(trial) = world.tables.target.trial {
+        return try_alone(world, tick, trial);
+    }
     while has_room(world, tick.now) {
         match world.systems.queueing.discipline.pop(tick.now) {
             Some(Next::Run(entry)) => dispatch(world, tick, entry),
@@ -160,6 +168,16 @@
     }
 }
 
+/// Runs a suspect once the target is idle. Nothing else begins before it has ended.
+fn try_alone(world: &mut World, tick: &mut Tick, trial: CallKey) {
+    let Some(call) = world.tables.calls.get(trial) else { return };
+    if call.stage == Stage::Queued && world.tables.target.running == 0 {
+        let entry = entry(world, trial, call);
+        return dispatch(world, tick, entry);
+    }
+    tick.wake(call.deadline);
+}
+
 fn has_room(world: &World, now: Millis) -> bool {
     let target = &world.tables.target;
     match target.health.standing(now, target.running) {
--- a/crates/mustardpin-world/src/system/retry.rs
+++ b/crates/mustardpin-world/src/system/retry.rs
@@ -17,7 +17,7 @@
     options::{self, RetryPolicy},
     refusal::{Outcome, Reason},
     request::{ForwardEnd, Request, RunEnd},
-    system::finish,
+    system::{finish, screening},
     table::{
         call::{Call, Stage},
         counter::Retry,
@@ -88,6 +88,8 @@
             settle(world, key, status);
         }
         let cause = world.tables.calls.get(key).and_then(|call| run_cause(world, call, &end));
+        // What may have crashed a target is not repeated.
+        let cause = cause.filter(|_| !screening::is_suspect(world, tick.now, key));
         if !cause.is_some_and(|cause| again(world, tick.now, key, cause)) {
             tick.inbox.runs_ended.push((key, end));
         }
--- a/crates/mustardpin-world/src/table.rs
+++ b/crates/mustardpin-world/src/table.rs
@@ -13,6 +13,7 @@
 pub mod resend;
 pub mod route;
 pub mod share;
+pub mod suspect;
 pub mod target;
 pub mod team;
 pub mod tenant;
@@ -42,6 +43,8 @@
     pub routes: route::Routes,
     /// Rate tokens.
     pub shares: share::Shares,
+    /// Requests that were in flight as a target crashed.
+    pub suspects: suspect::Suspects,
     /// The own target.
     pub target: target::Target,
     /// Teams.
--- a/crates/mustardpin-world/src/table/target.rs
+++ b/crates/mustardpin-world/src/table/target.rs
@@ -1,6 +1,8 @@
 //! The own target: the one behind this node.
 
-use crate::{clock::Millis, config::Importance, event::TargetReport, table::health::Health};
+use crate::{
+    clock::Millis, config::Importance, event::TargetReport, id::CallKey, table::health::Health,
+};
 
 /// What the node knows of its target.
 #[derive(Debug, Default)]
@@ -13,6 +15,8 @@
     pub running: u32,
     /// Requests waiting for it.
     pub queued: u32,
+    /// The suspect that runs alone on it, or waits until it can.
+    pub trial: Option<CallKey>,
     /// How many requests may run on it at once.
     pub limit: u32,
     /// How long a run takes, as measured.
