--- a/crates/mustardpin-virtual/src/fleet.rs
+++ b/crates/mustardpin-virtual/src/fleet.rs
@@ -19,7 +19,7 @@
         self, Answer, CallToken, Fingerprint, ForwardEnd, Origin, Pressure, RunEnd, Verdict,
     },
 };
-use rand::SeedableRng as _;
+use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 
 use crate::{
@@ -89,6 +89,8 @@
     pub at: Millis,
     /// The answer; `None` if the connection broke.
     pub verdict: Option<Verdict>,
+    /// The body of a whole answer.
+    pub body: Option<Vec<u8>>,
 }
 
 impl Received {
@@ -120,6 +122,8 @@
     waiter: Waiter,
     root: u64,
     request: Request,
+    /// The body of the answer that a target gave.
+    body: Option<Vec<u8>>,
 }
 
 #[derive(Debug)]
@@ -276,6 +280,7 @@
         let node = &mut self.nodes[site.0];
         node.up = false;
         node.life += 1;
+        node.next_tick = Millis::MAX;
         node.target.drop_work();
         let held: Vec<Held> = std::mem::take(&mut node.calls)
             .into_values()
@@ -525,7 +530,7 @@
             }
             Command::Reject(ticket, refusal) => {
                 if let Some(held) = self.nodes[site.0].tickets.remove(&ticket) {
-                    self.answer(site, held.waiter, Verdict::Refuse(refusal), 503);
+                    self.answer(site, held.waiter, Verdict::Refuse(refusal), (503, None));
                 }
             }
             Command::Run(run) => self.schedule(site, self.now, Step::Begin { life, run }),
@@ -537,7 +542,7 @@
                     node.forwarded.remove(&call);
                     let status = node.statuses.remove(&call).unwrap_or(200);
                     self.return_retries(site, call, held.waiter);
-                    self.answer(site, held.waiter, verdict, status);
+                    self.answer(site, held.waiter, verdict, (status, held.body));
                 }
             }
             Command::Cancel(call) => self.cancel(site, call),
@@ -578,7 +583,7 @@
             timeout: request.timeout,
         });
         let node = &mut self.nodes[site.0];
-        node.tickets.insert(ticket, Held { waiter, root, request });
+        node.tickets.insert(ticket, Held { waiter, root, request, body: None });
         node.pending.push(event);
         self.tick_at(site, self.now);
     }
@@ -599,7 +604,7 @@
 
     fn break_off(&mut self, site: Site, waiter: Waiter) {
         match waiter {
-            Waiter::Caller { root } => self.receive(root, None),
+            Waiter::Caller { root } => self.receive(root, None, None),
             Waiter::Node { site: sender, life, call } => {
                 if self.nodes[sender.0].life == life {
                     self.nodes[sender.0].forwarded.remove(&call);
@@ -626,12 +631,24 @@
         }
     }
 
-    fn answer(&mut self, site: Site, waiter: Waiter, verdict: Verdict, status: u16) {
+    /// Hands a verdict with the status and the body of a target's answer to who waits for it.
+    fn answer(
+        &mut self,
+        site: Site,
+        waiter: Waiter,
+        verdict: Verdict,
+        (status, body): (u16, Option<Vec<u8>>),
+    ) {
+        let body = match &verdict {
+            Verdict::Pass => body,
+            Verdict::Replay(answer) => Some(answer.body.clone()),
+            Verdict::Refuse(_) => None,
+        };
         match waiter {
             Waiter::Caller { root } if status >= 500 && verdict == Verdict::Pass => {
-                self.receive(root, None);
+                self.receive(root, None, None);
             }
-            Waiter::Caller { root } => self.receive(root, Some(verdict)),
+            Waiter::Caller { root } => self.receive(root, Some(verdict), body),
             Waiter::Node { site: sender, life, call } => {
                 if verdict == Verdict::Pass {
                     self.nodes[sender.0].statuses.insert(call, status);
@@ -642,7 +659,16 @@
                     Verdict::Replay(answer) => ForwardEnd::Answered { status: answer.status },
                     Verdict::Refuse(refusal) => ForwardEnd::Refused(refusal),
                 };
-                let delay = self.delay(site, sender);
+                let lost = self.network.answer_loss > 0.0
+                    && self.rng.random_bool(self.network.answer_loss);
+                let delay = self.delay(site, sender).filter(|_| !lost);
+                let node = &mut self.nodes[sender.0];
+                if delay.is_some()
+                    && node.life == life
+                    && let Some(held) = node.calls.get_mut(&call)
+                {
+                    held.body = body;
+                }
                 let event = match delay {
                     Some(_) => Event::ForwardEnded { call, end, pressure: Some(pressure) },
                     None => forward_ended(call, ForwardEnd::Broken),
@@ -663,9 +689,9 @@
         }
     }
 
-    fn receive(&mut self, root: u64, verdict: Option<Verdict>) {
+    fn receive(&mut self, root: u64, verdict: Option<Verdict>, body: Option<Vec<u8>>) {
         let Some((site, sent, request)) = self.roots.get_mut(root as usize) else { return };
-        let received = Received { root, site: *site, sent: *sent, at: self.now, verdict };
+        let received = Received { root, site: *site, sent: *sent, at: self.now, verdict, body };
         let resend = !received.is_whole() && request.resends > 0;
         request.resends -= u32::from(resend);
         let site = *site;
@@ -890,12 +916,16 @@
 
     fn end_run(&mut self, site: Site, call: CallKey, status: u16) {
         let node = &mut self.nodes[site.0];
-        node.target.progress.remove(&call);
+        let progress = node.target.progress.remove(&call);
         node.target.busy.remove(&call);
+        let body = format!("run {}", progress.map_or(0, |progress| progress.run)).into_bytes();
+        if let Some(held) = node.calls.get_mut(&call) {
+            held.body = Some(body.clone());
+        }
         if node.calls.contains_key(&call) {
             node.statuses.insert(call, status);
         }
-        let answer = Answer { status, headers: Vec::new(), body: call_body(call) };
+        let answer = Answer { status, headers: Vec::new(), body };
         let end = RunEnd::Answered { status, answer: Some(Arc::new(answer)) };
         self.deliver_later(site, Millis(0), Event::RunEnded(call, end));
         self.start_waiting(site);
@@ -926,12 +956,19 @@
         let (Some(receiver), Some(delay)) = (receiver, delay) else {
             return self.deliver_later(site, Millis(500), Event::Undelivered { to });
         };
+        if self.network.loss > 0.0 && self.rng.random_bool(self.network.loss) {
+            return;
+        }
+        let jitter = match self.network.jitter.0 {
+            0 => Millis(0),
+            jitter => Millis(self.rng.random_range(0..=jitter)),
+        };
         let is_remote = self.nodes[receiver.0].data_centre != self.nodes[site.0].data_centre;
         if is_remote && self.network.lose.is_some_and(|is_lost| is_lost(&message)) {
             return;
         }
         let from = self.nodes[site.0].world.identity().node();
-        self.deliver_later(receiver, delay, Event::Peer { from, message });
+        self.deliver_later(receiver, delay + jitter, Event::Peer { from, message });
     }
 
     fn ask_platform(
@@ -979,8 +1016,3 @@
     let id = key.split('.').next().unwrap_or(key);
     (id.into(), KeyDigest::of(key))
 }
-
-/// A body that differs from call to call.
-fn call_body(call: CallKey) -> Vec<u8> {
-    format!("{call:?}").into_bytes()
-}
--- a/crates/mustardpin-virtual/tests/testsuite/main.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/main.rs
@@ -1,16 +1,21 @@
 //! Tests of the virtual fleet.
 
+mod bookings;
 mod configuration;
 mod drain;
 mod epoch;
 mod faults;
 mod freshness;
+mod home;
 mod membership;
+mod once;
 mod overload;
 mod path;
+mod quarantine;
 mod rating;
 mod retry;
 mod routing;
 mod scenario;
+mod schedule;
 mod shedding;
 mod support;
--- a/crates/mustardpin-world/src/system.rs
+++ b/crates/mustardpin-world/src/system.rs
@@ -11,11 +11,12 @@
 mod limit;
 mod membership;
 mod permission;
+mod placement;
 mod pressure;
 mod proposal;
 mod queueing;
 mod rating;
-mod recording;
+pub(crate) mod recording;
 mod registration;
 mod resend;
 mod retry;
@@ -48,8 +49,10 @@
     pub(crate) proposal: proposal::State,
     pub(crate) queueing: queueing::State,
     pub(crate) rating: rating::State,
+    pub(crate) recording: recording::State,
     pub(crate) registration: registration::State,
     pub(crate) retry: retry::State,
+    pub(crate) screening: screening::State,
 }
 
 impl State {
@@ -67,8 +70,10 @@
             proposal: proposal::State::default(),
             queueing: queueing::State::new(&options.queueing),
             rating: rating::State::default(),
+            recording: recording::State::default(),
             registration: registration::State::default(),
             retry: retry::State::new(&options.retry),
+            screening: screening::State::default(),
         }
     }
 }
@@ -85,8 +90,9 @@
     pub(crate) configuration: Vec<(NodeId, message::configuration::Message)>,
     pub(crate) epoch: Vec<(NodeId, message::epoch::Message)>,
     pub(crate) share: Vec<(NodeId, message::share::Message)>,
+    pub(crate) records: Vec<(NodeId, message::record::Message)>,
+    pub(crate) quarantine: Vec<(NodeId, message::quarantine::Message)>,
     pub(crate) retries_returned: Vec<(CallKey, u32)>,
-    pub(crate) messages: Vec<(NodeId, Message)>,
     pub(crate) undelivered: Vec<NodeId>,
     pub(crate) platform: Vec<(platform::Ticket, platform::Reply)>,
     pub(crate) reports: Vec<TargetReport>,
@@ -131,7 +137,8 @@
             Message::Configuration(message) => self.configuration.push((from, message)),
             Message::Epoch(message) => self.epoch.push((from, message)),
             Message::Share(message) => self.share.push((from, message)),
-            message => self.messages.push((from, message)),
+            Message::Record(message) => self.records.push((from, message)),
+            Message::Quarantine(message) => self.quarantine.push((from, message)),
         }
     }
 }
@@ -148,6 +155,7 @@
     limit::run(world, tick);
     ejection::run(world, tick);
     pressure::run(world, tick);
+    screening::observe(world, tick);
     retry::run(world, tick);
     completion::run(world, tick);
     intake::run(world, tick);
--- a/crates/mustardpin-world/src/system/completion.rs
+++ b/crates/mustardpin-world/src/system/completion.rs
@@ -4,7 +4,7 @@
     id::CallKey,
     refusal::{Outcome, Reason, Refusal},
     request::{ForwardEnd, RunEnd, Verdict},
-    system::finish,
+    system::{finish, placement, recording},
     world::{Tick, World},
 };
 
@@ -29,6 +29,7 @@
 }
 
 fn run_ended(world: &mut World, tick: &mut Tick, key: CallKey, end: RunEnd) {
+    recording::run_ended(world, tick, key, &end);
     let verdict = match end {
         RunEnd::Answered { .. } => Verdict::Pass,
         RunEnd::Declined | RunEnd::NotSent => {
@@ -41,6 +42,9 @@
 }
 
 fn forward_ended(world: &mut World, tick: &mut Tick, key: CallKey, end: ForwardEnd) {
+    if placement::run_again(world, tick, key, &end) {
+        return;
+    }
     let verdict = match end {
         ForwardEnd::Answered { .. } => Verdict::Pass,
         ForwardEnd::Refused(refusal) => Verdict::Refuse(refusal),
--- a/crates/mustardpin-world/src/system/finish.rs
+++ b/crates/mustardpin-world/src/system/finish.rs
@@ -5,7 +5,7 @@
     id::{CallKey, PeerKey},
     refusal::{Outcome, Reason, Refusal},
     request::Verdict,
-    system::{pressure, resend, retry},
+    system::{pressure, recording, resend, retry},
     table::{
         Tables,
         call::{Call, Stage},
@@ -24,6 +24,12 @@
         Verdict::Replay(_) => tables.counters.work(Work::Replayed),
         Verdict::Refuse(refusal) => tables.counters.refuse(refusal.reason),
     }
+    recording::release(world, tick, key, &call);
+    if world.tables.target.trial == Some(key) {
+        world.tables.target.trial = None;
+        tick.wake(tick.now);
+    }
+    let tables = &mut world.tables;
     return_to_parent(tables, key, &call, &verdict);
     if let Some(parent) = call.parent {
         retry::returned(world, parent);
@@ -91,6 +97,8 @@
     }
     call.abandoned = true;
     match call.stage {
+        // A non-repeatable run goes on, so that its answer is there for the caller's next try.
+        Stage::Running if call.record.is_some() => {}
         Stage::Running | Stage::Forwarded => {
             world.tables.counters.work(Work::Cancelled);
             tick.commands.push(Command::Cancel(key));
--- a/crates/mustardpin-world/src/system/intake.rs
+++ b/crates/mustardpin-world/src/system/intake.rs
@@ -173,6 +173,8 @@
         peer: None,
         tried: Default::default(),
         abandoned: false,
+        record: None,
+        isolated: false,
         lineage: Default::default(),
     });
     tick.commands.push(Command::Accepted(request.ticket, call));
--- a/crates/mustardpin-world/src/system/queueing.rs
+++ b/crates/mustardpin-world/src/system/queueing.rs
@@ -14,7 +14,7 @@
     options::{self, Queueing},
     refusal::{Reason, Refusal},
     request::{Run, Verdict},
-    system::{finish, permission},
+    system::{finish, permission, recording},
     table::{
         call::{Call, Stage},
         counter::Work,
@@ -103,6 +103,11 @@
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
     for key in world.tables.calls.take(Stage::Queued) {
         let Some(call) = world.tables.calls.get(key) else { continue };
+        if call.isolated {
+            // Waits outside the queue until the target is idle.
+            world.tables.calls.keep(key);
+            continue;
+        }
         let entry = entry(world, key, call);
         world.systems.queueing.discipline.push(entry);
     }
@@ -149,6 +154,9 @@
 
 /// Sends calls to the target for as long as it has room.
 fn fill(world: &mut World, tick: &mut Tick) {
+    if let Some(trial) = world.tables.target.trial {
+        return try_alone(world, tick, trial);
+    }
     while has_room(world, tick.now) {
         match world.systems.queueing.discipline.pop(tick.now) {
             Some(Next::Run(entry)) => dispatch(world, tick, entry),
@@ -160,6 +168,16 @@
     }
 }
 
+/// Runs a suspect once the target is idle. Nothing else begins before it has ended.
+fn try_alone(world: &mut World, tick: &mut Tick, trial: CallKey) {
+    let Some(call) = world.tables.calls.get(trial) else { return };
+    if call.stage == Stage::Queued && world.tables.target.running == 0 {
+        let entry = entry(world, trial, call);
+        return dispatch(world, tick, entry);
+    }
+    tick.wake(call.deadline);
+}
+
 fn has_room(world: &World, now: Millis) -> bool {
     let target = &world.tables.target;
     match target.health.standing(now, target.running) {
@@ -220,13 +238,24 @@
 /// Sends a call to the own target, unless its time is up or it may no longer run.
 fn dispatch(world: &mut World, tick: &mut Tick, entry: Entry) {
     let key = entry.call;
-    let Some(call) = world.tables.calls.get(key) else { return };
+    let calls = &world.tables.calls;
+    let Some(call) = calls.get(key).filter(|call| call.stage == Stage::Queued) else { return };
     if call.deadline <= tick.now + least_time(world, tick.now) {
         return refuse_entry(world, tick, entry, Reason::DeadlineBeforeRun);
     }
     if let Err(reason) = permission::check(&world.tables, call.route, call.tenant) {
         return finish::run(world, tick, key, Verdict::Refuse(Refusal::not_run(reason)));
     }
+    match recording::start(world, tick, key) {
+        Ok(()) => {}
+        Err(recording::Hold::Record) => {
+            return world.tables.calls.advance(key, Stage::Recording, tick.now);
+        }
+        Err(recording::Hold::Refuse(refusal)) => {
+            return finish::run(world, tick, key, Verdict::Refuse(refusal));
+        }
+    }
+    let Some(call) = world.tables.calls.get(key) else { return };
     let record = world.tables.routes.get(call.route).is_some_and(|route| !route.repeatable);
     tick.commands.push(Command::Run(Run {
         call: key,
--- a/crates/mustardpin-world/src/system/retry.rs
+++ b/crates/mustardpin-world/src/system/retry.rs
@@ -17,7 +17,7 @@
     options::{self, RetryPolicy},
     refusal::{Outcome, Reason},
     request::{ForwardEnd, Request, RunEnd},
-    system::finish,
+    system::{finish, screening},
     table::{
         call::{Call, Stage},
         counter::Retry,
@@ -88,6 +88,8 @@
             settle(world, key, status);
         }
         let cause = world.tables.calls.get(key).and_then(|call| run_cause(world, call, &end));
+        // What may have crashed a target is not repeated.
+        let cause = cause.filter(|_| !screening::is_suspect(world, tick.now, key));
         if !cause.is_some_and(|cause| again(world, tick.now, key, cause)) {
             tick.inbox.runs_ended.push((key, end));
         }
@@ -121,6 +123,10 @@
 }
 
 fn run_cause(world: &World, call: &Call, end: &RunEnd) -> Option<Cause> {
+    // The record of the run decides on a non-repeatable call.
+    if call.record.is_some() {
+        return None;
+    }
     match end {
         RunEnd::NotSent => Some(Cause { retry: Retry::NotSent, price: Price::Free }),
         RunEnd::Declined => Some(Cause { retry: Retry::Declined, price: Price::One }),
@@ -133,6 +139,10 @@
 
 /// A peer that refused because its target failed has itself tried what could be tried.
 fn forward_cause(world: &World, call: &Call, end: &ForwardEnd) -> Option<Cause> {
+    // Only its home may run a non-repeatable call: see the placement system.
+    if !is_repeatable(world, call) {
+        return None;
+    }
     match end {
         ForwardEnd::NotSent => Some(Cause { retry: Retry::NotSent, price: Price::Free }),
         ForwardEnd::Broken if is_repeatable(world, call) => {
--- a/crates/mustardpin-world/src/system/routing.rs
+++ b/crates/mustardpin-world/src/system/routing.rs
@@ -12,7 +12,7 @@
     id::{CallKey, PeerKey},
     refusal::{Reason, Refusal},
     request::{Forward, Forwarded, Verdict},
-    system::{finish, pressure, retry},
+    system::{finish, placement, pressure, retry},
     table::{
         call::{Call, Stage},
         counter::Work,
@@ -59,6 +59,9 @@
     if !is_retry && let Err(refusal) = pressure::admit(world, key) {
         return finish::run(world, tick, key, Verdict::Refuse(refusal));
     }
+    if placement::name(&world.tables, key).is_some() {
+        return placement::run(world, tick, key);
+    }
     match choose(world, tick.now, key) {
         Ok(Place::Own) => world.tables.calls.advance(key, Stage::Screening, tick.now),
         Ok(Place::Peer(peer)) => forward(world, tick, key, peer),
@@ -187,7 +190,8 @@
     Some(f64::from(reported.max(peer.in_flight)) / f64::from(limit))
 }
 
-fn forward(world: &mut World, tick: &mut Tick, key: CallKey, peer_key: PeerKey) {
+/// Passes a call to a peer.
+pub(super) fn forward(world: &mut World, tick: &mut Tick, key: CallKey, peer_key: PeerKey) {
     let lent = retry::lend(world, key);
     let tables = &mut world.tables;
     tables.calls.advance(key, Stage::Forwarded, tick.now);
--- a/crates/mustardpin-world/src/table.rs
+++ b/crates/mustardpin-world/src/table.rs
@@ -9,10 +9,12 @@
 pub mod exception;
 pub mod health;
 pub mod peer;
+pub mod record;
 pub mod registry;
 pub mod resend;
 pub mod route;
 pub mod share;
+pub mod suspect;
 pub mod target;
 pub mod team;
 pub mod tenant;
@@ -34,12 +36,16 @@
     pub demand: demand::Demand,
     /// Other nodes.
     pub peers: peer::Peers,
+    /// Records of non-repeatable requests.
+    pub records: record::Records,
     /// Root requests that failed a short time ago.
     pub failed: resend::Failed,
     /// Routes.
     pub routes: route::Routes,
     /// Rate tokens.
     pub shares: share::Shares,
+    /// Requests that were in flight as a target crashed.
+    pub suspects: suspect::Suspects,
     /// The own target.
     pub target: target::Target,
     /// Teams.
