Pass on what waits in the queue of a leaving target

Change: after 2 s of draining or leaving, what still waits for the target goes back to routing and to another target.

Conclusion: no new work 3 s after holds with a full queue too. Not proved: a node whose callers go on sending on open connections leaves only in a moment without any call; the world sets no limit.

--- a/crates/mustardpin-world/src/system/drain.rs
+++ b/crates/mustardpin-world/src/system/drain.rs
@@ -3,14 +3,20 @@
 use crate::{
     clock::Millis,
     command::{Change, Command},
-    system::membership,
+    system::{membership, queueing},
+    table::call::Stage,
     world::{Tick, World},
 };
 
+/// For this long a leaving target still gets what already waits for it.
+const QUEUE_TIME: Millis = Millis::from_secs(2);
+
 /// What the system remembers from tick to tick.
 #[derive(Debug, Default)]
 pub(crate) struct State {
     leaving_since: Millis,
+    /// Since when the own target takes no new requests, if it takes none.
+    closed_since: Option<Millis>,
 }
 
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
@@ -32,6 +38,26 @@
         tick.commands.push(Command::Log(Change::Leaving(world.tables.calls.len())));
         tick.commands.push(Command::CloseIdle);
     }
+    pass_on_queue(world, tick);
+}
+
+/// Finds other places for the requests that still wait for a target that is leaving.
+fn pass_on_queue(world: &mut World, tick: &mut Tick) {
+    let is_open = !world.tables.leaving && !world.tables.target.report.draining;
+    let closed_since = &mut world.systems.drain.closed_since;
+    if is_open {
+        *closed_since = None;
+        return;
+    }
+    let end = *closed_since.get_or_insert(tick.now) + QUEUE_TIME;
+    if tick.now < end {
+        return tick.wake(end);
+    }
+    for key in queueing::take_all(world) {
+        let Some(call) = world.tables.calls.get_mut(key) else { continue };
+        call.lineage.own_tried = true;
+        world.tables.calls.advance(key, Stage::Routing, tick.now);
+    }
 }
 
 /// Lets a leaving node go once it has finished everything and its peers know.
--- a/crates/mustardpin-world/src/system/queueing.rs
+++ b/crates/mustardpin-world/src/system/queueing.rs
@@ -112,6 +112,16 @@
     judge(world, tick);
 }
 
+/// Empties the queue. Returns the calls that were in it.
+pub(super) fn take_all(world: &mut World) -> Vec<CallKey> {
+    let mut taken = Vec::new();
+    world.systems.queueing.discipline.retain(&mut |entry| {
+        taken.push(entry.call);
+        false
+    });
+    taken
+}
+
 fn entry(world: &World, key: CallKey, call: &Call) -> Entry {
     let weight =
         call.team.and_then(|team| world.tables.teams.get(team)).map_or(1, |row| row.weight);
