Print control messages and platform operations at 24 to 690 nodes

Cause: nothing measured what control costs at the size of two years ahead.

Not measured: bytes, a data centre lost, regions parted.

--- /dev/null
+++ b/crates/mustardpin-virtual/examples/control_traffic.rs
@@ -0,0 +1,92 @@
+//! Prints what a fleet's control costs, in messages between nodes and operations of the platform.
+//!
+//! `cargo run --release -p mustardpin-virtual --example control_traffic [NODES...]`; the nodes stand
+//! in eight data centres. Each figure is of one run in virtual time with seed 1.
+
+use std::env;
+
+use mustardpin_virtual::{Fleet, Service, Site};
+use mustardpin_world::{Millis, Options, config, event::Proposal, platform};
+
+const DATA_CENTRES: usize = 8;
+/// Virtual time for all nodes to find each other after they started at once.
+const START: Millis = Millis::from_secs(30);
+/// Virtual time that each phase is measured for.
+const PHASE: Millis = Millis::from_secs(10);
+/// The longest time that is waited for a change or an epoch.
+const LONGEST_WAIT: Millis = Millis::from_secs(30);
+/// The time between two looks at all nodes.
+const STEP: Millis = Millis(20);
+
+fn main() {
+    let sizes: Vec<usize> = env::args().skip(1).filter_map(|size| size.parse().ok()).collect();
+    println!(
+        "| nodes | phase | messages per node and s | reads/s | writes/s | ms until everywhere |"
+    );
+    println!("|---|---|---|---|---|---|");
+    for nodes in if sizes.is_empty() { vec![24, 96, 300, 690] } else { sizes } {
+        measure(nodes);
+    }
+}
+
+fn measure(nodes: usize) {
+    let mut fleet = Fleet::new(1, Options::default());
+    put(&mut fleet);
+    for index in 0..nodes {
+        let data_centre = format!("dc-{}", index % DATA_CENTRES);
+        fleet.add(&data_centre, Service::leaf("search", 4, 5.0));
+    }
+    phase(&mut fleet, "all started at once", START, |_| true);
+    phase(&mut fleet, "at rest", PHASE, |_| true);
+    let expected = fleet.world_at(Site(0)).tables().configuration.revision;
+    let rows = vec![team("changed")];
+    let proposal = Proposal { id: "change".into(), expected, rows, removals: Vec::new() };
+    fleet.propose(Site(0), 1, proposal);
+    phase(&mut fleet, "one change", PHASE, |fleet| {
+        fleet.sites().all(|site| fleet.world_at(site).tables().teams.by_name("changed").is_some())
+    });
+    let victim = Site(nodes / 2);
+    let node = fleet.world_at(victim).identity().node();
+    fleet.kill(victim);
+    phase(&mut fleet, "one node dead", PHASE, |fleet| {
+        let mut others = fleet.sites().filter(|&site| site != victim);
+        others.all(|site| !fleet.world_at(site).tables().epoch.contains(node))
+    });
+    fleet.restart(victim);
+    let node = fleet.world_at(victim).identity().node();
+    phase(&mut fleet, "one node replaced", PHASE, |fleet| {
+        fleet.sites().all(|site| fleet.world_at(site).tables().epoch.contains(node))
+    });
+}
+
+fn team(name: &str) -> config::Row {
+    config::Row::Team(config::Team { name: name.into(), rate: 100, burst: 100, weight: 1 })
+}
+
+fn put(fleet: &mut Fleet) {
+    let row = team("first");
+    let row = platform::Row::Configuration(row.path(), Some(row));
+    fleet.platform.put(vec![row, platform::Row::Head(Vec::new())]);
+}
+
+/// Lets a phase pass and prints its row.
+fn phase(fleet: &mut Fleet, name: &str, length: Millis, is_over: impl Fn(&Fleet) -> bool) {
+    let (start, messages) = (fleet.now, fleet.messages);
+    let (reads, writes) = (fleet.platform.reads, fleet.platform.writes);
+    let mut over = is_over(fleet).then_some(Millis::ZERO);
+    while fleet.now < start + length || (over.is_none() && fleet.now < start + LONGEST_WAIT) {
+        fleet.run_for(STEP);
+        if over.is_none() && is_over(fleet) {
+            over = Some(fleet.now - start);
+        }
+    }
+    let nodes = fleet.sites().count() as f64;
+    let seconds = (fleet.now - start).0 as f64 / 1_000.0;
+    let over = over.map_or("never".to_owned(), |over| over.0.to_string());
+    println!(
+        "| {nodes} | {name} | {:.1} | {:.1} | {:.1} | {over} |",
+        (fleet.messages - messages) as f64 / nodes / seconds,
+        (fleet.platform.reads - reads) as f64 / seconds,
+        (fleet.platform.writes - writes) as f64 / seconds,
+    );
+}
