Estimate the bytes of control messages, and stop a node under overload

Cause: the budget for control is 3 KB a second for each node, and only messages were counted. No test stopped a node under overload.

Change: the virtual fleet adds up an upper estimate of each message (8 bytes for each integer and length, 184 for frames and TCP/IP), and control_traffic prints it. A drain test stops a node while targets get more than twice what they can run.

--- a/crates/mustardpin-virtual/examples/control_traffic.rs
+++ b/crates/mustardpin-virtual/examples/control_traffic.rs
@@ -21,9 +21,9 @@
 fn main() {
     let sizes: Vec<usize> = env::args().skip(1).filter_map(|size| size.parse().ok()).collect();
     println!(
-        "| nodes | phase | messages per node and s | reads/s | writes/s | ms until everywhere |"
+        "| nodes | phase | messages per node and s | bytes per node and s | reads/s | writes/s | ms until everywhere |"
     );
-    println!("|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|");
     for nodes in if sizes.is_empty() { vec![24, 96, 300, 690] } else { sizes } {
         measure(nodes);
     }
@@ -71,7 +71,7 @@
 
 /// Lets a phase pass and prints its row.
 fn phase(fleet: &mut Fleet, name: &str, length: Millis, is_over: impl Fn(&Fleet) -> bool) {
-    let (start, messages) = (fleet.now, fleet.messages);
+    let (start, messages, bytes) = (fleet.now, fleet.messages, fleet.message_bytes);
     let (reads, writes) = (fleet.platform.reads, fleet.platform.writes);
     let mut over = is_over(fleet).then_some(Millis::ZERO);
     while fleet.now < start + length || (over.is_none() && fleet.now < start + LONGEST_WAIT) {
@@ -84,8 +84,9 @@
     let seconds = (fleet.now - start).0 as f64 / 1_000.0;
     let over = over.map_or("never".to_owned(), |over| over.0.to_string());
     println!(
-        "| {nodes} | {name} | {:.1} | {:.1} | {:.1} | {over} |",
+        "| {nodes} | {name} | {:.1} | {:.0} | {:.1} | {:.1} | {over} |",
         (fleet.messages - messages) as f64 / nodes / seconds,
+        (fleet.message_bytes - bytes) as f64 / nodes / seconds,
         (fleet.platform.reads - reads) as f64 / seconds,
         (fleet.platform.writes - writes) as f64 / seconds,
     );
--- a/crates/mustardpin-virtual/src/fleet.rs
+++ b/crates/mustardpin-virtual/src/fleet.rs
@@ -25,6 +25,7 @@
 use crate::{
     network::Network,
     platform::Platform,
+    size,
     target::{Progress, Ran, Service, Target},
 };
 
@@ -179,6 +180,8 @@
     pub log: Vec<(Millis, Site, Change)>,
     /// Messages sent between worlds.
     pub messages: u64,
+    /// Their estimated size together, in bytes.
+    pub message_bytes: u64,
     nodes: Vec<Node>,
     /// Whether [`Fleet::ran`] is written.
     pub keep_runs: bool,
@@ -210,6 +213,7 @@
             answers: BTreeMap::new(),
             log: Vec::new(),
             messages: 0,
+            message_bytes: 0,
             nodes: Vec::new(),
             keep_runs: true,
             roots: Vec::new(),
@@ -915,6 +919,7 @@
 
     fn message(&mut self, site: Site, to: NodeId, address: &str, message: Message) {
         self.messages += 1;
+        self.message_bytes += size::of(&message);
         let receiver = self.site_of(address).filter(|&receiver| {
             self.nodes[receiver.0].up && self.nodes[receiver.0].world.identity().node() == to
         });
--- a/crates/mustardpin-virtual/src/lib.rs
+++ b/crates/mustardpin-virtual/src/lib.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod network;
 mod platform;
+mod size;
 mod target;
 
 pub use crate::{
--- a/crates/mustardpin-virtual/tests/testsuite/drain.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/drain.rs
@@ -15,6 +15,8 @@
 const BUSY: f64 = 20.0;
 /// Slows a target down so that requests are still running when its node could leave.
 const VERY_SLOW: f64 = 160.0;
+/// Slows targets down so that they get more than twice what they can run.
+const OVERLOADED: f64 = 100.0;
 
 /// A fleet under steady load whose targets are half busy.
 fn busy(seed: u64) -> Scenario {
@@ -134,3 +136,23 @@
 
 /// Seeds whose outcomes are in the snapshot.
 const REPORTED_SEEDS: u64 = 3;
+
+/// A node is stopped while all targets get more than they can run.
+#[test]
+fn a_stop_under_overload_cuts_off_no_request() {
+    for_seeds(|seed| {
+        let mut scenario = busy(seed);
+        for site in scenario.fleet.sites() {
+            scenario.fleet.target(site).slowdown = OVERLOADED;
+        }
+        scenario.load_for(Millis::from_secs(3));
+        let site = Site(seed as usize % 9);
+        let start = scenario.fleet.now;
+        let took = stop(&mut scenario, site);
+        assert!(scenario.fleet.has_exited(site), "seed {seed}: still there after {took}");
+        let late = runs_at(&scenario, site, start + NO_NEW_WORK);
+        assert_eq!(late, 0, "seed {seed}: runs after 3 s");
+        scenario.fleet.run_for(Millis::from_secs(12));
+        assert_eq!(wronged(&scenario), [""; 0], "seed {seed}");
+    });
+}
