Hand buckets over to nodes that join, and do not refuse at their start

Cause: a node that joins an epoch did not know the epoch before and refused the bucket that its last keeper handed over, so that a shard lay idle for the fence of 5 s at each replacement; and requests that reached a node before it knew the keepers were refused after 100 ms. In a rolling replacement that was about 13 refusals of a team within its rate for each start (6 rate_exceeded, 7 rate_unavailable), and in a fleet of processes the first request of a new key got rate_exceeded. Change: the sender, who knows its own history, hands over only in the epoch right after its own; in the first 4 s of a node requests wait up to 2 s for a token. Rate and burst hold in all cases as before.

--- a/crates/mustardpin-world/src/system/rating.rs
+++ b/crates/mustardpin-world/src/system/rating.rs
@@ -31,9 +31,12 @@
     early: Vec<keeping::Handover>,
     /// When demand was last smoothed.
     smoothed: Millis,
+    /// The first tick.
+    started: Option<Millis>,
 }
 
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
+    world.systems.rating.started.get_or_insert(tick.now);
     keeping::hand_over_lost(world, tick);
     keeping::reconcile(world, tick.now);
     for (from, message) in std::mem::take(&mut tick.inbox.share) {
@@ -47,7 +50,7 @@
             }
             share::Message::Handover { epoch, team, shard, level } => {
                 let handover = keeping::Handover { epoch, team, shard, level };
-                keeping::handed_over(world, tick.now, from, handover);
+                keeping::handed_over(world, tick.now, handover);
             }
         }
     }
--- a/crates/mustardpin-world/src/system/rating/drawing.rs
+++ b/crates/mustardpin-world/src/system/rating/drawing.rs
@@ -38,6 +38,12 @@
 /// Below this many requests a second, tokens are not drawn ahead of demand.
 const LEAST_DEMAND: f64 = 2.0;
 
+/// A node gets to know the keepers within this time of its start.
+const STARTING: Millis = Millis(4_000);
+
+/// Requests that arrive in that time may wait this long for a token.
+const START_PATIENCE: Millis = Millis(2_000);
+
 /// A stock whose team has had no request for this long is dropped.
 const IDLE: Millis = Millis(10_000);
 
@@ -285,7 +291,7 @@
 
 /// Refuses calls that have waited too long, and those beyond what the rate yields meanwhile.
 fn refuse(world: &mut World, tick: &mut Tick, team: TeamKey, terms: &Terms) {
-    let patience = world.options.rating.patience;
+    let patience = patience(world, tick.now);
     let within_patience = u64::from(terms.rate) * patience.0 / 1_000 + 1;
     let refusal = refusal(world, tick.now, team);
     let stock = &mut world.tables.shares.stocks[team];
@@ -310,6 +316,14 @@
     }
 }
 
+/// How long a request may wait for a token. A node that has just started may not know the keepers
+/// yet, which is no reason to refuse.
+fn patience(world: &World, now: Millis) -> Millis {
+    let patience = world.options.rating.patience;
+    let started = world.systems.rating.started.unwrap_or(now);
+    if now - started < STARTING { patience.max(START_PATIENCE) } else { patience }
+}
+
 /// Removes the least important of the waiting calls, the last one to arrive among equals.
 fn least_important(stock: &mut Stock, calls: &crate::table::call::Calls) -> Option<CallKey> {
     let importance =
--- a/crates/mustardpin-world/src/system/rating/keeping.rs
+++ b/crates/mustardpin-world/src/system/rating/keeping.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     clock::Millis,
-    id::{NodeId, TeamKey},
+    id::TeamKey,
     message::{
         epoch::Epoch,
         share::{self, Shard},
@@ -104,11 +104,13 @@
         }
     }
     let number = epoch.number;
+    // Whoever skipped an epoch may have been followed by another keeper in it.
+    let is_next = world.tables.shares.buckets_epoch + 1 == number;
     world.tables.shares.buckets_epoch = number;
     for (mut bucket, name, keeper) in lost {
         world.tables.shares.remove(bucket.team, bucket.shard);
         let (Some(team), Some(keeper)) = (name, keeper) else { continue };
-        if tick.now < bucket.usable_from {
+        if !is_next || tick.now < bucket.usable_from {
             continue;
         }
         let Some(terms) = terms(world, bucket.team) else { continue };
@@ -144,7 +146,7 @@
 }
 
 /// Takes a bucket in that its last keeper hands over, or keeps it for an epoch to come.
-pub(super) fn handed_over(world: &mut World, now: Millis, from: NodeId, handover: Handover) {
+pub(super) fn handed_over(world: &mut World, now: Millis, handover: Handover) {
     let current = world.tables.epoch.current.number;
     if handover.epoch > current {
         if world.systems.rating.early.len() < MAX_EARLY {
@@ -152,21 +154,11 @@
         }
         return;
     }
-    if handover.epoch == current && was_keeper(world, from, &handover) {
+    if handover.epoch == current {
         take_over(world, now, &handover);
     }
 }
 
-/// Whether a node kept a shard in the epoch before the present one, as far as this node knows.
-fn was_keeper(world: &World, node: NodeId, handover: &Handover) -> bool {
-    let standing = &world.tables.epoch;
-    if standing.previous.number + 1 != standing.current.number {
-        return false;
-    }
-    let policy = policy::of(&world.options.rating);
-    policy.keeper(&standing.previous, node, &handover.team, handover.shard) == Some(node)
-}
-
 fn take_over(world: &mut World, now: Millis, handover: &Handover) {
     if handover.epoch != world.tables.epoch.current.number {
         return;
