--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -341,6 +341,12 @@
         Ask { method: "GET", path, key: Some(key), idempotency_key: None }
     }
 
+    /// A non-repeatable request.
+    pub fn book(key: &'a str, idempotency_key: &'a str) -> Ask<'a> {
+        let idempotency_key = Some(idempotency_key);
+        Ask { method: "POST", path: "/bookings", key: Some(key), idempotency_key }
+    }
+
     /// Sends it and waits for the whole answer.
     pub async fn send(&self, caller: &Caller, address: SocketAddr) -> Reply {
         let mut builder =
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod command;
 mod fleet;
 mod keys;
+mod kill;
 mod operators;
 mod pages;
 mod pause;
