--- a/crates/mustardpin-world/benches/decision.rs
+++ b/crates/mustardpin-world/benches/decision.rs
@@ -12,6 +12,7 @@
     config::{Importance, Key, Route, Row, Team},
     event::TargetReport,
     id::{CallKey, KeyDigest, NodeId},
+    message::epoch::{Epoch, Member},
     options::{LimitAlgorithm, Sharing},
     platform::{self, Announcement},
     request::{Fingerprint, ForwardEnd, Origin, Request, RunEnd, Ticket},
@@ -87,7 +88,10 @@
         let service = if index % 2 == 0 { "search" } else { "ledger" };
         platform::Row::Node(NodeId(index + 2), Some(announcement(index + 2, service)))
     });
-    configuration.chain(nodes).collect()
+    let own = announcement(1, "search");
+    let member = Member { node: own.node, data_centre: own.data_centre, service: own.service };
+    let epoch = Epoch { number: 1, members: vec![member], ..Epoch::default() };
+    configuration.chain(nodes).chain([platform::Row::Epoch(epoch)]).collect()
 }
 
 impl Bench {
