Do not fork between trying a port and giving it to a process

Taken from the code and the logs; the race itself was not caught in the act. Change: one lock is held while a port is tried and while a process is started.

--- a/tests/testsuite/command.rs
+++ b/tests/testsuite/command.rs
@@ -2,14 +2,11 @@
 
 use std::{fmt::Write as _, process::Command};
 
-use crate::process::program;
+use crate::process::{output, program};
 
 fn run(arguments: &[&str]) -> String {
-    let output = Command::new(program("mustardpin"))
-        .args(arguments)
-        .env_remove("MUSTARDPIN_OPERATOR_CREDENTIAL")
-        .output()
-        .expect("the command runs");
+    let mut command = Command::new(program("mustardpin"));
+    let output = output(command.args(arguments).env_remove("MUSTARDPIN_OPERATOR_CREDENTIAL"));
     let mut text = format!("$ mustardpin {}\n", arguments.join(" "));
     for stream in [&output.stdout, &output.stderr] {
         text += &String::from_utf8_lossy(stream);
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -20,7 +20,7 @@
 use mustardpin_wire::admin::status::Status;
 use serde_json::{Value, json};
 
-use crate::process::{Process, free_address, program};
+use crate::process::{Process, free_address, output, program};
 
 /// The operator credential of every test fleet.
 const CREDENTIAL: &str = "test-operator-credential";
@@ -166,7 +166,7 @@
         for &slot in slots {
             command.args(["--admin", &self.slots[slot].admin.to_string()]);
         }
-        command.output().expect("the command runs")
+        output(&mut command)
     }
 
     /// Runs the command, which has to succeed, and gives what it printed.
--- a/tests/testsuite/process.rs
+++ b/tests/testsuite/process.rs
@@ -4,7 +4,7 @@
     fs::File,
     net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
-    process::{Child, Command, ExitStatus},
+    process::{Child, Command, ExitStatus, Output, Stdio},
     sync::{Mutex, PoisonError},
     time::{Duration, Instant},
 };
@@ -17,6 +17,10 @@
 /// How long a process may take to end.
 const END_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Held while a port is tried out and while a process is started: a process that is forked in
+/// between holds the tried port's socket until it runs its own program.
+static NO_FORK: Mutex<()> = Mutex::new(());
+
 /// Ports that belong to this run: it holds the first one of the block.
 struct Block {
     guard: TcpListener,
@@ -27,6 +31,7 @@
 pub fn free_address() -> SocketAddr {
     static BLOCKS: Mutex<Vec<Block>> = Mutex::new(Vec::new());
     let mut blocks = BLOCKS.lock().unwrap_or_else(PoisonError::into_inner);
+    let _no_fork = NO_FORK.lock().unwrap_or_else(PoisonError::into_inner);
     loop {
         if blocks.last().is_none_or(|block| block.used + 1 == BLOCK_SIZE) {
             blocks.push(claim_block());
@@ -41,6 +46,17 @@
     }
 }
 
+/// Runs a command to its end.
+pub fn output(command: &mut Command) -> Output {
+    let child = spawn(command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped()));
+    child.wait_with_output().expect("the command runs")
+}
+
+fn spawn(command: &mut Command) -> Child {
+    let _no_fork = NO_FORK.lock().unwrap_or_else(PoisonError::into_inner);
+    command.spawn().expect("the program is there")
+}
+
 /// Claims a block that no other run holds. Runs start to look at different places.
 fn claim_block() -> Block {
     let first = std::process::id() as u16 % BLOCKS;
@@ -68,14 +84,14 @@
     pub fn start(command: &mut Command, directory: &Path, name: &str) -> Process {
         let log = File::create(directory.join(format!("{name}.log"))).expect("a log file");
         let errors = log.try_clone().expect("a second handle of the log file");
-        let child = command.stdout(log).stderr(errors).spawn().expect("the program is built");
+        let child = spawn(command.stdout(log).stderr(errors));
         Process { child, name: name.to_owned() }
     }
 
     /// Sends it a signal such as `TERM` or `STOP`.
     pub fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
-        let status = Command::new("kill").args([&format!("-{signal}"), &pid]).status();
+        let status = spawn(Command::new("kill").args([&format!("-{signal}"), &pid])).wait();
         assert!(status.expect("kill runs").success(), "{} is running", self.name);
     }
 
