--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -8,6 +8,8 @@
 pub mod proposal;
 pub mod status;
 
+use std::path::PathBuf;
+
 use lexopt::{Arg, Parser, ValueExt as _};
 
 use crate::error::Error;
@@ -76,3 +78,20 @@
     println!("{}", serde_json::to_string_pretty(value)?);
     Ok(())
 }
+
+/// The file that `--settings` names, for a subcommand that takes nothing else; `None` if it was
+/// asked for its help, which has been printed.
+fn settings_file(mut parser: Parser, help: &str) -> Result<Option<PathBuf>, Error> {
+    let mut file = None;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("settings") => file = Some(PathBuf::from(parser.value()?)),
+            Arg::Long("help") => {
+                println!("{help}");
+                return Ok(None);
+            }
+            argument => return Err(argument.unexpected().into()),
+        }
+    }
+    file.map(Some).ok_or_else(|| Error::Usage("--settings FILE is missing".to_owned()))
+}
--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -1,8 +1,8 @@
 //! `mustardpin node`: runs the node process.
 
-use std::{path::PathBuf, time::Duration};
+use std::time::Duration;
 
-use lexopt::{Arg, Parser};
+use lexopt::Parser;
 use mustardpin_node::{
     Launch,
     launch::{Addresses, Limits},
@@ -14,7 +14,7 @@
 };
 use mustardpin_world::{Millis, id::KeyDigest};
 
-use crate::error::Error;
+use crate::{cmd::settings_file, error::Error};
 
 const HELP: &str = "\
 Runs the node process in a target's slot until SIGTERM or SIGINT, then finishes every request in
@@ -25,19 +25,8 @@
 Exit codes: 0 stopped after finishing its requests; 1 failed; 2 wrong settings.";
 
 /// Runs the command.
-pub fn run(mut parser: Parser) -> Result<(), Error> {
-    let mut file = None;
-    while let Some(argument) = parser.next()? {
-        match argument {
-            Arg::Long("settings") => file = Some(PathBuf::from(parser.value()?)),
-            Arg::Long("help") => {
-                println!("{HELP}");
-                return Ok(());
-            }
-            argument => return Err(argument.unexpected().into()),
-        }
-    }
-    let file = file.ok_or_else(|| Error::Usage("--settings FILE is missing".to_owned()))?;
+pub fn run(parser: Parser) -> Result<(), Error> {
+    let Some(file) = settings_file(parser, HELP)? else { return Ok(()) };
     let settings = Settings::load(&file)?;
     mustardpin_node::run(launch(settings))?;
     Ok(())
