--- /dev/null
+++ b/crates/mustardpin-http/src/write.rs
@@ -0,0 +1,101 @@
+//! Writes heads and chunks.
+
+/// Writes the line of a request.
+///
+/// ```
+/// let mut out = Vec::new();
+/// mustardpin_http::write::request_line(&mut out, "GET", "/slots");
+/// assert_eq!(out, b"GET /slots HTTP/1.1\r\n");
+/// ```
+pub fn request_line(out: &mut Vec<u8>, method: &str, target: &str) {
+    out.extend_from_slice(method.as_bytes());
+    out.push(b' ');
+    out.extend_from_slice(target.as_bytes());
+    out.extend_from_slice(b" HTTP/1.1\r\n");
+}
+
+/// Writes the line of a response.
+///
+/// ```
+/// let mut out = Vec::new();
+/// mustardpin_http::write::status_line(&mut out, 503);
+/// assert_eq!(out, b"HTTP/1.1 503 Service Unavailable\r\n");
+/// ```
+pub fn status_line(out: &mut Vec<u8>, status: u16) {
+    out.extend_from_slice(b"HTTP/1.1 ");
+    out.extend_from_slice(itoa::Buffer::new().format(status).as_bytes());
+    out.push(b' ');
+    out.extend_from_slice(reason(status).as_bytes());
+    out.extend_from_slice(b"\r\n");
+}
+
+/// Writes a field. Name and value must be valid.
+///
+/// ```
+/// let mut out = Vec::new();
+/// mustardpin_http::write::field(&mut out, "Retry-After", b"1");
+/// assert_eq!(out, b"Retry-After: 1\r\n");
+/// ```
+pub fn field(out: &mut Vec<u8>, name: &str, value: &[u8]) {
+    out.extend_from_slice(name.as_bytes());
+    out.extend_from_slice(b": ");
+    out.extend_from_slice(value);
+    out.extend_from_slice(b"\r\n");
+}
+
+/// Writes a field with a number.
+///
+/// ```
+/// let mut out = Vec::new();
+/// mustardpin_http::write::number(&mut out, "Content-Length", 12);
+/// assert_eq!(out, b"Content-Length: 12\r\n");
+/// ```
+pub fn number(out: &mut Vec<u8>, name: &str, value: u64) {
+    field(out, name, itoa::Buffer::new().format(value).as_bytes());
+}
+
+/// Writes the size of a chunk of this many bytes, before its bytes; after them comes a line end.
+///
+/// ```
+/// let mut out = Vec::new();
+/// mustardpin_http::write::chunk_size(&mut out, 255);
+/// assert_eq!(out, b"ff\r\n");
+/// ```
+pub fn chunk_size(out: &mut Vec<u8>, size: usize) {
+    out.extend_from_slice(format!("{size:x}\r\n").as_bytes());
+}
+
+/// The end of a body in chunks.
+pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+/// The usual text for a status code.
+fn reason(status: u16) -> &'static str {
+    match status {
+        100 => "Continue",
+        200 => "OK",
+        201 => "Created",
+        202 => "Accepted",
+        204 => "No Content",
+        206 => "Partial Content",
+        304 => "Not Modified",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        403 => "Forbidden",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        422 => "Unprocessable Content",
+        428 => "Precondition Required",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        505 => "HTTP Version Not Supported",
+        _ => "Unknown",
+    }
+}
--- /dev/null
+++ b/crates/mustardpin-http/tests/testsuite/body.rs
@@ -0,0 +1,81 @@
+//! Bodies.
+
+use std::fmt::Write as _;
+
+use bytes::BytesMut;
+use mustardpin_http::{
+    Error,
+    body::{Body, Piece},
+    framing::Framing,
+};
+use proptest::prelude::*;
+
+/// Reads a body that comes in parts. Returns its bytes and what is left after it.
+fn read<'a>(
+    framing: Framing,
+    parts: impl Iterator<Item = &'a [u8]>,
+) -> Result<(Vec<u8>, Vec<u8>), Error> {
+    let mut body = Body::from(framing);
+    let mut buffer = BytesMut::new();
+    let mut bytes = Vec::new();
+    for part in parts {
+        buffer.extend_from_slice(part);
+        while let Piece::Data(data) = body.take(&mut buffer)? {
+            bytes.extend_from_slice(&data);
+        }
+    }
+    body.end_of_stream()?;
+    Ok((bytes, buffer.to_vec()))
+}
+
+#[test]
+fn chunked_bodies_follow_the_grammar() {
+    let cases = [
+        "5\r\nhello\r\n0\r\n\r\nnext",
+        "5;name=value\r\nhello\r\n0\r\n\r\n",
+        "0\r\nTrailer: x\r\n\r\nnext",
+        "5\r\nhello0\r\n\r\n",
+        "5\r\nhello\r\n0\r\n",
+        "5\r\nhel",
+        "-1\r\n\r\n",
+        "x\r\n",
+        "ffffffffffffffffff\r\n",
+        "5\nhello\n0\n\n",
+    ];
+    let mut table = String::new();
+    for case in cases {
+        let read = read(Framing::Chunked, [case.as_bytes()].into_iter()).map(|(body, rest)| {
+            (String::from_utf8(body).unwrap(), String::from_utf8(rest).unwrap())
+        });
+        writeln!(table, "{case:?}\n  {read:?}").unwrap();
+    }
+    insta::assert_snapshot!(table);
+}
+
+#[test]
+fn a_body_that_ends_early_is_not_complete() {
+    let short = read(Framing::Length(5), [&b"hell"[..]].into_iter());
+    assert_eq!(short, Err(Error::Truncated));
+    let until_close = read(Framing::UntilClose, [&b"hell"[..]].into_iter());
+    assert_eq!(until_close, Ok((b"hell".to_vec(), Vec::new())));
+}
+
+proptest! {
+    /// However the bytes of a body arrive, it reads the same, and what follows it is left alone.
+    #[test]
+    fn parts_read_as_the_whole(
+        chunks in prop::collection::vec(prop::collection::vec(any::<u8>(), 1..40), 0..6),
+        size in 1_usize..20,
+    ) {
+        let mut text = Vec::new();
+        for chunk in &chunks {
+            text.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
+            text.extend_from_slice(chunk);
+            text.extend_from_slice(b"\r\n");
+        }
+        text.extend_from_slice(b"0\r\n\r\nGET");
+        let (body, rest) = read(Framing::Chunked, text.chunks(size)).unwrap();
+        prop_assert_eq!(body, chunks.concat());
+        prop_assert_eq!(rest, b"GET".to_vec());
+    }
+}
--- /dev/null
+++ b/crates/mustardpin-http/tests/testsuite/head.rs
@@ -0,0 +1,91 @@
+//! Heads of requests and responses.
+
+use std::fmt::Write as _;
+
+use bytes::BytesMut;
+use mustardpin_http::{
+    Error,
+    head::{MAX_FIELDS, Request, Response},
+};
+use proptest::prelude::*;
+
+const LIMIT: usize = 1_024;
+
+#[test]
+fn malformed_heads_are_refused() {
+    let cases = [
+        "GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+        "\r\n\r\nGET / HTTP/1.1\r\n\r\n",
+        "GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost : a\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: a\r\n folded\r\n\r\n",
+        "GET  / HTTP/1.1\r\n\r\n",
+        "GET / HTTP/2.0\r\n\r\n",
+        "GET /\u{1} HTTP/1.1\r\n\r\n",
+        "GET / HTTP/1.1\r\nA: \u{0}\r\n\r\n",
+        "PRI * HTTP/2.0\r\n\r\n",
+        "nonsense",
+    ];
+    let mut table = String::new();
+    for case in cases {
+        let read = Request::take(&mut BytesMut::from(case), LIMIT);
+        let read = read.map(|head| {
+            head.map(|head| (head.method().to_owned(), head.headers.len(), head.is_persistent()))
+        });
+        writeln!(table, "{case:?}\n  {read:?}").unwrap();
+    }
+    insta::assert_snapshot!(table);
+}
+
+#[test]
+fn malformed_responses_are_refused() {
+    let cases = [
+        "HTTP/1.1 200 OK\r\nA: b\r\n\r\n",
+        "HTTP/1.1 200\r\n\r\n",
+        "HTTP/1.1 20 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+        "\u{1}\u{2}garbage",
+        "SSH-2.0-server\r\n",
+    ];
+    let mut table = String::new();
+    for case in cases {
+        let read = Response::take(&mut BytesMut::from(case), LIMIT);
+        let read = read.map(|head| head.map(|head| (head.status, head.is_persistent())));
+        writeln!(table, "{case:?}\n  {read:?}").unwrap();
+    }
+    insta::assert_snapshot!(table);
+}
+
+#[test]
+fn heads_over_the_limit_are_refused() {
+    let long = format!("GET /{} HTTP/1.1\r\n", "a".repeat(LIMIT));
+    assert_eq!(Request::take(&mut BytesMut::from(&*long), LIMIT), Err(Error::HeadTooLarge));
+    let lines = "a: b\r\n".repeat(MAX_FIELDS + 1);
+    let many = format!("GET / HTTP/1.1\r\n{lines}\r\n");
+    assert_eq!(Request::take(&mut BytesMut::from(&*many), 64 * 1024), Err(Error::HeadTooLarge));
+}
+
+proptest! {
+    /// Bytes from anywhere never make the reader panic, and never take what is not there.
+    #[test]
+    fn any_bytes_are_read_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        let mut buffer = BytesMut::from(&bytes[..]);
+        let _ = Request::take(&mut buffer, LIMIT);
+        let mut buffer = BytesMut::from(&bytes[..]);
+        let _ = Response::take(&mut buffer, LIMIT);
+    }
+
+    /// A head that comes in parts is read as one that comes at once.
+    #[test]
+    fn parts_read_as_the_whole(cut in 0_usize..60) {
+        let text = b"POST /bookings HTTP/1.1\r\nHost: a\r\nX: 1\r\n\r\nbody";
+        let whole = Request::take(&mut BytesMut::from(&text[..]), LIMIT).unwrap();
+        let cut = cut.min(text.len());
+        let mut buffer = BytesMut::from(&text[..cut]);
+        let first = Request::take(&mut buffer, LIMIT).unwrap();
+        buffer.extend_from_slice(&text[cut..]);
+        let read = first.or_else(|| Request::take(&mut buffer, LIMIT).unwrap());
+        prop_assert_eq!(read, whole);
+        prop_assert_eq!(&buffer[..], b"body");
+    }
+}
--- /dev/null
+++ b/crates/mustardpin-http/tests/testsuite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of HTTP/1.1 messages.
+
+mod body;
+mod framing;
+mod head;
