--- a/crates/mustardpin-world/src/system/configuration.rs
+++ b/crates/mustardpin-world/src/system/configuration.rs
@@ -1,27 +1,25 @@
-//! Applies what the platform and peers say of the configuration, and passes it on.
+//! Applies what the store and peers say of the configuration.
 //!
-//! A node only ever moves to a higher revision, and only by a delta that starts at its own revision
-//! or before it.
+//! A node only ever moves to a higher revision. Peers help a node that has just started while the
+//! store is away, and one that the store does not answer while it answers others.
 
 use crate::{
     clock::Millis,
-    command::{Change, Command},
-    config::{Delta, Record},
+    command::Command,
+    config::{Record, Update},
     id::{NodeId, Revision},
     message::configuration::Message,
-    platform::{Reply, Row},
-    table::peer,
+    note::{Level, Note},
+    store::{Area, Name, News, Reply, Row, Value},
+    system::LinkChange,
+    table::peer::Link,
     world::{Tick, World},
 };
 
-/// How many peers a node tells of a change it has just learned of.
-const FAN_OUT: usize = 4;
-/// Records in one message, except where a single revision has more.
-const PAGE: usize = 256;
-/// Changes of more records than this are left to the regular exchanges.
-const PUSHED_RECORDS: usize = 16;
-/// The shortest time between two requests for the same news.
+/// The shortest time between two requests to peers for the configuration.
 const WANT_PERIOD: Millis = Millis(200);
+/// A node asks peers for a later configuration once its own news is older than this.
+const OLD_NEWS: Millis = Millis(1_800);
 
 /// What the system remembers from tick to tick.
 #[derive(Debug, Default)]
@@ -31,79 +29,110 @@
 
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
     let before = world.tables.configuration.revision;
-    read_platform(world, tick);
+    for index in 0..tick.inbox.store.len() {
+        read_store(world, &tick.inbox.store[index].1);
+    }
+    let from_store = world.tables.configuration.revision;
     for (from, message) in std::mem::take(&mut tick.inbox.configuration) {
         match message {
-            Message::Want { after } => {
-                if after < world.tables.configuration.revision {
-                    let delta = world.tables.configuration.delta(after, PAGE);
-                    world.send_to(tick, from, Message::Have(delta));
-                }
+            Message::Want { after } => give(world, tick, from, after),
+            Message::Have { revision, rows } => {
+                world.tables.apply(Update::Whole { revision, rows });
             }
-            Message::Have(delta) => receive(world, tick, from, delta),
         }
     }
-    spread(world, tick, before);
-}
-
-/// Asks a peer for what the node lacks, if the peer is at a later revision.
-pub(super) fn notice(world: &mut World, tick: &mut Tick, from: NodeId, revision: Revision) {
-    let after = world.tables.configuration.revision;
-    if revision <= after || tick.now < world.systems.configuration.next_want {
+    want(world, tick);
+    let configuration = &world.tables.configuration;
+    if configuration.revision == before {
         return;
     }
-    world.systems.configuration.next_want = tick.now + WANT_PERIOD;
-    world.send_to(tick, from, Message::Want { after });
+    if let Some(callers) = configuration.fleet.callers {
+        tick.commands.push(Command::Callers(callers));
+    }
+    let note = Note::new(Level::Info, "configuration")
+        .with("revision", configuration.revision.0)
+        .with("before", before.0)
+        .with("rows", configuration.rows().count())
+        .with("from", if configuration.revision == from_store { "store" } else { "peer" });
+    tick.log(note);
 }
 
-/// Logs a move to a later revision and tells a few peers of it.
-pub(super) fn spread(world: &mut World, tick: &mut Tick, before: Revision) {
+/// Gives a peer the configuration, if it has an earlier one.
+fn give(world: &mut World, tick: &mut Tick, to: NodeId, after: Revision) {
     let configuration = &world.tables.configuration;
-    if configuration.revision == before {
+    if after >= configuration.revision {
         return;
     }
-    tick.commands.push(Command::Log(Change::Configuration(configuration.revision)));
-    let delta = configuration.delta(before, PAGE);
-    if delta.records.len() > PUSHED_RECORDS {
+    let (revision, rows) = (configuration.revision, configuration.rows().cloned().collect());
+    world.send_to(tick, to, Message::Have { revision, rows });
+}
+
+/// Asks a peer that has a later configuration for it, where the store has not said so itself.
+fn want(world: &mut World, tick: &mut Tick) {
+    let own = world.tables.configuration.revision;
+    let is_linked = tick.inbox.links.iter().any(|link| matches!(link, LinkChange::Up { .. }));
+    let is_old = world.tables.freshness.configuration_age(tick.now) >= OLD_NEWS;
+    if (!is_old && own.0 > 0 && !is_linked) || tick.now < world.systems.configuration.next_want {
         return;
     }
-    for peer in world.sample(FAN_OUT, |peer| peer.state == peer::State::Alive) {
-        world.send(tick, peer, Message::Have(delta.clone()));
-    }
+    let peers = world.tables.peers.iter();
+    let latest = peers
+        .filter(|(_, peer)| peer.link == Link::Up && peer.revision > own)
+        .max_by_key(|(_, peer)| peer.revision);
+    let Some((peer, _)) = latest else { return };
+    world.systems.configuration.next_want = tick.now + WANT_PERIOD;
+    tick.wake(tick.now + WANT_PERIOD);
+    world.send(tick, peer, Message::Want { after: own });
 }
 
-fn read_platform(world: &mut World, tick: &Tick) {
-    let tables = &mut world.tables;
-    for (_, reply) in &tick.inbox.platform {
-        let Reply::Changes { upto, rows } = reply else { continue };
-        for versioned in rows {
-            let revision = versioned.revision;
-            match &versioned.row {
-                Row::Configuration(path, row) => {
-                    let record = Record { path: path.clone(), revision, row: row.clone() };
-                    tables.apply_record(record);
-                }
-                Row::Head(recent) if revision > tables.configuration.head => {
-                    tables.configuration.head = revision;
-                    tables.configuration.recent = recent.clone();
-                }
-                _ => continue,
+fn read_store(world: &mut World, reply: &Reply) {
+    let Reply::News { area: Area::Configuration, whole, upto, news } = reply else { return };
+    match news {
+        News::Document(update) => world.tables.apply(update.clone()),
+        News::Rows(rows) => {
+            // A whole reading that was overtaken by news says nothing of what is not in it.
+            let is_latest = world.tables.configuration.read.is_none_or(|read| read <= *upto);
+            if *whole && is_latest {
+                drop_absent(world, rows, Revision(upto.0));
+            }
+            for row in rows {
+                take_row(world, row);
             }
-            let configuration = &mut tables.configuration;
-            configuration.revision = configuration.revision.max(revision);
         }
-        tables.configuration.polled = tables.configuration.polled.max(*upto);
     }
 }
 
-fn receive(world: &mut World, tick: &mut Tick, from: NodeId, delta: Delta) {
-    let after = world.tables.configuration.revision;
-    let is_page = delta.records.len() >= PAGE;
-    if delta.after > after {
-        return notice(world, tick, from, delta.upto);
+fn take_row(world: &mut World, row: &Row) {
+    let revision = Revision(row.position.0);
+    match (&row.name, &row.value) {
+        (Name::Configuration(path), value) => {
+            let row = match value {
+                Some(Value::Configuration(row)) => Some(row.clone()),
+                _ => None,
+            };
+            world.tables.apply_record(Record { path: path.clone(), revision, row });
+        }
+        (Name::Head, Some(Value::Head(recent))) => {
+            let configuration = &mut world.tables.configuration;
+            if row.position > configuration.head {
+                configuration.head = row.position;
+                configuration.recent.clone_from(recent);
+                configuration.revision = configuration.revision.max(revision);
+            }
+        }
+        _ => {}
     }
-    if world.tables.apply_delta(delta) && is_page {
-        let after = world.tables.configuration.revision;
-        world.send_to(tick, from, Message::Want { after });
+}
+
+/// Withdraws the rows that a whole reading does not have.
+fn drop_absent(world: &mut World, rows: &[Row], revision: Revision) {
+    let records = world.tables.configuration.records.values();
+    let absent: Vec<Record> = records
+        .filter(|record| record.row.is_some())
+        .filter(|record| !rows.iter().any(|row| row.name == Name::Configuration(record.path.clone())))
+        .map(|record| Record { path: record.path.clone(), revision, row: None })
+        .collect();
+    for record in absent {
+        world.tables.apply_record(record);
     }
 }
--- a/crates/mustardpin-world/src/system/ejection.rs
+++ b/crates/mustardpin-world/src/system/ejection.rs
@@ -3,6 +3,7 @@
 use crate::{
     refusal::Reason,
     request::{ForwardEnd, RunEnd},
+    system::TargetChange,
     world::{Tick, World},
 };
 
@@ -11,30 +12,28 @@
     for (_, end) in &tick.inbox.runs_ended {
         match end {
             RunEnd::Answered { .. } | RunEnd::Declined => tables.target.health.succeed(),
-            RunEnd::NotSent | RunEnd::Broken => tables.target.health.fail(tick.now),
+            RunEnd::NotSent | RunEnd::Misdirected => tables.target.health.unreachable(tick.now),
+            RunEnd::Broken => tables.target.health.broken(tick.now),
             RunEnd::Cancelled => {}
         }
     }
-    for (call, end, _) in &tick.inbox.forwards_ended {
-        let Some(peer) = tables.calls.get(*call).and_then(|call| call.peer) else { continue };
+    for (ticket, end, _) in &tick.inbox.forwards_ended {
+        let call = tables.calls.by_ticket(*ticket).and_then(|call| tables.calls.get(call));
+        let Some(peer) = call.and_then(|call| call.peer) else { continue };
         let Some(peer) = tables.peers.get_mut(peer) else { continue };
         match end {
-            ForwardEnd::NotSent | ForwardEnd::Broken => peer.health.fail(tick.now),
+            ForwardEnd::NotSent => peer.health.unreachable(tick.now),
+            ForwardEnd::Broken => peer.health.broken(tick.now),
             ForwardEnd::Refused(refusal) => match refusal.reason {
-                Reason::TargetFailed
-                | Reason::NoTarget
-                | Reason::Leaving
-                | Reason::Starting
-                | Reason::CutOff => {
-                    peer.health.fail(tick.now);
-                }
+                Reason::NoTarget | Reason::Leaving => peer.health.unreachable(tick.now),
+                Reason::TargetFailed => peer.health.broken(tick.now),
                 _ => peer.health.succeed(),
             },
             ForwardEnd::Answered { .. } => peer.health.succeed(),
             ForwardEnd::Cancelled => {}
         }
     }
-    if tick.inbox.target_lost {
+    if tick.inbox.target.iter().any(|change| matches!(change, TargetChange::Lost)) {
         tables.target.health.succeed();
     }
 }
--- /dev/null
+++ b/crates/mustardpin-world/src/system/ending.rs
@@ -0,0 +1,80 @@
+//! Ends calls whose run or forwarded request has ended.
+
+use crate::{
+    id::CallKey,
+    note::{Level, Note},
+    refusal::{Outcome, Reason, Refusal},
+    request::{ForwardEnd, RunEnd, Ticket, Verdict, passes_unasked},
+    system::finish,
+    world::{Tick, World},
+};
+
+/// When callers should send again what a target has declined.
+const RETRY_AFTER_DECLINED: crate::Millis = crate::Millis(300);
+
+pub(super) fn run(world: &mut World, tick: &mut Tick) {
+    for ticket in std::mem::take(&mut tick.inbox.callers_gone) {
+        if world.options.pressure.cancellation
+            && let Some(call) = world.tables.calls.by_ticket(ticket)
+        {
+            finish::abandon(world, tick, call);
+        }
+    }
+    for (ticket, end) in std::mem::take(&mut tick.inbox.runs_ended) {
+        run_ended(world, tick, ticket, end);
+    }
+    for (ticket, end, _) in std::mem::take(&mut tick.inbox.forwards_ended) {
+        forward_ended(world, tick, ticket, end);
+    }
+}
+
+fn run_ended(world: &mut World, tick: &mut Tick, ticket: Ticket, end: RunEnd) {
+    let Some(key) = world.tables.calls.by_ticket(ticket) else { return };
+    let verdict = match end {
+        RunEnd::Answered { status, .. } => return answered(world, tick, key, status),
+        RunEnd::Declined | RunEnd::Misdirected | RunEnd::NotSent => {
+            Refusal::not_run(Reason::TargetFailed).after(RETRY_AFTER_DECLINED)
+        }
+        RunEnd::Broken => Refusal::unknown(Reason::TargetFailed),
+        RunEnd::Cancelled => cancelled(world, key),
+    };
+    finish::run(world, tick, key, Verdict::Refuse(verdict));
+}
+
+fn forward_ended(world: &mut World, tick: &mut Tick, ticket: Ticket, end: ForwardEnd) {
+    let Some(key) = world.tables.calls.by_ticket(ticket) else { return };
+    let refusal = match end {
+        ForwardEnd::Answered { status } => return answered(world, tick, key, status),
+        ForwardEnd::Refused(refusal) => refusal,
+        ForwardEnd::NotSent => {
+            Refusal::not_run(Reason::PeerFailed).after(RETRY_AFTER_DECLINED)
+        }
+        ForwardEnd::Broken => Refusal::unknown(Reason::PeerFailed),
+        ForwardEnd::Cancelled => cancelled(world, key),
+    };
+    finish::run(world, tick, key, Verdict::Refuse(refusal));
+}
+
+fn answered(world: &mut World, tick: &mut Tick, key: CallKey, status: u16) {
+    let Some(call) = world.tables.calls.get(key) else { return };
+    if call.is_logged || !passes_unasked(status) {
+        let level = if passes_unasked(status) { Level::Debug } else { Level::Warn };
+        let note = Note::new(level, "answered")
+            .on(&call.id)
+            .with("status", u32::from(status))
+            .with("took", tick.now - call.arrived)
+            .with("here", call.peer.is_none());
+        tick.log(note);
+    }
+    if passes_unasked(status) {
+        finish::passed(world, tick, key);
+    } else {
+        finish::run(world, tick, key, Verdict::Pass);
+    }
+}
+
+fn cancelled(world: &World, key: CallKey) -> Refusal {
+    let abandoned = world.tables.calls.get(key).is_some_and(|call| call.abandoned);
+    let reason = if abandoned { Reason::CallerGone } else { Reason::DeadlineDuringRun };
+    Refusal { reason, outcome: Outcome::Unknown, retry_after: None }
+}
--- a/crates/mustardpin-world/src/system/finish.rs
+++ b/crates/mustardpin-world/src/system/finish.rs
@@ -3,9 +3,10 @@
 use crate::{
     command::Command,
     id::{CallKey, PeerKey},
-    refusal::{Outcome, Reason, Refusal},
+    note::{Level, Note},
+    refusal::{Outcome, Refusal},
     request::Verdict,
-    system::{pressure, recording, resend, retry},
+    system::resend,
     table::{
         Tables,
         call::{Call, Stage},
@@ -14,60 +15,76 @@
     world::{Tick, World},
 };
 
+/// Ends a call with a verdict that the caller is told.
 pub(super) fn run(world: &mut World, tick: &mut Tick, key: CallKey, verdict: Verdict) {
-    let Some(call) = world.tables.calls.remove(key) else { return };
-    let verdict = honest(&world.tables, &call, verdict);
-    let tables = &mut world.tables;
-    release(tables, call.stage, call.peer);
+    let Some(call) = close(world, key) else { return };
+    let verdict = honest(&call, verdict);
     match &verdict {
-        Verdict::Pass => tables.counters.work(Work::Answered),
-        Verdict::Replay(_) => tables.counters.work(Work::Replayed),
-        Verdict::Refuse(refusal) => tables.counters.refuse(refusal.reason),
-    }
-    recording::release(world, tick, key, &call);
-    if world.tables.target.trial == Some(key) {
-        world.tables.target.trial = None;
-        tick.wake(tick.now);
-    }
-    let tables = &mut world.tables;
-    return_to_parent(tables, key, &call, &verdict);
-    if let Some(parent) = call.parent {
-        retry::returned(world, parent);
+        Verdict::Pass => world.tables.counters.work(Work::Answered),
+        Verdict::Refuse(refusal) => {
+            world.tables.counters.refuse(refusal.reason);
+            tick.log(refused_note(world, tick, &call, *refusal));
+        }
     }
-    resend::finished(world, tick.now, &call, &verdict);
-    if call.from.is_some() {
-        tick.commands.push(Command::ReturnRetries { call: key, retries: call.retry_allowance });
+    settle(world, tick, key, &call, &verdict);
+    let (ticket, retries) = (call.ticket, call.retry_allowance);
+    tick.commands.push(Command::Finish { ticket, verdict, retries });
+}
+
+/// Ends a call whose whole answer has gone to the caller already.
+pub(super) fn passed(world: &mut World, tick: &mut Tick, key: CallKey) {
+    let Some(call) = close(world, key) else { return };
+    world.tables.counters.work(Work::Answered);
+    settle(world, tick, key, &call, &Verdict::Pass);
+}
+
+fn close(world: &mut World, key: CallKey) -> Option<Call> {
+    let call = world.tables.calls.remove(key)?;
+    release(&mut world.tables, call.stage, call.peer);
+    Some(call)
+}
+
+fn settle(world: &mut World, tick: &mut Tick, key: CallKey, call: &Call, verdict: &Verdict) {
+    if let Some(parent) = call.parent.and_then(|parent| world.tables.calls.get_mut(parent)) {
+        parent.retry_allowance += call.retry_allowance;
+        parent.lineage.children.retain(|child| *child != key);
     }
-    tick.commands.push(Command::Finish(key, verdict));
-    abandon_children(world, tick, &call);
+    resend::finished(world, tick.now, call, verdict);
+    abandon_children(world, tick, call);
 }
 
-/// A call that a target may have seen is not refused as one that has not run. Nor is a
-/// non-repeatable one whose record could not be looked at, since an earlier sending may have run.
-fn honest(tables: &Tables, call: &Call, verdict: Verdict) -> Verdict {
+/// A call that a target may have seen is not refused as one that has not run.
+fn honest(call: &Call, verdict: Verdict) -> Verdict {
     let Verdict::Refuse(refusal) = verdict else { return verdict };
-    if refusal.outcome != Outcome::NotRun {
-        return verdict;
-    }
-    let is_repeatable = tables.routes.get(call.route).is_none_or(|route| route.repeatable);
-    let is_for_caller = call.from.is_none();
-    let may_have_run_before = is_for_caller && !is_repeatable && lacks_record(refusal.reason);
-    if !call.lineage.may_have_run && !may_have_run_before {
+    if refusal.outcome != Outcome::NotRun || !call.lineage.may_have_run {
         return verdict;
     }
     Verdict::Refuse(Refusal { outcome: Outcome::Unknown, ..refusal })
 }
 
-/// Whether a refusal of a non-repeatable call for this reason comes without a look at its record.
-fn lacks_record(reason: Reason) -> bool {
-    matches!(
-        reason,
-        Reason::HomeMoving
-            | Reason::MirrorUnavailable
-            | Reason::NoTarget
-            | Reason::PeerFailed
-            | Reason::WrongHome
-    )
+fn refused_note(world: &World, tick: &Tick, call: &Call, refusal: Refusal) -> Note {
+    let tables = &world.tables;
+    let target = &tables.target;
+    let service = tables.services.get(call.service);
+    let peer = call.peer.and_then(|peer| tables.peers.get(peer));
+    let note = Note::new(Level::Warn, "refused")
+        .on(&call.id)
+        .with("reason", refusal.reason.to_string())
+        .with("outcome", refusal.outcome.to_string())
+        .with("stage", call.stage.name())
+        .with("service", service.map(|service| service.name.clone()).unwrap_or_default())
+        .with("rank", call.rank.to_string())
+        .with("held", tick.now - call.arrived)
+        .with("left", call.deadline - tick.now)
+        .with("running", target.running)
+        .with("queued", target.queued)
+        .with("limit", target.limit)
+        .with("revision", tables.configuration.revision.0)
+        .with("configuration_age", tables.freshness.age);
+    match peer {
+        Some(peer) => note.with("peer", peer.announcement.name.clone()),
+        None => note,
+    }
 }
 
 /// Frees the place that a call held at the own target or at a peer.
@@ -83,18 +100,6 @@
     }
 }
 
-/// Gives what is left of its allowance back to the call that made this one.
-fn return_to_parent(tables: &mut Tables, key: CallKey, call: &Call, verdict: &Verdict) {
-    let Some(parent) = call.parent.and_then(|parent| tables.calls.get_mut(parent)) else { return };
-    parent.retry_allowance += call.retry_allowance;
-    parent.lineage.children.retain(|child| *child != key);
-    if let Verdict::Refuse(refusal) = verdict
-        && pressure::is_shed(refusal.reason)
-    {
-        parent.lineage.shed_below = true;
-    }
-}
-
 /// Nobody waits any more for the calls that a call has made.
 fn abandon_children(world: &mut World, tick: &mut Tick, call: &Call) {
     if !world.options.pressure.cancellation {
@@ -105,7 +110,8 @@
     }
 }
 
-/// Nobody waits for a call any more: what runs is cancelled, what waits is dropped.
+/// Nobody waits for a call any more: what runs is cancelled, what waits is dropped. A
+/// non-repeatable run goes on, since half of its work may be worse than all of it.
 pub(super) fn abandon(world: &mut World, tick: &mut Tick, key: CallKey) {
     let Some(call) = world.tables.calls.get_mut(key) else { return };
     if call.abandoned {
@@ -113,14 +119,14 @@
     }
     call.abandoned = true;
     match call.stage {
-        // A non-repeatable run goes on, so that its answer is there for the caller's next try.
-        Stage::Running if call.record.is_some() => {}
+        Stage::Running if !call.repeatable => {}
         Stage::Running | Stage::Forwarded => {
+            call.cancelling = true;
             world.tables.counters.work(Work::Cancelled);
-            tick.commands.push(Command::Cancel(key));
+            tick.commands.push(Command::Cancel(call.ticket));
         }
         _ => {
-            let refusal = Refusal::not_run(Reason::CallerGone);
+            let refusal = Refusal::not_run(crate::refusal::Reason::CallerGone);
             run(world, tick, key, Verdict::Refuse(refusal));
         }
     }
--- a/crates/mustardpin-world/src/system/freshness.rs
+++ b/crates/mustardpin-world/src/system/freshness.rs
@@ -1,233 +1,207 @@
-//! Keeps the age of the node's knowledge, and asks the platform for news when it grows old.
+//! Watches the store for news, and keeps the age of the node's knowledge.
 //!
-//! Ages never compare clocks of two nodes: knowledge counts as of the point at which the question
-//! was sent, less the age that the reply gave.
-
-use compact_str::CompactString;
+//! Knowledge counts as of the point at which the question was sent. Clocks of two machines are
+//! never compared.
 
 use crate::{
     clock::Millis,
-    command::{Change, Command},
-    id::{NodeId, Revision},
-    message::membership::Digest,
-    platform::{self, Operation, Ticket},
-    system::epoch,
-    table::peer::State as PeerState,
+    id::Position,
+    note::{Level, Note},
+    store::{Area, Operation, Refused, Reply, Ticket},
     world::{Tick, World},
 };
 
-/// Questions to the platform that may be under way at once.
-const MAX_POLLS: usize = 4;
-/// Reports of peers that may wait until the node has caught up with them.
-const MAX_CLAIMS: usize = 16;
-/// The time between two looks at which data centres matter.
-const REQUIRED_PERIOD: Millis = Millis(250);
-
-/// What a peer said of its knowledge, which counts once this node knows as much.
-#[derive(Debug)]
-struct Claim {
-    sent: Millis,
-    data_centre: CompactString,
-    digest: Digest,
+/// How long the store holds a question for rows of nodes, which change seldom. News of the
+/// configuration shows by the store's position whether there were any.
+const FLEET_WATCH: Millis = Millis(20_000);
+/// The pause after a question that was lost, and the same again by chance.
+const LOST_PAUSE: Millis = Millis(60);
+/// The pause after a question that was refused, and the same again by chance.
+const REFUSED_PAUSE: Millis = Millis(250);
+/// The longest pause between two questions, and the same again by chance.
+const LONGEST_PAUSE: Millis = Millis(1_000);
+
+/// The watch over one area.
+#[derive(Debug, Default)]
+struct Watch {
+    /// The question without a reply, and when it was sent.
+    asked: Option<(Ticket, Millis)>,
+    next: Millis,
+    failures: u32,
 }
 
 /// What the system remembers from tick to tick.
 #[derive(Debug, Default)]
 pub(crate) struct State {
-    /// Questions to the platform without a reply, and when they were sent.
-    polls: Vec<(Ticket, Millis)>,
-    /// No question before this point.
-    next_poll: Millis,
-    /// The age at which the node asks next.
-    limit: Millis,
-    claims: Vec<Claim>,
-    /// The data centres that together have all news, and when they were last looked up.
-    required: Vec<CompactString>,
-    next_required: Millis,
-    has_own_majority: bool,
-    platform: bool,
-    /// When the last question to the platform was sent that this node has had a reply to.
-    rows_as_of: Millis,
+    configuration: Watch,
+    fleet: Watch,
+    /// A question whether rows of nodes have changed, asked apart from the watch.
+    catch_up: Watch,
+    /// Whether something has been written since the rows of nodes were read.
+    is_behind: bool,
+    is_connected: Option<bool>,
 }
 
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
-    read_platform(world, tick);
-    merge(world);
-    poll_if_due(world, tick);
-    judge(world, tick);
-}
-
-/// Takes in what a peer said of its knowledge in reply to a question sent at `sent`.
-pub(super) fn claim(world: &mut World, sent: Millis, data_centre: CompactString, digest: Digest) {
-    let claims = &mut world.systems.freshness.claims;
-    if claims.len() >= MAX_CLAIMS {
-        claims.remove(0);
+    for index in 0..tick.inbox.store.len() {
+        let ticket = tick.inbox.store[index].0;
+        let state = &mut world.systems.freshness;
+        let watches = [&mut state.configuration, &mut state.fleet, &mut state.catch_up];
+        let mut asked = None;
+        for (place, watch) in watches.into_iter().enumerate() {
+            if let Some((_, sent)) = watch.asked.take_if(|(asked, _)| *asked == ticket) {
+                asked = Some((place, sent));
+            }
+        }
+        let Some((place, sent)) = asked else { continue };
+        let area = if place == 0 { Area::Configuration } else { Area::Fleet };
+        replied(world, tick, index, area, place, sent);
     }
-    claims.push(Claim { sent, data_centre, digest });
+    ask(world, tick);
+    judge(world, tick);
 }
 
-/// Asks the platform for news now.
-pub(super) fn poll(world: &mut World, tick: &mut Tick) -> Ticket {
-    let after = world.tables.configuration.polled;
-    let ticket = world.ask_platform(tick, Operation::Changes { after });
-    let state = &mut world.systems.freshness;
-    if state.polls.len() >= MAX_POLLS {
-        state.polls.remove(0);
+fn replied(
+    world: &mut World,
+    tick: &mut Tick,
+    index: usize,
+    area: Area,
+    place: usize,
+    sent: Millis,
+) {
+    let pause = match &tick.inbox.store[index].1 {
+        Reply::News { upto, .. } => {
+            let upto = *upto;
+            learned(world, tick, area, upto, sent);
+            let state = &mut world.systems.freshness;
+            let watch = watch_at(state, place);
+            watch.failures = 0;
+            return;
+        }
+        Reply::Forgotten => {
+            match area {
+                Area::Configuration => world.tables.configuration.read = None,
+                Area::Fleet => world.systems.fleet.read = None,
+            }
+            let note = Note::new(Level::Info, "store_history_gone");
+            tick.log(note.with("area", area_name(area)));
+            Millis::ZERO
+        }
+        Reply::Refused(refused) => {
+            let busy = *refused == Refused::Busy;
+            let note = Note::new(Level::Warn, "store_refused");
+            tick.log(note.with("area", area_name(area)).with("busy", busy));
+            REFUSED_PAUSE
+        }
+        Reply::Lost | Reply::Written { .. } | Reply::Conflict => LOST_PAUSE,
+    };
+    let jitter = world.jitter(pause);
+    let watch = watch_at(&mut world.systems.freshness, place);
+    let longer = Millis(pause.0 << watch.failures.min(4)).min(LONGEST_PAUSE);
+    watch.failures += 1;
+    watch.next = tick.now + longer + jitter;
+}
+
+fn watch_at(state: &mut State, place: usize) -> &mut Watch {
+    match place {
+        0 => &mut state.configuration,
+        1 => &mut state.fleet,
+        _ => &mut state.catch_up,
     }
-    state.polls.push((ticket, tick.now));
-    ticket
 }
 
-/// The last point as of which this node itself has read the platform's rows.
-///
-/// What it knows of the platform may be younger, since peers pass on the age of what they know, but
-/// not the rows by which nodes announce themselves.
-pub(super) fn rows_as_of(world: &World) -> Millis {
-    world.systems.freshness.rows_as_of
-}
-
-/// Asks the platform for news, unless a question is under way.
-pub(super) fn poll_once(world: &mut World, tick: &mut Tick) {
-    if world.systems.freshness.polls.is_empty() {
-        poll(world, tick);
+fn area_name(area: Area) -> &'static str {
+    match area {
+        Area::Configuration => "configuration",
+        Area::Fleet => "fleet",
     }
 }
 
-/// The data centres that together have all news: those of members and of peers that have not left,
-/// the own one too if other nodes are in it.
-pub(super) fn required(world: &World) -> &[CompactString] {
-    &world.systems.freshness.required
-}
-
-fn read_platform(world: &mut World, tick: &Tick) {
-    for (ticket, reply) in &tick.inbox.platform {
-        let state = &mut world.systems.freshness;
-        let Some(index) = state.polls.iter().position(|(asked, _)| asked == ticket) else {
-            continue;
-        };
-        let (_, sent) = state.polls.remove(index);
-        let as_of = &mut world.tables.freshness.platform_as_of;
-        match reply {
-            platform::Reply::Changes { .. } => {
-                *as_of = (*as_of).max(Some(sent));
-                state.rows_as_of = state.rows_as_of.max(sent);
-            }
-            _ => {
-                let pause = world.options.freshness.poll_age;
-                world.systems.freshness.next_poll = tick.now + pause;
+/// The store has answered a question about an area up to a position.
+fn learned(world: &mut World, tick: &Tick, area: Area, upto: Position, sent: Millis) {
+    let freshness = &mut world.tables.freshness;
+    match area {
+        Area::Configuration => {
+            let read = &mut world.tables.configuration.read;
+            *read = (*read).max(Some(upto));
+            freshness.configuration_as_of = freshness.configuration_as_of.max(Some(sent));
+            if world.systems.fleet.read.is_some_and(|read| read >= upto) {
+                // Nothing has been written since the rows of nodes were read.
+                freshness.fleet_as_of = freshness.fleet_as_of.max(Some(sent));
+            } else if world.systems.fleet.read.is_some() {
+                world.systems.freshness.catch_up.next = tick.now;
+                world.systems.freshness.catch_up.failures = 0;
+                world.systems.freshness.is_behind = true;
             }
         }
+        Area::Fleet => {
+            let read = &mut world.systems.fleet.read;
+            *read = (*read).max(Some(upto));
+            freshness.fleet_as_of = freshness.fleet_as_of.max(Some(sent));
+            world.systems.freshness.is_behind = false;
+        }
     }
 }
 
-/// Counts the reports that the node has caught up with.
-fn merge(world: &mut World) {
-    let own = (world.tables.configuration.revision, world.tables.epoch.current.number);
-    let is_caught_up = |claim: &mut Claim| {
-        let there: (Revision, u64) = (claim.digest.revision, claim.digest.epoch);
-        there.0 <= own.0 && there.1 <= own.1
-    };
-    let claims: Vec<Claim> = world.systems.freshness.claims.extract_if(.., is_caught_up).collect();
-    for Claim { sent, data_centre, digest } in claims {
-        if data_centre == *world.identity.data_centre() {
-            world.tables.data_centres.hear(&data_centre, sent);
-        }
-        if let Some(age) = digest.platform_age.filter(|&age| age <= sent) {
-            let as_of = &mut world.tables.freshness.platform_as_of;
-            *as_of = (*as_of).max(Some(sent - age));
-        }
-        for (name, age) in digest.ages {
-            if age <= sent {
-                world.tables.data_centres.hear(&name, sent - age);
-            }
-        }
+/// Keeps one question of each kind under way.
+fn ask(world: &mut World, tick: &mut Tick) {
+    let wait = world.options.freshness.watch;
+    if is_due(&world.systems.freshness.configuration, tick) {
+        let operation = match world.tables.configuration.read {
+            None => Operation::Read(Area::Configuration),
+            Some(after) => Operation::Watch { area: Area::Configuration, after, wait },
+        };
+        let ticket = world.ask_store(tick, operation);
+        world.systems.freshness.configuration.asked = Some((ticket, tick.now));
+    }
+    if is_due(&world.systems.freshness.fleet, tick) {
+        let operation = match world.systems.fleet.read {
+            None => Operation::Read(Area::Fleet),
+            Some(after) => Operation::Watch { area: Area::Fleet, after, wait: FLEET_WATCH },
+        };
+        let ticket = world.ask_store(tick, operation);
+        world.systems.freshness.fleet.asked = Some((ticket, tick.now));
+    }
+    let Some(after) = world.systems.fleet.read else { return };
+    if world.systems.freshness.is_behind && is_due(&world.systems.freshness.catch_up, tick) {
+        let operation = Operation::Watch { area: Area::Fleet, after, wait: Millis::ZERO };
+        let ticket = world.ask_store(tick, operation);
+        world.systems.freshness.catch_up.asked = Some((ticket, tick.now));
     }
 }
 
-fn poll_if_due(world: &mut World, tick: &mut Tick) {
-    let as_of = world.tables.freshness.platform_as_of;
-    let due = as_of.map_or(Millis::ZERO, |as_of| as_of + world.systems.freshness.limit);
-    let due = due.max(world.systems.freshness.next_poll);
-    if tick.now < due {
-        return tick.wake(due);
+fn is_due(watch: &Watch, tick: &mut Tick) -> bool {
+    if watch.asked.is_some() {
+        return false;
     }
-    poll(world, tick);
-    let poll_age = world.options.freshness.poll_age;
-    let limit = poll_age + world.jitter(Millis(poll_age.0 / 2));
-    let state = &mut world.systems.freshness;
-    state.limit = limit;
-    state.next_poll = tick.now + Millis(limit.0 / 2);
-    tick.wake(state.next_poll);
+    if tick.now < watch.next {
+        tick.wake(watch.next);
+        return false;
+    }
+    true
 }
 
 fn judge(world: &mut World, tick: &mut Tick) {
-    if tick.now >= world.systems.freshness.next_required {
-        world.systems.freshness.next_required = tick.now + REQUIRED_PERIOD;
-        world.systems.freshness.required = look_up_required(world);
-        world.systems.freshness.has_own_majority = epoch::has_own_majority(world);
-    }
-    world.tables.freshness.is_with_own = is_with_own(world, tick.now);
     let window = world.options.freshness.window;
-    let platform_age = world.tables.freshness.platform_age(tick.now);
-    let age = platform_age.min(data_centres_age(world, tick.now));
+    let freshness = &mut world.tables.freshness;
+    let age = freshness.configuration_age(tick.now);
+    freshness.age = age;
     let fresh = age < window;
-    world.tables.freshness.age = age;
-    if fresh != world.tables.freshness.fresh {
-        world.tables.freshness.fresh = fresh;
-        tick.commands.push(Command::Log(Change::Fresh(fresh)));
+    freshness.is_cut_off = !fresh && world.options.freshness.strict;
+    freshness.fleet_fresh = freshness.fleet_age(tick.now) < window;
+    if fresh {
+        tick.wake(tick.now + (window - age));
     }
-    let platform = platform_age < window;
-    if platform != world.systems.freshness.platform {
-        world.systems.freshness.platform = platform;
-        tick.commands.push(Command::Log(Change::Platform(platform)));
+    if fresh == freshness.fresh && world.systems.freshness.is_connected.is_some() {
+        return;
     }
-}
-
-/// The age of the oldest knowledge from any data centre that matters.
-fn data_centres_age(world: &World, now: Millis) -> Millis {
-    if world.tables.epoch.current.number == 0 {
-        return Millis::MAX;
+    freshness.fresh = fresh;
+    let before = world.systems.freshness.is_connected.replace(fresh);
+    if before == Some(fresh) || (before.is_none() && !fresh) {
+        return;
     }
-    let data_centres = &world.tables.data_centres;
-    let ages = required(world).iter().map(|name| data_centres.age(name, now));
-    ages.max().unwrap_or_default()
-}
-
-/// Whether the node has recent news from its own data centre, and reaches half of its members.
-fn is_with_own(world: &World, now: Millis) -> bool {
-    let own = world.identity.data_centre();
-    let is_alone = !required(world).contains(own);
-    let is_heard = world.tables.data_centres.age(own, now) < world.options.freshness.window;
-    (is_alone || is_heard) && world.systems.freshness.has_own_majority
-}
-
-/// The data centres of members and of peers that have not left. The own one is not in it if no
-/// other node of it is alive and this one still makes half of its members.
-fn look_up_required(world: &World) -> Vec<CompactString> {
-    let (identity, peers) = (&world.identity, &world.tables.peers);
-    let members = world.tables.epoch.current.members.iter();
-    let members = members
-        .filter(|member| member.node != identity.node() && !has_left(world, member.node))
-        .map(|member| &member.data_centre);
-    let others = peers
-        .iter()
-        .filter(|(_, peer)| peer.state != PeerState::Leaving)
-        .map(|(_, peer)| &peer.announcement.data_centre);
-    let mut names: Vec<&CompactString> = members.chain(others).collect();
-    names.sort();
-    names.dedup();
-    let own = identity.data_centre();
-    let has_company = peers.iter().any(|(_, peer)| {
-        peer.announcement.data_centre == *own
-            && matches!(peer.state, PeerState::Alive | PeerState::Suspect)
-    });
-    if !has_company && epoch::has_own_majority(world) {
-        names.retain(|name| *name != own);
-    }
-    names.into_iter().cloned().collect()
-}
-
-fn has_left(world: &World, node: NodeId) -> bool {
-    let peer = world.tables.peers.by_node(node).and_then(|peer| world.tables.peers.get(peer));
-    peer.is_some_and(|peer| peer.state == PeerState::Leaving)
+    let event = if fresh { "store_regained" } else { "store_lost" };
+    let level = if fresh { Level::Info } else { Level::Warn };
+    let revision = world.tables.configuration.revision.0;
+    tick.log(Note::new(level, event).with("configuration_age", age).with("revision", revision));
 }
--- a/crates/mustardpin-world/src/system/intake.rs
+++ b/crates/mustardpin-world/src/system/intake.rs
@@ -1,33 +1,47 @@
 //! Takes requests in: finds the route, checks the key and opens a call.
 
+use compact_str::CompactString;
 use rand::RngExt as _;
 
 use crate::{
     clock::Millis,
     command::Command,
-    config::Importance,
-    id::{CallKey, NodeId, RouteKey, TeamKey, TenantKey},
+    config::Rank,
+    id::{CallKey, NodeId, RouteKey, ServiceKey, TeamKey, TenantKey},
+    note::{self, Level, Note},
     refusal::{Reason, Refusal},
-    request::{CallToken, Origin, Request},
-    system::{permission, resend, retry},
+    request::{CallToken, Forwarded, Origin, Request, Verdict},
+    system::{finish, permission, pressure, resend, retry},
     table::{
         call::{Call, Stage},
         counter::Work,
+        route::Route,
     },
     world::{Tick, World},
 };
 
+/// When callers should send again what a node that is starting cannot judge yet.
+const RETRY_AFTER_START: Millis = Millis(300);
+/// When callers should send again what a node that is cut off cannot judge.
+const RETRY_AFTER_CUT: Millis = Millis(1_000);
+
 /// What a request brings along from where it came.
 struct Arrival {
-    route: RouteKey,
-    tenant: Option<TenantKey>,
+    route: Option<RouteKey>,
+    service: ServiceKey,
     from: Option<NodeId>,
     parent: Option<CallKey>,
-    importance: Importance,
+    nested: bool,
+    tenant: Option<TenantKey>,
+    key_id: Option<CompactString>,
+    team: Option<TeamKey>,
+    rank: Rank,
+    repeatable: bool,
+    objective: Millis,
+    deadline: Millis,
     retry_allowance: u32,
     depth: u16,
     hops: u8,
-    deadline: Millis,
 }
 
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
@@ -36,9 +50,15 @@
     }
     for request in std::mem::take(&mut tick.inbox.arrived) {
         world.tables.counters.work(Work::Accepted);
-        match arrival(world, tick.now, &request) {
+        let arrival = match &request.origin {
+            Origin::Peer(forwarded) => from_peer(world, tick.now, &request, forwarded),
+            Origin::Caller { .. } | Origin::Target { .. } => {
+                from_caller(world, tick.now, &request)
+            }
+        };
+        match arrival {
             Ok(arrival) => open(world, tick, request, arrival),
-            Err(reason) => refuse(world, tick, &request, Refusal::not_run(reason)),
+            Err(refusal) => refuse(world, tick, &request, refusal),
         }
     }
 }
@@ -46,125 +66,166 @@
 /// Refuses a request for which no call was opened.
 fn refuse(world: &mut World, tick: &mut Tick, request: &Request, refusal: Refusal) {
     world.tables.counters.refuse(refusal.reason);
-    tick.commands.push(Command::Reject(request.ticket, refusal));
+    let configuration = &world.tables.configuration;
+    tick.log(
+        Note::new(Level::Warn, "refused")
+            .on(&request.id)
+            .with("reason", refusal.reason.to_string())
+            .with("outcome", refusal.outcome.to_string())
+            .with("revision", configuration.revision.0)
+            .with("configuration_age", world.tables.freshness.age)
+            .with("stage", "intake"),
+    );
+    let verdict = Verdict::Refuse(refusal);
+    tick.commands.push(Command::Finish { ticket: request.ticket, verdict, retries: 0 });
 }
 
-fn arrival(world: &World, now: Millis, request: &Request) -> Result<Arrival, Reason> {
+fn from_caller(world: &mut World, now: Millis, request: &Request) -> Result<Arrival, Refusal> {
     let tables = &world.tables;
     if tables.configuration.revision.0 == 0 {
-        return Err(Reason::Starting);
+        return Err(Refusal::not_run(Reason::Starting).after(RETRY_AFTER_START));
     }
-    let arrival = match &request.origin {
-        Origin::Caller { key } => {
-            let route = tables
-                .routes
-                .resolve(&request.method, &request.path)
-                .ok_or(Reason::RouteUnknown)?;
-            let tenant = match key {
-                None => None,
-                Some((id, digest)) => {
-                    let tenant = tables.tenants.by_name(id);
-                    tenant.filter(|&tenant| {
-                        tables.tenants.get(tenant).is_some_and(|key| key.digest == *digest)
-                    })
-                }
-            };
-            if key.is_some()
-                && tenant.is_none()
-                && !tables.routes.get(route).is_some_and(|route| route.open)
-            {
-                return Err(Reason::KeyUnknown);
-            }
-            Arrival {
-                route,
-                tenant,
-                from: None,
-                parent: None,
-                importance: tables
-                    .routes
-                    .get(route)
-                    .map(|route| route.importance)
-                    .unwrap_or_default(),
-                retry_allowance: tables.configuration.fleet.retry_allowance,
-                depth: 0,
-                hops: 0,
-                deadline: Millis::MAX,
-            }
+    let (parent, tenant, nested) = match &request.origin {
+        Origin::Target { token: Some(token) } => {
+            let parent = tables.calls.by_token(*token);
+            let call = parent.and_then(|parent| tables.calls.get(parent));
+            let call = call.ok_or(Refusal::not_run(Reason::CallTokenInvalid))?;
+            (parent, call.tenant, true)
         }
-        Origin::Target { token } => {
-            let parent = tables.calls.by_token(*token).ok_or(Reason::CallTokenInvalid)?;
-            let call = tables.calls.get(parent).ok_or(Reason::CallTokenInvalid)?;
-            let route = tables
-                .routes
-                .resolve(&request.method, &request.path)
-                .ok_or(Reason::RouteUnknown)?;
-            Arrival {
-                route,
-                tenant: call.tenant,
-                from: None,
-                parent: Some(parent),
-                importance: call.importance,
-                retry_allowance: call.retry_allowance,
-                depth: call.depth + 1,
-                hops: 0,
-                deadline: call.deadline,
-            }
-        }
-        Origin::Peer(_) if tables.leaving => return Err(Reason::Leaving),
-        Origin::Peer(forwarded) => {
-            let route = tables.routes.by_name(&forwarded.route).ok_or(Reason::RouteUnknown)?;
-            let tenant = forwarded.key_id.as_ref().and_then(|id| tables.tenants.by_name(id));
-            Arrival {
-                route,
-                tenant,
-                from: Some(forwarded.from),
-                parent: None,
-                importance: forwarded.importance,
-                retry_allowance: forwarded.retry_allowance,
-                depth: forwarded.depth,
-                hops: forwarded.hops,
-                deadline: Millis::MAX,
-            }
+        Origin::Target { token: None } => (None, None, true),
+        Origin::Caller { key } => {
+            (None, key.as_ref().and_then(|key| tables.tenants.by_digest(key)), false)
         }
+        Origin::Peer(_) => (None, None, false),
+    };
+    let route = tables.routes.resolve(&request.host, &request.method, &request.path);
+    let route = route.ok_or(Refusal::not_run(Reason::RouteUnknown))?;
+    let is_key_unknown = matches!(&request.origin, Origin::Caller { key: Some(_) });
+    let is_key_unknown = is_key_unknown && tenant.is_none();
+    let grant = match parent.and_then(|parent| tables.calls.get(parent)) {
+        // The call in the course of which it is made was allowed.
+        Some(call) => permission::Grant { tenant: call.tenant, team: call.team },
+        None => permission::check(tables, route, tenant).map_err(|reason| match reason {
+            Reason::KeyMissing if is_key_unknown => Refusal::not_run(Reason::KeyUnknown),
+            Reason::CutOff => Refusal::not_run(reason).after(RETRY_AFTER_CUT),
+            _ => Refusal::not_run(reason),
+        })?,
     };
-    let route = tables.routes.get(arrival.route).ok_or(Reason::RouteUnknown)?;
-    if !route.repeatable && request.idempotency_key.is_none() {
-        return Err(Reason::IdempotencyKeyMissing);
+    let row = world.tables.routes.get_mut(route).ok_or(Refusal::not_run(Reason::RouteUnknown))?;
+    let service = row.next_service().ok_or(Refusal::not_run(Reason::NoTarget))?;
+    let (timeout, objective, repeatable, attempts) = terms(row);
+    let timeout = timeout.min(request.timeout.unwrap_or(world.options.routing.default_timeout));
+    let deadline = now + timeout;
+    let fleet_allowance = world.tables.configuration.fleet.retry_allowance;
+    let allowance = attempts.map_or(fleet_allowance, |attempts| fleet_allowance.min(attempts));
+    let mut arrival = Arrival {
+        route: Some(route),
+        service,
+        from: None,
+        parent,
+        nested,
+        tenant: grant.tenant,
+        key_id: None,
+        team: grant.team,
+        rank: world.tables.rank(grant.team, route),
+        repeatable,
+        objective: now + objective.min(timeout),
+        deadline,
+        retry_allowance: allowance,
+        depth: 0,
+        hops: 0,
+    };
+    if let Some(call) = parent.and_then(|parent| world.tables.calls.get(parent)) {
+        arrival.rank = call.rank;
+        arrival.deadline = arrival.deadline.min(call.deadline);
+        arrival.depth = call.depth + 1;
+    }
+    allow_repeats(world, now, request, &mut arrival)?;
+    Ok(arrival)
+}
+
+/// The time limit, the objective, whether it may be repeated, and the repeats within its attempts.
+fn terms(route: &Route) -> (Millis, Millis, bool, Option<u32>) {
+    let config = &route.config;
+    let objective = config.objective.unwrap_or(config.timeout);
+    let repeats = config.attempts.map(|attempts| u32::from(attempts).saturating_sub(1));
+    (config.timeout, objective, config.repeatable, repeats)
+}
+
+/// Sets the repeats that a request may cause, or says why it may not run.
+fn allow_repeats(
+    world: &mut World,
+    now: Millis,
+    request: &Request,
+    arrival: &mut Arrival,
+) -> Result<(), Refusal> {
+    if let Some(parent) = arrival.parent {
+        let allowance = retry::adopt(world, parent, arrival.service, request);
+        arrival.retry_allowance = allowance.map_err(Refusal::not_run)?;
+        return Ok(());
+    }
+    let (Some(team), Some(route)) = (arrival.team, arrival.route) else { return Ok(()) };
+    let identity = resend::Identity { team, route, fingerprint: request.fingerprint };
+    arrival.retry_allowance = resend::admit(world, now, identity, arrival.retry_allowance)?;
+    Ok(())
+}
+
+fn from_peer(
+    world: &mut World,
+    now: Millis,
+    request: &Request,
+    forwarded: &Forwarded,
+) -> Result<Arrival, Refusal> {
+    let tables = &mut world.tables;
+    if tables.leaving {
+        return Err(Refusal::not_run(Reason::Leaving));
+    }
+    if forwarded.service != *world.identity.service() && forwarded.hops > 1 {
+        return Err(Refusal::not_run(Reason::NoTarget));
     }
     let timeout = request.timeout.unwrap_or(world.options.routing.default_timeout);
-    let deadline = arrival.deadline.min(now + timeout.min(route.timeout));
-    Ok(Arrival { deadline, ..arrival })
+    Ok(Arrival {
+        route: tables.routes.by_name(&forwarded.route),
+        service: tables.services.named(&forwarded.service),
+        from: Some(forwarded.from),
+        parent: None,
+        nested: forwarded.nested,
+        tenant: None,
+        key_id: forwarded.key_id.clone(),
+        team: forwarded.team.as_ref().and_then(|team| tables.teams.by_name(team)),
+        rank: forwarded.rank,
+        repeatable: forwarded.repeatable,
+        objective: now + forwarded.objective,
+        deadline: now + timeout,
+        retry_allowance: forwarded.retry_allowance,
+        depth: forwarded.depth,
+        hops: forwarded.hops,
+    })
 }
 
 fn open(world: &mut World, tick: &mut Tick, request: Request, arrival: Arrival) {
-    let grant = match permission::check(&world.tables, arrival.route, arrival.tenant) {
-        Ok(grant) => grant,
-        Err(reason) => return refuse(world, tick, &request, Refusal::not_run(reason)),
-    };
-    let retry_allowance = match allowance(world, tick.now, &request, &arrival, grant.team) {
-        Ok(allowance) => allowance,
-        Err(refusal) => return refuse(world, tick, &request, refusal),
-    };
-    let is_root = arrival.from.is_none() && arrival.parent.is_none();
-    let importance = match is_root {
-        true => world.tables.importance(grant.team, arrival.route),
-        false => arrival.importance,
-    };
-    let charged = is_root && grant.team.is_some();
+    let is_root = arrival.from.is_none() && !arrival.nested;
+    let charged = is_root && arrival.team.is_some();
     let stage = if charged { Stage::Rating } else { Stage::Routing };
-    let call = world.tables.calls.insert(Call {
+    let call = Call {
         ticket: request.ticket,
+        is_logged: note::is_sampled(&request.id, world.options.notes.one_in),
+        id: request.id,
         from: arrival.from,
         parent: arrival.parent,
-        tenant: grant.tenant,
-        team: grant.team,
+        nested: arrival.nested,
+        tenant: arrival.tenant,
+        key_id: arrival.key_id,
+        team: arrival.team,
         route: arrival.route,
-        importance,
-        idempotency_key: request.idempotency_key,
+        service: arrival.service,
+        rank: arrival.rank,
+        repeatable: arrival.repeatable,
         fingerprint: request.fingerprint,
         arrived: tick.now,
+        objective: arrival.objective,
         deadline: arrival.deadline,
-        retry_allowance,
+        retry_allowance: arrival.retry_allowance,
         depth: arrival.depth,
         hops: arrival.hops,
         stage,
@@ -173,33 +234,42 @@
         peer: None,
         tried: Default::default(),
         abandoned: false,
-        record: None,
-        isolated: false,
+        cancelling: false,
         lineage: Default::default(),
-    });
-    tick.commands.push(Command::Accepted(request.ticket, call));
-    if let Some(parent) = arrival.parent.and_then(|parent| world.tables.calls.get_mut(parent)) {
-        parent.lineage.children.push(call);
+    };
+    if call.is_logged {
+        tick.log(opened(world, &call));
+    }
+    let from_target = call.nested && call.from.is_none();
+    let (route, parent) = (call.route, call.parent);
+    let key = world.tables.calls.insert(call);
+    if let Some(parent) = parent.and_then(|parent| world.tables.calls.get_mut(parent)) {
+        parent.lineage.children.push(key);
+    }
+    if from_target {
+        pressure::called(world, route);
+    }
+    if tick.now >= arrival.deadline {
+        let refusal = Refusal::not_run(Reason::DeadlineBeforeRun);
+        finish::run(world, tick, key, Verdict::Refuse(refusal));
     }
 }
 
-/// The repeats that a request may cause, or why it may not run.
-fn allowance(
-    world: &mut World,
-    now: Millis,
-    request: &Request,
-    arrival: &Arrival,
-    team: Option<TeamKey>,
-) -> Result<u32, Refusal> {
-    if let Some(parent) = arrival.parent {
-        return retry::adopt(world, parent, request).map_err(Refusal::not_run);
+fn opened(world: &World, call: &Call) -> Note {
+    let tables = &world.tables;
+    let route = call.route.and_then(|route| tables.routes.get(route));
+    let team = call.team.and_then(|team| tables.teams.get(team));
+    let note = Note::new(Level::Debug, "arrived")
+        .on(&call.id)
+        .with("route", route.map_or_else(CompactString::default, |row| row.config.name.clone()))
+        .with("team", team.map_or_else(CompactString::default, |row| row.name.clone()))
+        .with("rank", call.rank.to_string())
+        .with("nested", call.nested)
+        .with("left", call.deadline - call.arrived)
+        .with("revision", tables.configuration.revision.0)
+        .with("configuration_age", tables.freshness.age);
+    match call.from {
+        Some(from) => note.with("from", from),
+        None => note,
     }
-    let (None, Some(team)) = (arrival.from, team) else { return Ok(arrival.retry_allowance) };
-    let identity = resend::Identity {
-        team,
-        route: arrival.route,
-        idempotency_key: request.idempotency_key.as_deref(),
-        fingerprint: request.fingerprint,
-    };
-    resend::admit(world, now, identity)
 }
--- a/crates/mustardpin-world/src/system/limit/adaptive.rs
+++ b/crates/mustardpin-world/src/system/limit/adaptive.rs
@@ -51,7 +51,7 @@
 const FALL_WEIGHT: f64 = 0.2;
 /// The time until samples belong to a new limit, as a multiple of the latency.
 const SETTLE_LATENCIES: f64 = 1.5;
-/// The weight of a new sample in the mean latency.
+/// The weight of a new sample in the mean latency that rounds are measured by.
 const LATENCY_WEIGHT: f64 = 0.05;
 
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -176,10 +176,6 @@
         }
     }
 
-    fn latency(&self) -> Millis {
-        Millis(self.latency as u64)
-    }
-
     fn observe(&mut self, sample: Sample) {
         if sample.end == SampleEnd::Declined && sample.now >= self.settled {
             return self.set(self.limit * DECLINED_FACTOR, sample.now);
--- /dev/null
+++ b/crates/mustardpin-world/src/system/pressure/admission.rs
@@ -0,0 +1,227 @@
+//! Which share of the requests at the top of call chains is let through.
+//!
+//! For each service that has too much to do, the node lowers the share of the work for it that it
+//! lets through, and raises it again once there is room. The work that is let through goes to the
+//! most important requests first, but some of each kind gets through.
+
+use std::collections::BTreeMap;
+
+use rand::RngExt as _;
+
+use crate::{
+    clock::Millis,
+    config::Rank,
+    id::{CallKey, RouteKey, ServiceKey},
+    note::{Level, Note},
+    refusal::{Reason, Refusal},
+    table::{demand::Load, peer::Link},
+    world::{Tick, World},
+};
+
+/// The time between two looks at services and shares.
+const PERIOD: Millis = Millis(100);
+/// What amounts are multiplied by each period.
+const DECAY: f64 = 0.85;
+/// The demand that a service is held to, as a multiple of what it can do.
+const TARGET_DEMAND: f64 = 0.92;
+/// How strongly the share follows the demand in one period.
+const GAIN: f64 = 0.12;
+/// The share never falls below this.
+const LEAST_SHARE: f64 = 0.05;
+/// The share that each kind of request has at least, as a part of the share of all.
+const KIND_SHARE: f64 = 0.3;
+/// The deepest chain of calls that is followed.
+const DEEPEST: usize = 20;
+/// A request that costs a service less than this, in milliseconds, is not held back for it.
+const LEAST_COST: f64 = 1.0;
+/// How long a caller should wait before it sends a refused request again.
+const RETRY_AFTER: Millis = Millis(400);
+
+/// What the admission remembers from tick to tick.
+#[derive(Debug, Default)]
+pub(super) struct State {
+    next: Millis,
+    /// Whether any share is below one.
+    is_holding: bool,
+}
+
+/// Lets a call through, or says why not.
+pub(super) fn admit(world: &mut World, key: CallKey) -> Result<(), Refusal> {
+    let Some(call) = world.tables.calls.get(key) else { return Ok(()) };
+    if !world.options.pressure.early_refusal || call.from.is_some() || call.nested {
+        return Ok(());
+    }
+    let Some(route) = call.route else { return Ok(()) };
+    let offers = &mut world.tables.demand.offers;
+    let offer = offers.entry((call.rank, route)).or_default();
+    offer.offered += 1.0;
+    if !world.systems.pressure.admission.is_holding || offer.admitted >= 1.0 {
+        return Ok(());
+    }
+    if world.rng.random::<f64>() < offer.admitted {
+        return Ok(());
+    }
+    Err(Refusal::not_run(Reason::Shed).after(RETRY_AFTER))
+}
+
+pub(super) fn run(world: &mut World, tick: &mut Tick) {
+    if tick.now < world.systems.pressure.admission.next {
+        return;
+    }
+    world.systems.pressure.admission.next = tick.now + PERIOD;
+    decay(world);
+    let is_holding = follow_demand(world);
+    let was_holding = world.systems.pressure.admission.is_holding;
+    world.systems.pressure.admission.is_holding = is_holding;
+    if is_holding {
+        find_loads(world);
+        share_out(world);
+        tick.wake(tick.now + PERIOD);
+    }
+    if is_holding != was_holding {
+        tick.log(shedding_note(world, is_holding));
+    }
+}
+
+fn shedding_note(world: &World, is_holding: bool) -> Note {
+    let tightest =
+        world.tables.services.iter().min_by(|one, other| one.1.admitted.total_cmp(&other.1.admitted));
+    let note = Note::new(Level::Info, "shedding").with("on", is_holding);
+    let Some((_, service)) = tightest else { return note };
+    note.with("service", service.name.clone())
+        .with("demand_percent", (service.demand * 100.0) as u64)
+        .with("admitted_percent", (service.admitted * 100.0) as u64)
+}
+
+/// Lets amounts decay, and forgets what is not asked for any more.
+fn decay(world: &mut World) {
+    const RARE: f64 = 0.02;
+
+    world.tables.demand.offers.retain(|_, offer| {
+        offer.offered *= DECAY;
+        offer.offered > RARE
+    });
+}
+
+/// Brings the share of each service up to date. Returns whether any is below one.
+fn follow_demand(world: &mut World) -> bool {
+    let keys: Vec<ServiceKey> = world.tables.services.iter().map(|(key, _)| key).collect();
+    let mut is_holding = false;
+    for key in keys {
+        let demand = demand_of(world, key);
+        let Some(service) = world.tables.services.get_mut(key) else { continue };
+        let Some(demand) = demand else {
+            // Nothing is known of it, so nothing is held back for it.
+            service.admitted = 1.0;
+            continue;
+        };
+        service.demand = demand;
+        let change = (TARGET_DEMAND / demand.max(0.01)).powf(GAIN);
+        service.admitted = (service.admitted * change).clamp(LEAST_SHARE, 1.0);
+        is_holding |= service.admitted < 1.0;
+    }
+    is_holding
+}
+
+/// How much is asked of a service's targets, as a multiple of what they can do together.
+fn demand_of(world: &World, key: ServiceKey) -> Option<f64> {
+    let tables = &world.tables;
+    let service = tables.services.get(key)?;
+    let peers = service.peers.iter().filter_map(|&peer| tables.peers.get(peer));
+    let loads = peers.filter(|peer| peer.link == Link::Up).filter_map(|peer| peer.load);
+    let loads = loads.filter(|load| load.open).map(|load| (load.demand, load.limit));
+    let target = &tables.target;
+    let is_own = service.name == *world.identity.service() && target.is_open();
+    let own = is_own.then(|| (world.systems.pressure.gauge.demand(), target.limit));
+    let (mut asked, mut limits) = (0.0, 0.0);
+    for (demand, limit) in loads.chain(own) {
+        asked += f64::from(demand) / 1_000.0 * f64::from(limit);
+        limits += f64::from(limit);
+    }
+    (limits > 0.0).then(|| asked / limits)
+}
+
+/// Works out what requests for each route that is asked for cost each service.
+fn find_loads(world: &mut World) {
+    let routes: Vec<RouteKey> = world.tables.demand.offers.keys().map(|(_, route)| *route).collect();
+    for route in routes {
+        let mut load = BTreeMap::new();
+        add_load(world, route, 1.0, 0, &mut load);
+        world.tables.demand.loads.insert(route, load.into_iter().collect());
+    }
+}
+
+/// Adds what so many runs of a route cost, with all the calls below them.
+fn add_load(
+    world: &World,
+    route: RouteKey,
+    runs: f64,
+    depth: usize,
+    load: &mut BTreeMap<ServiceKey, f64>,
+) {
+    let tables = &world.tables;
+    let Some(row) = tables.routes.get(route) else { return };
+    let Some(cost) = tables.demand.costs.get(&row.config.name) else { return };
+    let weights: f64 = row.parts.iter().map(|part| f64::from(part.weight)).sum();
+    for part in &row.parts {
+        let share = f64::from(part.weight) / weights.max(1.0);
+        *load.entry(part.service).or_default() += cost.hold * runs * share;
+    }
+    if depth >= DEEPEST {
+        return;
+    }
+    for (name, calls) in &cost.calls {
+        if let Some(called) = tables.routes.by_name(name) {
+            add_load(world, called, runs * calls, depth + 1, load);
+        }
+    }
+}
+
+/// Works out which share of each kind of request is let through.
+fn share_out(world: &mut World) {
+    let services = &world.tables.services;
+    let tight: Vec<(ServiceKey, f64)> = services
+        .iter()
+        .filter(|(_, service)| service.admitted < 1.0)
+        .map(|(key, service)| (key, service.admitted))
+        .collect();
+    let demand = &mut world.tables.demand;
+    for offer in demand.offers.values_mut() {
+        offer.admitted = 1.0;
+    }
+    for (service, share) in tight {
+        let cost = |route: RouteKey| cost_of(demand.loads.get(route), service);
+        let kinds: Vec<((Rank, RouteKey), f64)> = demand
+            .offers
+            .iter()
+            .map(|(&kind, offer)| (kind, offer.offered * cost(kind.1)))
+            .filter(|&(kind, work)| work > 0.0 && cost(kind.1) >= LEAST_COST)
+            .collect();
+        for (kind, admitted) in shares(&kinds, share) {
+            if let Some(offer) = demand.offers.get_mut(&kind) {
+                offer.admitted = offer.admitted.min(admitted);
+            }
+        }
+    }
+}
+
+fn cost_of(load: Option<&Load>, service: ServiceKey) -> f64 {
+    let load = load.into_iter().flatten();
+    load.filter(|(other, _)| *other == service).map(|(_, cost)| cost).sum()
+}
+
+/// Splits a share of all work between kinds of request: each has a part of its own, and the rest
+/// goes to the most important first. `kinds` are in the order of importance, the least first.
+fn shares(kinds: &[((Rank, RouteKey), f64)], share: f64) -> Vec<((Rank, RouteKey), f64)> {
+    let total: f64 = kinds.iter().map(|(_, work)| work).sum();
+    let least = share * KIND_SHARE;
+    let mut left = total * (share - least);
+    let mut shares = Vec::with_capacity(kinds.len());
+    for equals in kinds.chunk_by(|one, other| one.0.0 == other.0.0).rev() {
+        let work: f64 = equals.iter().map(|(_, work)| work).sum();
+        let more = (work * (1.0 - least)).min(left);
+        left -= more;
+        shares.extend(equals.iter().map(|&(kind, _)| (kind, least + more / work)));
+    }
+    shares
+}
--- a/crates/mustardpin-world/src/system/proposal.rs
+++ b/crates/mustardpin-world/src/system/proposal.rs
@@ -1,6 +1,6 @@
-//! Takes operators' changes to the platform and answers once their outcome is known.
+//! Takes operators' changes to the store and answers once their outcome is known.
 //!
-//! Each attempt first reads the platform: that shows whether the change stands already, what came
+//! Each attempt first reads the store: that shows whether the change stands already, what came
 //! in between, and what it refers to. Only then one transaction, guarded by the head, writes it
 //! whole. A lost answer is settled by reading again: the change's id stands in the head or not.
 
@@ -11,9 +11,9 @@
     command::Command,
     config::{ChangeError, Record},
     event::{Proposal, ProposalTicket},
-    id::Revision,
-    platform::{Guard, Operation, Reply, Row, Ticket},
-    system::{configuration, freshness, validation},
+    id::{Position, Revision},
+    store::{Area, Name, Operation, Refused, Reply, Ticket, Value},
+    system::validation,
     world::{Tick, World},
 };
 
@@ -25,9 +25,9 @@
 enum Wait {
     /// The time of the next attempt.
     Until(Millis),
-    /// The platform's rows.
+    /// The store's rows.
     Read(Ticket),
-    /// The platform's answer to the transaction.
+    /// The store's answer to the transaction.
     Write(Ticket),
 }
 
@@ -68,30 +68,35 @@
 ) -> Option<Result<Revision, ChangeError>> {
     let timeout = world.options.configuration.proposal_timeout;
     if tick.now - open.since >= timeout {
-        return Some(Err(ChangeError::PlatformUnavailable));
+        return Some(Err(ChangeError::StoreUnavailable));
     }
     tick.wake(open.since + timeout);
     match open.wait {
         Wait::Until(at) if tick.now < at => tick.wake(at),
-        Wait::Until(_) => open.wait = Wait::Read(freshness::poll(world, tick)),
+        Wait::Until(_) => open.wait = Wait::Read(read(world, tick)),
         Wait::Read(ticket) => match reply_to(tick, ticket)? {
-            Reply::Changes { .. } => return attempt(world, tick, open),
+            Reply::News { .. } => return attempt(world, tick, open),
             _ => pause(world, tick, open),
         },
         Wait::Write(ticket) => match reply_to(tick, ticket)? {
-            Reply::Accepted { revision } => {
-                let revision = *revision;
-                accept(world, tick, &open.proposal, revision);
+            Reply::Written { position } => {
+                let revision = Revision(position.0);
+                accept(world, &open.proposal, revision);
                 return Some(Ok(revision));
             }
-            _ => open.wait = Wait::Read(freshness::poll(world, tick)),
+            Reply::Refused(Refused::Forbidden) => return Some(Err(ChangeError::ReadOnly)),
+            _ => open.wait = Wait::Read(read(world, tick)),
         },
     }
     None
 }
 
+fn read(world: &mut World, tick: &mut Tick) -> Ticket {
+    world.ask_store(tick, Operation::Read(Area::Configuration))
+}
+
 fn reply_to(tick: &Tick, ticket: Ticket) -> Option<&Reply> {
-    let replies = tick.inbox.platform.iter();
+    let replies = tick.inbox.store.iter();
     replies.filter(|(asked, _)| *asked == ticket).map(|(_, reply)| reply).next()
 }
 
@@ -101,7 +106,7 @@
     tick.wake(at);
 }
 
-/// Checks a proposal against what the platform has just said, and writes it if it stands up.
+/// Checks a proposal against what the store has just said, and writes it if it stands up.
 fn attempt(
     world: &mut World,
     tick: &mut Tick,
@@ -118,68 +123,51 @@
     if let Err(error) = validation::check(&world.tables, proposal) {
         return Some(Err(error));
     }
-    if !may_accept(world) {
-        pause(world, tick, open);
-        return None;
-    }
     let operation = transaction(world, proposal);
-    open.wait = Wait::Write(world.ask_platform(tick, operation));
+    open.wait = Wait::Write(world.ask_store(tick, operation));
     None
 }
 
-/// Whether others know this node as one through which changes come.
-///
-/// While the platform is down, nodes go by news from the data centres of the epoch's members. So
-/// only members accept changes, and only while they are in contact with their own data centre.
-fn may_accept(world: &World) -> bool {
-    let epoch = &world.tables.epoch;
-    let is_known = epoch.current.number == 0 || epoch.contains(world.identity.node());
-    is_known && world.tables.freshness.is_with_own
-}
-
 fn transaction(world: &World, proposal: &Proposal) -> Operation {
     let configuration = &world.tables.configuration;
     let mut recent = configuration.recent.clone();
     recent.push(proposal.id.clone());
     let surplus = recent.len().saturating_sub(RECENT);
     recent.drain(..surplus);
-    let written = proposal.rows.iter().map(|row| Row::Configuration(row.path(), Some(row.clone())));
-    let removed = proposal.removals.iter().map(|path| Row::Configuration(path.clone(), None));
-    let rows = written.chain(removed).chain([Row::Head(recent)]).collect();
-    let guards = vec![
-        (Guard::Head, configuration.head),
-        (Guard::Epoch, world.tables.epoch.current.revision),
-    ];
-    Operation::Transact { guards, rows }
+    let written = proposal
+        .rows
+        .iter()
+        .map(|row| (Name::Configuration(row.path()), Value::Configuration(row.clone())));
+    let puts = written.chain([(Name::Head, Value::Head(recent))]).collect();
+    let removals = proposal.removals.iter().cloned().map(Name::Configuration).collect();
+    Operation::Write { expected: vec![(Name::Head, configuration.head)], puts, removals }
 }
 
-/// Puts an accepted change in force here and tells peers at once.
-fn accept(world: &mut World, tick: &mut Tick, proposal: &Proposal, revision: Revision) {
-    let before = world.tables.configuration.revision;
+/// Puts an accepted change in force here at once.
+fn accept(world: &mut World, proposal: &Proposal, revision: Revision) {
     let written = proposal.rows.iter().map(|row| (row.path(), Some(row.clone())));
     let removed = proposal.removals.iter().map(|path| (path.clone(), None));
     for (path, row) in written.chain(removed) {
         world.tables.apply_record(Record { path, revision, row });
     }
     let configuration = &mut world.tables.configuration;
-    if revision > configuration.head {
-        configuration.head = revision;
+    if Position(revision.0) > configuration.head {
+        configuration.head = Position(revision.0);
         configuration.recent.push(proposal.id.clone());
     }
     configuration.revision = configuration.revision.max(revision);
-    configuration::spread(world, tick, before);
 }
 
 /// The revision that a change was given: that of its records, unless later ones replaced them all.
 fn revision_of(world: &World, proposal: &Proposal) -> Revision {
     let configuration = &world.tables.configuration;
     if configuration.recent.last() == Some(&proposal.id) {
-        return configuration.head;
+        return Revision(configuration.head.0);
     }
     let written = proposal.rows.iter().map(|row| row.path());
     let paths = written.chain(proposal.removals.iter().cloned());
     let revisions = paths.filter_map(|path| configuration.records.get(&path));
-    revisions.map(|record| record.revision).min().unwrap_or(configuration.head)
+    revisions.map(|record| record.revision).min().unwrap_or(Revision(configuration.head.0))
 }
 
 fn conflict(world: &World, expected: Revision) -> ChangeError {
--- a/crates/mustardpin-world/src/system/queueing.rs
+++ b/crates/mustardpin-world/src/system/queueing.rs
@@ -1,4 +1,8 @@
 //! Holds calls until the own target has room, and sends them there.
+//!
+//! Calls that a target makes in the course of another request go first, since refusing one wastes
+//! the work on the request it belongs to. Then come the more important ones. A call that would have
+//! to wait too long is refused at once, while its entry node can still try another place.
 
 mod codel;
 mod fair;
@@ -9,12 +13,13 @@
 use crate::{
     clock::Millis,
     command::Command,
-    config::Importance,
+    config::Rank,
     id::{CallKey, TeamKey},
+    note::{Level, Note},
     options::{self, Queueing},
     refusal::{Reason, Refusal},
     request::{Run, Verdict},
-    system::{finish, permission, recording},
+    system::{finish, permission},
     table::{
         call::{Call, Stage},
         counter::Work,
@@ -26,15 +31,22 @@
 /// A run that has not reached the target within this time of the decision must not start.
 const START_WITHIN: Millis = Millis(500);
 /// The time between two searches of the whole queue for calls whose time is up.
-const SWEEP_PERIOD: Millis = Millis(100);
-/// How long after a refusal of an importance peers are told that it is refused.
-const REFUSED_FOR: Millis = Millis(300);
+const SWEEP_PERIOD: Millis = Millis(50);
 /// How long a caller should wait before it sends a refused request again.
-const RETRY_AFTER: Millis = Millis(1_000);
-/// The queue has room for at least this many calls.
-const LEAST_CAPACITY: u64 = 8;
+const RETRY_AFTER: Millis = Millis(500);
+/// A queue this long is never too long: estimates of the wait are rough.
+const LEAST_CAPACITY: usize = 4;
 /// The estimate of a run's length halves for each such time without any run.
 const ESTIMATE_HALF_LIFE: Millis = Millis(500);
+/// A run surely takes the mean length divided by this.
+const CERTAIN_PART: u64 = 2;
+
+/// What decides which call goes first: calls made by targets, then the more important.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Class {
+    nested: bool,
+    rank: Rank,
+}
 
 /// A call in the queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,7 +54,7 @@
     call: CallKey,
     team: Option<TeamKey>,
     weight: u32,
-    importance: Importance,
+    class: Class,
     queued: Millis,
 }
 
@@ -69,6 +81,9 @@
 
     /// How many calls are in the queue.
     fn len(&self) -> usize;
+
+    /// How many calls go before one of this class that comes now.
+    fn ahead_of(&self, class: Class) -> usize;
 }
 
 /// What the system remembers from tick to tick.
@@ -78,9 +93,6 @@
     next_sweep: Millis,
     /// When the target last began a run.
     last_run: Millis,
-    /// When calls of each importance were last refused, and when they last ran.
-    refused: [Option<Millis>; Importance::ALL.len()],
-    ran: [Option<Millis>; Importance::ALL.len()],
 }
 
 impl State {
@@ -90,31 +102,24 @@
             options::Discipline::Fifo => Box::new(fifo::Fifo::default()),
             options::Discipline::Codel => Box::new(codel::Codel::default()),
         };
-        State {
-            discipline,
-            next_sweep: Millis::ZERO,
-            last_run: Millis::ZERO,
-            refused: Default::default(),
-            ran: Default::default(),
-        }
+        State { discipline, next_sweep: Millis::ZERO, last_run: Millis::ZERO }
     }
 }
 
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
     for key in world.tables.calls.take(Stage::Queued) {
         let Some(call) = world.tables.calls.get(key) else { continue };
-        if call.isolated {
-            // Waits outside the queue until the target is idle.
-            world.tables.calls.keep(key);
+        let entry = entry(world, key, call);
+        if waits_too_long(world, tick.now, call, entry) {
+            refuse(world, tick, key, Reason::QueueFull);
             continue;
         }
-        let entry = entry(world, key, call);
         world.systems.queueing.discipline.push(entry);
     }
     sweep(world, tick);
     fill(world, tick);
     evict(world, tick);
-    judge(world, tick);
+    world.tables.target.queued = world.systems.queueing.discipline.len() as u32;
 }
 
 /// Empties the queue. Returns the calls that were in it.
@@ -124,6 +129,7 @@
         taken.push(entry.call);
         false
     });
+    world.tables.target.queued = 0;
     taken
 }
 
@@ -134,26 +140,45 @@
         call: key,
         team: call.team,
         weight: weight.max(1),
-        importance: call.importance,
+        class: Class { nested: call.nested, rank: call.rank },
         queued: call.since,
     }
 }
 
-/// Refuses calls whose time is up, and forgets those whose caller has gone.
+/// Whether a call would have to wait too long behind those that go before it.
+fn waits_too_long(world: &World, now: Millis, call: &Call, entry: Entry) -> bool {
+    if has_room(world, now) {
+        return false;
+    }
+    let target = &world.tables.target;
+    let ahead = world.systems.queueing.discipline.ahead_of(entry.class);
+    if ahead < LEAST_CAPACITY && target.is_open() {
+        return false;
+    }
+    let limit = u64::from(target.sustained_limit.max(1));
+    let wait = Millis((ahead as u64).saturating_mul(target.latency.0) / limit);
+    let options = &world.options.queueing;
+    wait > longest_wait(options, call) || now + wait + least_time(world, now) > call.deadline
+}
+
+/// Refuses calls that wait too long, and forgets those whose caller has gone.
 fn sweep(world: &mut World, tick: &mut Tick) {
     if world.systems.queueing.discipline.len() == 0 {
         return;
     }
     if tick.now >= world.systems.queueing.next_sweep {
         world.systems.queueing.next_sweep = tick.now + SWEEP_PERIOD;
-        let calls = &world.tables.calls;
+        let least = least_time(world, tick.now);
+        let (calls, options) = (&world.tables.calls, &world.options.queueing);
         let mut late = Vec::new();
         world.systems.queueing.discipline.retain(&mut |entry| {
             let Some(call) = calls.get(entry.call) else { return false };
-            if call.deadline <= tick.now {
+            let is_late = call.deadline <= tick.now + least
+                || tick.now - entry.queued > longest_wait(options, call);
+            if is_late {
                 late.push(entry.call);
             }
-            call.deadline > tick.now
+            !is_late
         });
         for call in late {
             refuse(world, tick, call, Reason::DeadlineBeforeRun);
@@ -162,34 +187,27 @@
     tick.wake(world.systems.queueing.next_sweep);
 }
 
+/// How long a call may wait at most.
+fn longest_wait(options: &Queueing, call: &Call) -> Millis {
+    if call.nested { options.nested_wait } else { options.wait }
+}
+
 /// Sends calls to the target for as long as it has room.
 fn fill(world: &mut World, tick: &mut Tick) {
-    if let Some(trial) = world.tables.target.trial {
-        return try_alone(world, tick, trial);
-    }
     while has_room(world, tick.now) {
         match world.systems.queueing.discipline.pop(tick.now) {
             Some(Next::Run(entry)) => dispatch(world, tick, entry),
-            Some(Next::Drop(entry)) => {
-                refuse_entry(world, tick, entry, Reason::QueueFull);
-            }
+            Some(Next::Drop(entry)) => refuse(world, tick, entry.call, Reason::QueueFull),
             None => return,
         }
     }
 }
 
-/// Runs a suspect once the target is idle. Nothing else begins before it has ended.
-fn try_alone(world: &mut World, tick: &mut Tick, trial: CallKey) {
-    let Some(call) = world.tables.calls.get(trial) else { return };
-    if call.stage == Stage::Queued && world.tables.target.running == 0 {
-        let entry = entry(world, trial, call);
-        return dispatch(world, tick, entry);
-    }
-    tick.wake(call.deadline);
-}
-
 fn has_room(world: &World, now: Millis) -> bool {
     let target = &world.tables.target;
+    if !target.present {
+        return false;
+    }
     match target.health.standing(now, target.running) {
         Standing::Open => target.running < target.limit,
         Standing::Probe => target.running == 0,
@@ -197,11 +215,12 @@
     }
 }
 
-/// Refuses what the queue has no room for.
+/// Refuses what would have to wait too long.
 fn evict(world: &mut World, tick: &mut Tick) {
-    while world.systems.queueing.discipline.len() > capacity(world) {
+    let capacity = capacity(world);
+    while world.systems.queueing.discipline.len() > capacity {
         let Some(entry) = world.systems.queueing.discipline.evict() else { return };
-        refuse_entry(world, tick, entry, Reason::QueueFull);
+        refuse(world, tick, entry.call, Reason::QueueFull);
     }
 }
 
@@ -209,40 +228,21 @@
 fn capacity(world: &World) -> usize {
     let target = &world.tables.target;
     let options = &world.options.queueing;
+    if !target.is_open() && !target.present {
+        return 0;
+    }
     let limit = u64::from(target.sustained_limit.max(1));
-    let capacity = limit.saturating_mul(options.wait.0) / target.latency.0.max(1);
-    capacity.max(LEAST_CAPACITY).min(options.capacity as u64) as usize
+    let wait = options.wait.max(options.nested_wait);
+    let capacity = limit.saturating_mul(wait.0) / target.latency.0.max(1);
+    (capacity as usize).max(LEAST_CAPACITY).min(options.capacity)
 }
 
-fn refuse_entry(world: &mut World, tick: &mut Tick, entry: Entry, reason: Reason) {
-    if world.tables.calls.get(entry.call).is_none() {
-        return;
+fn refuse(world: &mut World, tick: &mut Tick, key: CallKey, reason: Reason) {
+    if let Some(call) = world.tables.calls.get(key) {
+        super::pressure::turned_away(world, call.route);
     }
-    world.systems.queueing.refused[entry.importance as usize] = Some(tick.now);
-    refuse(world, tick, entry.call, reason);
-}
-
-fn refuse(world: &mut World, tick: &mut Tick, call: CallKey, reason: Reason) {
     let refusal = Refusal::not_run(reason).after(RETRY_AFTER);
-    finish::run(world, tick, call, Verdict::Refuse(refusal));
-}
-
-/// Finds the least importance that still gets through, for peers.
-fn judge(world: &mut World, tick: &mut Tick) {
-    let state = &world.systems.queueing;
-    let recent = |at: Option<Millis>| at.is_some_and(|at| tick.now - at < REFUSED_FOR);
-    let mut least = Importance::Low;
-    for (&importance, &above) in Importance::ALL.iter().zip(&Importance::ALL[1..]) {
-        let index = importance as usize;
-        if recent(state.refused[index]) && !recent(state.ran[index]) {
-            least = above;
-        }
-    }
-    world.tables.target.least_importance = least;
-    world.tables.target.queued = state.discipline.len() as u32;
-    if least > Importance::Low {
-        tick.wake(tick.now + REFUSED_FOR);
-    }
+    finish::run(world, tick, key, Verdict::Refuse(refusal));
 }
 
 /// Sends a call to the own target, unless its time is up or it may no longer run.
@@ -251,32 +251,33 @@
     let calls = &world.tables.calls;
     let Some(call) = calls.get(key).filter(|call| call.stage == Stage::Queued) else { return };
     if call.deadline <= tick.now + least_time(world, tick.now) {
-        return refuse_entry(world, tick, entry, Reason::DeadlineBeforeRun);
+        return refuse(world, tick, key, Reason::DeadlineBeforeRun);
     }
-    if let Err(reason) = permission::check(&world.tables, call.route, call.tenant) {
+    if let Err(reason) = permission::check_again(&world.tables, call) {
         return finish::run(world, tick, key, Verdict::Refuse(Refusal::not_run(reason)));
     }
-    match recording::start(world, tick, key) {
-        Ok(()) => {}
-        Err(recording::Hold::Record) => {
-            return world.tables.calls.advance(key, Stage::Recording, tick.now);
-        }
-        Err(recording::Hold::Refuse(refusal)) => {
-            return finish::run(world, tick, key, Verdict::Refuse(refusal));
-        }
+    if call.is_logged {
+        let target = &world.tables.target;
+        let note = Note::new(Level::Debug, "run")
+            .on(&call.id)
+            .with("instance", target.report.instance.clone())
+            .with("waited", tick.now - entry.queued)
+            .with("running", target.running)
+            .with("limit", target.limit)
+            .with("left", call.deadline - tick.now);
+        tick.log(note);
     }
-    let Some(call) = world.tables.calls.get(key) else { return };
-    let record = world.tables.routes.get(call.route).is_some_and(|route| !route.repeatable);
+    let team = call.team.filter(|_| call.from.is_none());
+    let team = team.and_then(|team| world.tables.teams.get(team));
     tick.commands.push(Command::Run(Run {
-        call: key,
+        ticket: call.ticket,
+        team: team.map(|team| team.name.clone()),
         token: call.token,
-        start_by: tick.now + START_WITHIN,
+        start_by: (tick.now + START_WITHIN).min(call.deadline),
         deadline: call.deadline,
-        record,
+        repeatable: call.repeatable,
     }));
-    let state = &mut world.systems.queueing;
-    state.last_run = tick.now;
-    state.ran[entry.importance as usize] = Some(tick.now);
+    world.systems.queueing.last_run = tick.now;
     let tables = &mut world.tables;
     tables.target.running += 1;
     tables.counters.work(Work::Run);
@@ -286,8 +287,6 @@
 /// The time that a run surely needs. The estimate falls while nothing runs, so that a wrong one
 /// does not keep everything out.
 fn least_time(world: &World, now: Millis) -> Millis {
-    const CERTAIN_PART: u64 = 2;
-
     if !world.options.queueing.drop_late {
         return Millis::ZERO;
     }
--- a/crates/mustardpin-world/src/system/queueing/codel.rs
+++ b/crates/mustardpin-world/src/system/queueing/codel.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     clock::Millis,
-    system::queueing::{Discipline, Entry, Next},
+    system::queueing::{Class, Discipline, Entry, Next},
 };
 
 /// The time in the queue that is always accepted.
@@ -76,4 +76,8 @@
     fn len(&self) -> usize {
         self.queue.len()
     }
+
+    fn ahead_of(&self, _class: Class) -> usize {
+        self.queue.len()
+    }
 }
--- a/crates/mustardpin-world/src/system/queueing/fair.rs
+++ b/crates/mustardpin-world/src/system/queueing/fair.rs
@@ -4,9 +4,8 @@
 
 use crate::{
     clock::Millis,
-    config::Importance,
     id::TeamKey,
-    system::queueing::{Discipline, Entry, Next},
+    system::queueing::{Class, Discipline, Entry, Next},
 };
 
 /// What one request of a team of weight one adds to the team's service tag.
@@ -14,7 +13,7 @@
 
 type Team = Option<TeamKey>;
 
-/// The requests of one team at one importance.
+/// The requests of one team in one class.
 #[derive(Debug, Default)]
 struct Lane {
     queue: VecDeque<Entry>,
@@ -22,7 +21,7 @@
     tag: u64,
 }
 
-/// The requests of one importance: start-time fair queueing between teams.
+/// The requests of one class: start-time fair queueing between teams.
 #[derive(Debug, Default)]
 struct Level {
     lanes: BTreeMap<Team, Lane>,
@@ -94,29 +93,34 @@
 /// A queue in which the most important requests go first and the teams share what is left.
 #[derive(Debug, Default)]
 pub(super) struct Fair {
-    levels: [Level; Importance::ALL.len()],
+    levels: BTreeMap<Class, Level>,
 }
 
 impl Discipline for Fair {
     fn push(&mut self, entry: Entry) {
-        self.levels[entry.importance as usize].push(entry);
+        self.levels.entry(entry.class).or_default().push(entry);
     }
 
     fn evict(&mut self) -> Option<Entry> {
-        self.levels.iter_mut().find(|level| level.len > 0)?.evict()
+        self.levels.values_mut().find(|level| level.len > 0)?.evict()
     }
 
     fn pop(&mut self, _now: Millis) -> Option<Next> {
-        self.levels.iter_mut().rev().find_map(Level::pop).map(Next::Run)
+        self.levels.values_mut().rev().find_map(Level::pop).map(Next::Run)
     }
 
     fn retain(&mut self, keep: &mut dyn FnMut(&Entry) -> bool) {
-        for level in &mut self.levels {
+        for level in self.levels.values_mut() {
             level.retain(keep);
         }
+        self.levels.retain(|_, level| level.len > 0 || !level.lanes.is_empty());
     }
 
     fn len(&self) -> usize {
-        self.levels.iter().map(|level| level.len).sum()
+        self.levels.values().map(|level| level.len).sum()
+    }
+
+    fn ahead_of(&self, class: Class) -> usize {
+        self.levels.range(class..).map(|(_, level)| level.len).sum()
     }
 }
--- a/crates/mustardpin-world/src/system/queueing/fifo.rs
+++ b/crates/mustardpin-world/src/system/queueing/fifo.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     clock::Millis,
-    system::queueing::{Discipline, Entry, Next},
+    system::queueing::{Class, Discipline, Entry, Next},
 };
 
 /// A plain queue. The last to come is refused.
@@ -33,4 +33,8 @@
     fn len(&self) -> usize {
         self.queue.len()
     }
+
+    fn ahead_of(&self, _class: Class) -> usize {
+        self.queue.len()
+    }
 }
--- a/crates/mustardpin-world/src/system/rating/drawing.rs
+++ b/crates/mustardpin-world/src/system/rating/drawing.rs
@@ -1,12 +1,11 @@
 //! The side of the node where requests arrive: stocks of tokens and draws.
 
-use std::cmp::Reverse;
+use std::{cmp::Reverse, collections::BTreeMap};
 
 use crate::{
     clock::Millis,
-    config::Importance,
-    id::{CallKey, NodeId, TeamKey},
-    message::share::{self, Shard},
+    id::{CallKey, PeerKey, TeamKey},
+    message::share::{self, Draw, Grant, Shard},
     refusal::{Reason, Refusal},
     request::Verdict,
     system::{
@@ -14,89 +13,97 @@
         rating::{keeping, policy, terms},
     },
     table::{
-        call::Stage,
-        share::{Source, Stock, Terms},
+        call::{Calls, Stage},
+        peer::Link,
+        share::{Keeper, Stock, Terms},
     },
     world::{Tick, World},
 };
 
 /// A keeper that did not reply is not asked again for this long.
 const UNREACHABLE_WAIT: Millis = Millis(500);
-
 /// While a keeper has not replied for this long, the next one is asked as well.
 const HEDGE_AFTER: Millis = Millis(20);
-
 /// A bucket that was empty is not asked again for at least this long.
 const EMPTY_WAIT: Millis = Millis(5);
-
 /// Demand is smoothed over this period.
 const SMOOTHING_PERIOD: Millis = Millis(100);
-
 /// The weight of the last period in the smoothed demand.
 const SMOOTHING_WEIGHT: f64 = 0.3;
-
 /// Below this many requests a second, tokens are not drawn ahead of demand.
 const LEAST_DEMAND: f64 = 2.0;
-
 /// A node gets to know the keepers within this time of its start.
 const STARTING: Millis = Millis(4_000);
-
 /// Requests that arrive in that time may wait this long for a token.
 const START_PATIENCE: Millis = Millis(2_000);
-
 /// A stock whose team has had no request for this long is dropped.
 const IDLE: Millis = Millis(10_000);
-
 /// The most tokens one draw asks for.
 const MAX_DRAW: u32 = 10_000;
 
+/// Draws of one message, in its order.
+#[derive(Debug)]
+struct Drawn {
+    sent: Millis,
+    shards: Vec<(TeamKey, Shard)>,
+}
+
+/// What the drawing side remembers from tick to tick.
+#[derive(Debug, Default)]
+pub(crate) struct State {
+    last_number: u64,
+    /// Messages without a reply yet.
+    drawn: BTreeMap<u64, Drawn>,
+    /// Draws of this tick, by keeper.
+    outbox: BTreeMap<PeerKey, Vec<(TeamKey, Draw)>>,
+    /// Teams to look at in this tick.
+    due: Vec<TeamKey>,
+    /// Teams with calls that wait.
+    waiting: Vec<TeamKey>,
+    /// When demand was last smoothed.
+    smoothed: Millis,
+    /// The first tick.
+    started: Option<Millis>,
+}
+
 /// A keeper granted tokens, or none.
-pub(super) fn granted(
-    world: &mut World,
-    now: Millis,
-    from: NodeId,
-    draw: u64,
-    tokens: u32,
-    next_in: Millis,
-) {
-    let pending = |source: &Source| {
-        source.pending.is_some_and(|(sent, _, keeper)| sent == draw && keeper == from)
-    };
-    let teams: Vec<TeamKey> = world.tables.teams.iter().map(|(team, _)| team).collect();
-    for team in teams {
+pub(super) fn granted(world: &mut World, now: Millis, number: u64, grants: &[Grant]) {
+    let Some(drawn) = world.systems.rating.drawing.drawn.remove(&number) else { return };
+    for (&(team, shard), grant) in drawn.shards.iter().zip(grants) {
         let Some(terms) = terms(world, team) else { continue };
         let Some(stock) = world.tables.shares.stocks.get_mut(team) else { continue };
-        let Some(source) = stock.sources.iter_mut().find(|source| pending(source)) else {
-            continue;
-        };
-        let Some((_, sent, _)) = source.pending.take() else { continue };
+        let Some(source) = stock.sources.get_mut(usize::from(shard.0)) else { continue };
+        if source.pending.is_some_and(|(pending, _)| pending == number) {
+            source.pending = None;
+        }
         source.unreachable = false;
-        if tokens == 0 {
-            source.quiet_until = now + next_in.max(EMPTY_WAIT);
+        if grant.tokens == 0 {
+            source.quiet_until = now + grant.next_in.max(EMPTY_WAIT);
         } else {
-            stock.lots.push_back((sent + terms.hold, tokens));
+            stock.lots.push_back((drawn.sent + terms.hold, grant.tokens));
         }
-        return;
+        world.systems.rating.drawing.due.push(team);
     }
 }
 
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
+    world.systems.rating.drawing.started.get_or_insert(tick.now);
     for call in world.tables.calls.take(Stage::Rating) {
         admit(world, tick.now, call);
     }
-    smooth_demand(world, tick);
-    let teams: Vec<TeamKey> = world.tables.shares.stocks.keys().collect();
-    for team in teams {
+    smooth_demand(world, tick.now);
+    let state = &mut world.systems.rating.drawing;
+    let mut due = std::mem::take(&mut state.due);
+    due.append(&mut state.waiting);
+    due.sort_unstable();
+    due.dedup();
+    for team in due {
         match terms(world, team) {
             Some(terms) => serve(world, tick, team, &terms),
-            None => {
-                world.tables.shares.stocks.remove(team);
-            }
+            None => release(world, tick.now, team),
         }
     }
-    let now = tick.now;
-    let idle = |stock: &Stock| stock.waiting.is_empty() && now - stock.last_request > IDLE;
-    world.tables.shares.stocks.retain(|_, stock| !idle(stock));
+    send_draws(world, tick);
 }
 
 /// Puts a call in line for a token of its team.
@@ -107,141 +114,116 @@
     stock.arrived += 1;
     stock.last_request = now;
     stock.waiting.push_back(call);
+    world.systems.rating.drawing.due.push(team);
 }
 
-fn smooth_demand(world: &mut World, tick: &mut Tick) {
-    let elapsed = tick.now - world.systems.rating.smoothed;
+/// Brings the demand of all teams up to date, and looks at each of them.
+fn smooth_demand(world: &mut World, now: Millis) {
+    let state = &mut world.systems.rating.drawing;
+    let elapsed = now - state.smoothed;
     if elapsed < SMOOTHING_PERIOD {
         return;
     }
-    world.systems.rating.smoothed = tick.now;
-    for (_, stock) in &mut world.tables.shares.stocks {
+    state.smoothed = now;
+    let idle = |stock: &Stock| stock.waiting.is_empty() && now - stock.last_request > IDLE;
+    world.tables.shares.stocks.retain(|_, stock| !idle(stock));
+    for (team, stock) in &mut world.tables.shares.stocks {
         let latest = f64::from(stock.arrived) * 1_000.0 / elapsed.0 as f64;
         stock.demand += (latest - stock.demand) * SMOOTHING_WEIGHT;
         stock.arrived = 0;
+        state.due.push(team);
+    }
+}
+
+/// Lets all calls of a team through that has no limit, or has gone: the check of the key follows.
+fn release(world: &mut World, now: Millis, team: TeamKey) {
+    let Some(stock) = world.tables.shares.stocks.remove(team) else { return };
+    for call in stock.waiting {
+        let is_waiting =
+            world.tables.calls.get(call).is_some_and(|call| call.stage == Stage::Rating);
+        if is_waiting {
+            world.tables.calls.advance(call, Stage::Routing, now);
+        }
     }
 }
 
-/// Spends a team's tokens on its waiting calls, draws more and refuses what has waited too long.
+/// Spends what there is of a team's tokens, draws what is lacking, and refuses what waits too long.
 fn serve(world: &mut World, tick: &mut Tick, team: TeamKey, terms: &Terms) {
-    let sources = usize::from(terms.shards);
-    world.tables.shares.stocks[team].sources.resize(sources, Source::default());
+    find_keepers(world, team, terms);
     spend(world, tick.now, team);
-    expire_draws(world, tick, team);
     draw(world, tick, team, terms);
     spend(world, tick.now, team);
     refuse(world, tick, team, terms);
-    let stock = &world.tables.shares.stocks[team];
+    let Some(stock) = world.tables.shares.stocks.get(team) else { return };
     if !stock.waiting.is_empty() {
-        tick.wake(next_step(stock, tick.now));
+        world.systems.rating.drawing.waiting.push(team);
+        tick.wake(tick.now + EMPTY_WAIT);
     }
 }
 
-/// The next point at which a waiting call may get further without a message.
-fn next_step(stock: &Stock, now: Millis) -> Millis {
-    let quiet = stock.sources.iter().map(|source| source.quiet_until).filter(|&at| at > now).min();
-    quiet.unwrap_or(Millis::MAX).min(now + Millis(20))
-}
-
 fn spend(world: &mut World, now: Millis, team: TeamKey) {
-    let tables = &mut world.tables;
-    let stock = &mut tables.shares.stocks[team];
-    let mut tokens = stock.tokens(now);
-    while tokens > 0 {
-        let Some(call) = stock.waiting.pop_front() else { return };
-        if tables.calls.get(call).is_none_or(|call| call.stage != Stage::Rating) {
-            continue;
+    let Some(stock) = world.tables.shares.stocks.get_mut(team) else { return };
+    let calls = &mut world.tables.calls;
+    while let Some(&call) = stock.waiting.front() {
+        let is_waiting = calls.get(call).is_some_and(|call| call.stage == Stage::Rating);
+        if is_waiting && !stock.spend(now) {
+            return;
         }
-        stock.spend(now);
-        tokens -= 1;
-        tables.calls.advance(call, Stage::Routing, now);
-    }
-}
-
-/// Gives up on draws whose keeper does not reply.
-fn expire_draws(world: &mut World, tick: &mut Tick, team: TeamKey) {
-    let reply_within = world.options.rating.reply_within;
-    let undelivered = &tick.inbox.undelivered;
-    for source in &mut world.tables.shares.stocks[team].sources {
-        let Some((_, sent, keeper)) = source.pending else { continue };
-        if tick.now - sent < reply_within && !undelivered.contains(&keeper) {
-            continue;
+        stock.waiting.pop_front();
+        if is_waiting {
+            calls.advance(call, Stage::Routing, now);
         }
-        source.pending = None;
-        source.unreachable = true;
-        source.quiet_until = tick.now + UNREACHABLE_WAIT;
     }
 }
 
-/// Draws tokens for the calls that wait and for the demand ahead.
-fn draw(world: &mut World, tick: &mut Tick, team: TeamKey, terms: &Terms) {
-    let wanted = wanted(world, tick.now, team, terms);
-    if wanted == 0 {
+/// Brings a stock's list of keepers up to date with the roster and the team's terms.
+fn find_keepers(world: &mut World, team: TeamKey, terms: &Terms) {
+    let roster = world.tables.roster.position;
+    let Some(stock) = world.tables.shares.stocks.get(team) else { return };
+    if stock.keepers_roster == roster && stock.sources.len() == usize::from(terms.shards) {
         return;
     }
-    let Some(name) = world.tables.teams.get(team).map(|team| team.name.clone()) else { return };
-    let mut missing = wanted;
-    find_keepers(world, team, &name, terms);
-    for index in 0..world.tables.shares.stocks[team].keepers.len() {
-        let (shard, keeper) = world.tables.shares.stocks[team].keepers[index];
-        let source = world.tables.shares.stocks[team].sources[usize::from(shard.0)];
-        if let Some((_, sent, _)) = source.pending {
-            if tick.now - sent < HEDGE_AFTER {
-                return;
-            }
-            continue;
-        }
-        if source.quiet_until > tick.now {
-            continue;
-        }
-        if keeper == world.identity.node() {
-            let (tokens, next_in) = keeping::grant(world, tick.now, &name, shard, missing);
-            let stock = &mut world.tables.shares.stocks[team];
-            if tokens > 0 {
-                stock.lots.push_back((tick.now + terms.hold.max(Millis(1)), tokens));
-            }
-            missing -= tokens;
-            if missing == 0 {
-                return;
-            }
-            stock.sources[usize::from(shard.0)].quiet_until = tick.now + next_in.max(EMPTY_WAIT);
-            continue;
-        }
-        return ask(world, tick, team, keeper, (shard, missing));
-    }
+    let keepers = keepers_by_nearness(world, team, terms);
+    let Some(stock) = world.tables.shares.stocks.get_mut(team) else { return };
+    stock.keepers = keepers;
+    stock.keepers_roster = roster;
+    stock.sources.clear();
+    stock.sources.resize_with(usize::from(terms.shards), Default::default);
 }
 
-fn ask(
-    world: &mut World,
-    tick: &mut Tick,
-    team: TeamKey,
-    keeper: NodeId,
-    (shard, wanted): (Shard, u32),
-) {
-    let Some(name) = world.tables.teams.get(team).map(|team| team.name.clone()) else { return };
-    world.systems.rating.last_draw += 1;
-    let draw = world.systems.rating.last_draw;
-    let message = share::Message::Draw { draw, team: name, shard, wanted };
-    let sent = world.tables.peers.by_node(keeper).is_some();
-    world.send_to(tick, keeper, message);
-    let source = &mut world.tables.shares.stocks[team].sources[usize::from(shard.0)];
-    if sent {
-        source.pending = Some((draw, tick.now, keeper));
-    } else {
-        source.unreachable = true;
-        source.quiet_until = tick.now + UNREACHABLE_WAIT;
-    }
-    tick.wake(tick.now + world.options.rating.reply_within);
+/// A team's shards with their keepers, the own ones first, then those in the own data centre.
+fn keepers_by_nearness(world: &World, team: TeamKey, terms: &Terms) -> Vec<Keeper> {
+    let (roster, own) = (&world.tables.roster, &world.identity);
+    let policy = policy::of(&world.options.rating);
+    let Some(team) = world.tables.teams.get(team).map(|team| &team.name) else {
+        return Vec::new();
+    };
+    let shards = u64::from(terms.shards.max(1));
+    let rotation = own.node().0 % shards;
+    let mut keepers: Vec<_> = (0..terms.shards)
+        .map(Shard)
+        .filter_map(|shard| {
+            let (data_centre, name) = policy.keeper(roster, own, team, shard)?;
+            let is_own = name == own.name();
+            let is_near = data_centre == own.data_centre();
+            // Nodes begin with different shards, so that none is emptied by all.
+            let turn = (u64::from(shard.0) + rotation) % shards;
+            let place = (!is_own).then(|| name.clone());
+            Some(((!is_own, Reverse(is_near), turn), Keeper { shard, place }))
+        })
+        .collect();
+    keepers.sort_by_key(|(nearness, _)| *nearness);
+    keepers.into_iter().map(|(_, keeper)| keeper).collect()
 }
 
 /// How many tokens the node lacks for the calls that wait and for the demand ahead.
 fn wanted(world: &mut World, now: Millis, team: TeamKey, terms: &Terms) -> u32 {
     let horizon = world.options.rating.horizon.min(Millis(terms.hold.0 / 2));
-    let stock = &mut world.tables.shares.stocks[team];
+    let Some(stock) = world.tables.shares.stocks.get_mut(team) else { return 0 };
     let ahead = if stock.demand < LEAST_DEMAND {
         0
     } else {
-        (stock.demand.min(f64::from(terms.rate)) * horizon.0 as f64 / 1_000.0) as u32
+        (stock.demand.min(f64::from(terms.rate)) * horizon.0 as f64 / 1_000.0).ceil() as u32
     };
     let waiting = stock.waiting.len() as u32;
     let held = stock.tokens(now);
@@ -251,42 +233,117 @@
     (waiting + ahead).saturating_sub(held).min(MAX_DRAW)
 }
 
-/// Brings a stock's list of keepers up to date with the epoch and the team's terms.
-fn find_keepers(world: &mut World, team: TeamKey, name: &str, terms: &Terms) {
-    let epoch = world.tables.epoch.current.number;
-    let stock = &world.tables.shares.stocks[team];
-    if stock.keepers_epoch == epoch && stock.keepers.len() == usize::from(terms.shards) {
+/// Draws what is lacking from the nearest keeper that may have it.
+fn draw(world: &mut World, tick: &mut Tick, team: TeamKey, terms: &Terms) {
+    let mut missing = wanted(world, tick.now, team, terms);
+    if missing == 0 {
         return;
     }
-    let keepers = keepers_by_nearness(world, name, terms);
-    let stock = &mut world.tables.shares.stocks[team];
-    stock.keepers = keepers;
-    stock.keepers_epoch = epoch;
-    for source in &mut stock.sources {
-        source.quiet_until = Millis::ZERO;
+    let reply_within = world.options.rating.reply_within;
+    let Some(count) = world.tables.shares.stocks.get(team).map(|stock| stock.keepers.len()) else {
+        return;
+    };
+    for index in 0..count {
+        let Some(stock) = world.tables.shares.stocks.get_mut(team) else { return };
+        let keeper = stock.keepers[index].clone();
+        let source = &mut stock.sources[usize::from(keeper.shard.0)];
+        if let Some((_, sent)) = source.pending {
+            let waited = tick.now - sent;
+            if waited < HEDGE_AFTER {
+                return;
+            }
+            if waited >= reply_within {
+                source.pending = None;
+                source.unreachable = true;
+                source.quiet_until = tick.now + UNREACHABLE_WAIT;
+            }
+            continue;
+        }
+        if source.quiet_until > tick.now {
+            continue;
+        }
+        match keeper.place {
+            None => missing -= draw_here(world, tick.now, team, keeper.shard, terms, missing),
+            Some(place) => {
+                if ask(world, tick.now, team, &place, keeper.shard, missing) {
+                    return;
+                }
+            }
+        }
+        if missing == 0 {
+            return;
+        }
     }
 }
 
-/// A team's shards with their keepers, those in the own data centre first.
-fn keepers_by_nearness(world: &World, team: &str, terms: &Terms) -> Vec<(Shard, NodeId)> {
-    let epoch = &world.tables.epoch.current;
-    let policy = policy::of(&world.options.rating);
-    let own = world.identity.node();
-    let near = |node: NodeId| {
-        epoch.members.iter().any(|member| {
-            member.node == node && member.data_centre == *world.identity.data_centre()
-        })
-    };
-    let mut keepers: Vec<(Shard, NodeId)> = (0..terms.shards)
-        .map(Shard)
-        .filter_map(|shard| Some((shard, policy.keeper(epoch, own, team, shard)?)))
-        .collect();
-    let rotation = own.0 % u64::from(terms.shards.max(1));
-    keepers.sort_by_key(|&(shard, keeper)| {
-        let turn = (u64::from(shard.0) + rotation) % u64::from(terms.shards.max(1));
-        (keeper != own, Reverse(near(keeper)), turn)
+/// Draws from a bucket of this node. Returns how many tokens there were.
+fn draw_here(
+    world: &mut World,
+    now: Millis,
+    team: TeamKey,
+    shard: Shard,
+    terms: &Terms,
+    wanted: u32,
+) -> u32 {
+    let Some(name) = world.tables.teams.get(team).map(|team| team.name.clone()) else { return 0 };
+    let grant = keeping::grant(world, now, &name, shard, wanted);
+    let Some(stock) = world.tables.shares.stocks.get_mut(team) else { return 0 };
+    if grant.tokens > 0 {
+        stock.lots.push_back((now + terms.hold.max(Millis(1)), grant.tokens));
+    }
+    if grant.tokens < wanted {
+        let source = &mut stock.sources[usize::from(shard.0)];
+        source.quiet_until = now + grant.next_in.max(EMPTY_WAIT);
+    }
+    grant.tokens
+}
+
+/// Puts a draw in the outbox for a keeper. Returns whether the keeper can be reached.
+fn ask(
+    world: &mut World,
+    now: Millis,
+    team: TeamKey,
+    place: &str,
+    shard: Shard,
+    wanted: u32,
+) -> bool {
+    let keeper = world.tables.peers.by_name(place);
+    let keeper = keeper.filter(|&keeper| {
+        world.tables.peers.get(keeper).is_some_and(|peer| peer.link == Link::Up)
     });
-    keepers
+    let name = world.tables.teams.get(team).map(|team| team.name.clone());
+    let (Some(keeper), Some(name)) = (keeper, name) else {
+        if let Some(stock) = world.tables.shares.stocks.get_mut(team) {
+            let source = &mut stock.sources[usize::from(shard.0)];
+            source.unreachable = true;
+            source.quiet_until = now + UNREACHABLE_WAIT;
+        }
+        return false;
+    };
+    let draw = Draw { team: name, shard, wanted };
+    world.systems.rating.drawing.outbox.entry(keeper).or_default().push((team, draw));
+    true
+}
+
+/// Sends the draws of this tick, one message to each keeper.
+fn send_draws(world: &mut World, tick: &mut Tick) {
+    let reply_within = world.options.rating.reply_within;
+    let state = &mut world.systems.rating.drawing;
+    state.drawn.retain(|_, drawn| tick.now < drawn.sent + reply_within);
+    for (keeper, draws) in std::mem::take(&mut state.outbox) {
+        let state = &mut world.systems.rating.drawing;
+        state.last_number += 1;
+        let number = state.last_number;
+        let shards: Vec<_> = draws.iter().map(|(team, draw)| (*team, draw.shard)).collect();
+        for &(team, shard) in &shards {
+            if let Some(stock) = world.tables.shares.stocks.get_mut(team) {
+                stock.sources[usize::from(shard.0)].pending = Some((number, tick.now));
+            }
+        }
+        state.drawn.insert(number, Drawn { sent: tick.now, shards });
+        let draws = draws.into_iter().map(|(_, draw)| draw).collect();
+        world.send(tick, keeper, share::Message::Draw { number, draws });
+    }
 }
 
 /// Refuses calls that have waited too long, and those beyond what the rate yields meanwhile.
@@ -294,7 +351,7 @@
     let patience = patience(world, tick.now);
     let within_patience = u64::from(terms.rate) * patience.0 / 1_000 + 1;
     let refusal = refusal(world, tick.now, team);
-    let stock = &mut world.tables.shares.stocks[team];
+    let Some(stock) = world.tables.shares.stocks.get_mut(team) else { return };
     let calls = &world.tables.calls;
     stock.waiting.retain(|&call| calls.get(call).is_some_and(|call| call.stage == Stage::Rating));
     let dry = stock.sources.iter().all(|source| source.quiet_until > tick.now);
@@ -320,26 +377,25 @@
 /// yet, which is no reason to refuse.
 fn patience(world: &World, now: Millis) -> Millis {
     let patience = world.options.rating.patience;
-    let started = world.systems.rating.started.unwrap_or(now);
+    let started = world.systems.rating.drawing.started.unwrap_or(now);
     if now - started < STARTING { patience.max(START_PATIENCE) } else { patience }
 }
 
 /// Removes the least important of the waiting calls, the last one to arrive among equals.
-fn least_important(stock: &mut Stock, calls: &crate::table::call::Calls) -> Option<CallKey> {
-    let importance =
-        |call: CallKey| calls.get(call).map_or(Importance::Low, |call| call.importance);
+fn least_important(stock: &mut Stock, calls: &Calls) -> Option<CallKey> {
+    let rank = |call: CallKey| calls.get(call).map(|call| call.rank);
     let index = (0..stock.waiting.len())
-        .min_by_key(|&index| (importance(stock.waiting[index]), Reverse(index)))?;
+        .min_by_key(|&index| (rank(stock.waiting[index]), Reverse(index)))?;
     stock.waiting.remove(index)
 }
 
 /// What to tell a caller whose team has no tokens.
 fn refusal(world: &World, now: Millis, team: TeamKey) -> Refusal {
-    let stock = &world.tables.shares.stocks[team];
+    let Some(stock) = world.tables.shares.stocks.get(team) else {
+        return Refusal::not_run(Reason::RateUnavailable).after(UNREACHABLE_WAIT);
+    };
     let retry_at = stock.sources.iter().map(|source| source.quiet_until).min().unwrap_or(now);
     let none_reachable = stock.sources.iter().all(|source| source.unreachable);
-    let no_epoch = world.tables.epoch.current.members.is_empty();
-    let reason =
-        if none_reachable || no_epoch { Reason::RateUnavailable } else { Reason::RateExceeded };
+    let reason = if none_reachable { Reason::RateUnavailable } else { Reason::RateExceeded };
     Refusal::not_run(reason).after((retry_at - now).max(Millis(1)))
 }
--- a/crates/mustardpin-world/src/system/rating/policy.rs
+++ b/crates/mustardpin-world/src/system/rating/policy.rs
@@ -1,20 +1,27 @@
 //! Ways to share a team's rate between nodes.
 
+use compact_str::CompactString;
+
 use crate::{
-    home,
-    id::NodeId,
-    message::{epoch::Epoch, share::Shard},
+    message::share::Shard,
     options::{Rating, Sharing},
-    table::share::Terms,
+    table::{roster::Roster, share::Terms},
+    world::Identity,
 };
 
 /// A way to share a team's rate.
 pub(super) trait Policy {
     /// How a rate, in tokens a second, and a burst, in tokens, are split.
-    fn terms(&self, rate: u32, burst: u32, epoch: &Epoch) -> Terms;
+    fn terms(&self, rate: u32, burst: u32, roster: &Roster) -> Terms;
 
-    /// The member that keeps a shard, as seen from a node.
-    fn keeper(&self, epoch: &Epoch, node: NodeId, team: &str, shard: Shard) -> Option<NodeId>;
+    /// The data centre and the name of the place that keeps a shard, as seen from a node.
+    fn keeper<'a>(
+        &self,
+        roster: &'a Roster,
+        node: &'a Identity,
+        team: &str,
+        shard: Shard,
+    ) -> Option<(&'a CompactString, &'a CompactString)>;
 }
 
 /// The way that the options name.
@@ -31,13 +38,18 @@
 }
 
 impl Policy for Keepers {
-    fn terms(&self, rate: u32, burst: u32, _epoch: &Epoch) -> Terms {
+    fn terms(&self, rate: u32, burst: u32, _roster: &Roster) -> Terms {
         Terms::sharded(rate, burst, self.max_shards)
     }
 
-    fn keeper(&self, epoch: &Epoch, _node: NodeId, team: &str, shard: Shard) -> Option<NodeId> {
-        let hash = home::hash_of(&["share", team, &shard.0.to_string()]);
-        home::home(epoch, None, hash).map(|member| member.node)
+    fn keeper<'a>(
+        &self,
+        roster: &'a Roster,
+        _node: &'a Identity,
+        team: &str,
+        shard: Shard,
+    ) -> Option<(&'a CompactString, &'a CompactString)> {
+        roster.keeper(team, shard)
     }
 }
 
@@ -45,11 +57,18 @@
 struct Even;
 
 impl Policy for Even {
-    fn terms(&self, rate: u32, burst: u32, epoch: &Epoch) -> Terms {
-        Terms::even(rate, burst, epoch.members.len())
+    fn terms(&self, rate: u32, burst: u32, roster: &Roster) -> Terms {
+        Terms::even(rate, burst, roster.len())
     }
 
-    fn keeper(&self, epoch: &Epoch, node: NodeId, _team: &str, _shard: Shard) -> Option<NodeId> {
-        epoch.members.iter().any(|member| member.node == node).then_some(node)
+    fn keeper<'a>(
+        &self,
+        roster: &'a Roster,
+        node: &'a Identity,
+        _team: &str,
+        _shard: Shard,
+    ) -> Option<(&'a CompactString, &'a CompactString)> {
+        let is_member = roster.contains(node.data_centre(), node.name());
+        is_member.then(|| (node.data_centre(), node.name()))
     }
 }
--- a/crates/mustardpin-world/src/system/registration.rs
+++ b/crates/mustardpin-world/src/system/registration.rs
@@ -1,91 +1,76 @@
-//! Keeps the node's own row in the platform, by which others find it.
+//! Keeps the node's own row in the store, by which others find it.
 //!
-//! The row is written when the node starts and removed when it leaves. It is written again when
-//! someone removed it, and now and then while the node can't reach others, as a sign of life.
+//! The row is written when the node starts, and again when someone removed it. A node whose target
+//! has gone removes it as it leaves; one that will be started again in its place leaves it there.
 
 use crate::{
     clock::Millis,
-    platform::{Operation, Reply, Row, Ticket},
-    system::{epoch, freshness},
+    note::{Level, Note},
+    store::{Name, Operation, Reply, Ticket, Value},
     world::{Tick, World},
 };
 
 /// The time before a write that failed is tried again, and the same again by chance.
-const RETRY: Millis = Millis(1_000);
-/// The time between two signs of life, and the same again by chance.
-const SIGN_PERIOD: Millis = Millis::from_secs(2);
+const RETRY: Millis = Millis(400);
 
 /// What the system remembers from tick to tick.
 #[derive(Debug, Default)]
 pub(crate) struct State {
-    /// The state of the row that was last written: there, or removed.
-    written: Option<bool>,
-    asked: Option<(Ticket, bool)>,
+    asked: Option<Ticket>,
     next_try: Millis,
-    next_sign: Millis,
 }
 
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
-    read_platform(world, tick);
-    if shows_life(world, tick) {
-        world.systems.registration.written = None;
-        world.systems.registration.next_sign = tick.now + SIGN_PERIOD + world.jitter(SIGN_PERIOD);
+    read_store(world, tick);
+    if world.systems.fleet.read.is_none() || world.systems.registration.asked.is_some() {
+        return;
     }
-    let present = !world.tables.leaving;
-    let state = &world.systems.registration;
-    if state.written == Some(present) || state.asked.is_some() {
+    let own = world.identity.node();
+    let is_there = world.systems.fleet.own;
+    let is_wanted = !(world.tables.leaving && !world.tables.target.is_open());
+    let is_right = match is_there {
+        Some((node, _)) => is_wanted && node == own,
+        None => !is_wanted,
+    };
+    // A leaving node whose row is that of an earlier process need not put it right.
+    if is_right || (is_wanted && world.tables.leaving) {
         return;
     }
-    if tick.now < state.next_try {
-        return tick.wake(state.next_try);
+    if tick.now < world.systems.registration.next_try {
+        return tick.wake(world.systems.registration.next_try);
     }
-    let announcement = present.then(|| world.identity.announcement.clone());
-    let rows = vec![Row::Node(world.identity.node(), announcement)];
-    let ticket = world.ask_platform(tick, Operation::Transact { guards: Vec::new(), rows });
-    world.systems.registration.asked = Some((ticket, present));
+    let name = Name::Node(world.identity.name().clone());
+    let position = is_there.map(|(_, position)| position).unwrap_or_default();
+    let expected = vec![(name.clone(), position)];
+    let operation = if is_wanted {
+        let value = Value::Node(world.identity.announcement.clone());
+        Operation::Write { expected, puts: vec![(name, value)], removals: Vec::new() }
+    } else {
+        Operation::Write { expected, puts: Vec::new(), removals: vec![name] }
+    };
+    tick.log(Note::new(Level::Info, "registering").with("present", is_wanted));
+    world.systems.registration.asked = Some(world.ask_store(tick, operation));
 }
 
-fn read_platform(world: &mut World, tick: &mut Tick) {
-    let own = world.identity.node();
-    for index in 0..tick.inbox.platform.len() {
-        let (ticket, reply) = &tick.inbox.platform[index];
-        if let Reply::Changes { rows, .. } = reply {
-            let is_removed = rows.iter().any(|row| row.row == Row::Node(own, None));
-            if is_removed && !world.tables.leaving {
-                world.systems.registration.written = None;
-            }
+fn read_store(world: &mut World, tick: &Tick) {
+    let asked = world.systems.registration.asked;
+    for index in 0..tick.inbox.store.len() {
+        let (ticket, reply) = &tick.inbox.store[index];
+        if Some(*ticket) != asked {
             continue;
         }
-        let state = &mut world.systems.registration;
-        let Some((_, present)) = state.asked.take_if(|(asked, _)| asked == ticket) else {
-            continue;
-        };
+        world.systems.registration.asked = None;
         match reply {
-            Reply::Accepted { .. } => state.written = Some(present),
+            Reply::Written { position } => {
+                let is_wanted = !(world.tables.leaving && !world.tables.target.is_open());
+                let own = is_wanted.then_some((world.identity.node(), *position));
+                world.systems.fleet.own = own;
+            }
             _ => {
+                // A row that is not as expected comes as news; one that was written after all too.
                 let pause = RETRY + world.jitter(RETRY);
                 world.systems.registration.next_try = tick.now + pause;
             }
         }
     }
 }
-
-/// Whether the platform should see that the node is alive, since others may not.
-fn shows_life(world: &World, tick: &Tick) -> bool {
-    let now = tick.now;
-    let window = world.options.freshness.window;
-    let is_in_contact = world.tables.freshness.platform_age(now) < window;
-    if now < world.systems.registration.next_sign || !is_in_contact || world.tables.leaving {
-        return false;
-    }
-    if !epoch::has_own_majority(world) {
-        return true;
-    }
-    let data_centres = &world.tables.data_centres;
-    let own = data_centres.by_name(world.identity.data_centre());
-    let own = own.and_then(|own| data_centres.get(own));
-    if own.is_some_and(|own| now - own.seen < SIGN_PERIOD) {
-        return false;
-    }
-    freshness::required(world).iter().any(|name| data_centres.quiet(name, now) >= window + window)
-}
--- a/crates/mustardpin-world/src/system/resend.rs
+++ b/crates/mustardpin-world/src/system/resend.rs
@@ -1,15 +1,14 @@
 //! Recognises root requests that callers send again after a failure, and limits them by team.
 //!
-//! Non-repeatable requests are left alone: they run at most once and a repeat gets the recorded
-//! answer.
+//! Non-repeatable requests are left alone: their callers send them again only after a refusal that
+//! says that they have not run.
 
 use crate::{
     clock::Millis,
-    home,
+    hash,
     id::{RouteKey, TeamKey},
     refusal::{Reason, Refusal},
     request::{Fingerprint, Verdict},
-    system::pressure,
     table::{call::Call, counter::Retry},
     world::World,
 };
@@ -19,21 +18,23 @@
 
 /// What makes two root requests the same.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Identity<'a> {
+pub(super) struct Identity {
     pub(super) team: TeamKey,
     pub(super) route: RouteKey,
-    pub(super) idempotency_key: Option<&'a str>,
     pub(super) fingerprint: Fingerprint,
 }
 
-/// Returns the allowance of repeats with which a root request starts, or refuses it. A resend
-/// starts without any: its caller has repeated in place of the system.
+/// Returns what a root request keeps of its allowance of repeats, or refuses it. A resend keeps
+/// none: its caller has repeated in place of the system.
 pub(super) fn admit(
     world: &mut World,
     now: Millis,
-    identity: Identity<'_>,
+    identity: Identity,
+    allowance: u32,
 ) -> Result<u32, Refusal> {
-    let allowance = world.tables.configuration.fleet.retry_allowance;
+    if !world.options.retry.limit_resends {
+        return Ok(allowance);
+    }
     let Some(most) = world.systems.retry.resends(allowance) else { return Ok(allowance) };
     let Some(hash) = hash(world, identity) else { return Ok(allowance) };
     let options = &world.options.retry;
@@ -64,20 +65,14 @@
 
 /// Remembers a root request that failed, or forgets it if it was served.
 pub(super) fn finished(world: &mut World, now: Millis, call: &Call, verdict: &Verdict) {
-    let Some(team) = call.team else { return };
-    if call.from.is_some() || call.parent.is_some() {
+    let (Some(team), Some(route)) = (call.team, call.route) else { return };
+    if !call.is_root() || !world.options.retry.limit_resends {
         return;
     }
-    let identity = Identity {
-        team,
-        route: call.route,
-        idempotency_key: call.idempotency_key.as_deref(),
-        fingerprint: call.fingerprint,
-    };
+    let identity = Identity { team, route, fingerprint: call.fingerprint };
     let Some(hash) = hash(world, identity) else { return };
     let failed = match verdict {
         Verdict::Pass => call.lineage.failed,
-        Verdict::Replay(_) => false,
         Verdict::Refuse(refusal) if is_worth_resending(refusal.reason) => true,
         Verdict::Refuse(_) => return,
     };
@@ -98,14 +93,21 @@
             | Reason::RetryAllowance
             | Reason::TargetFailed
     );
-    failed || pressure::is_shed(reason)
+    failed || is_load(reason)
+}
+
+/// Whether a refusal for this reason comes from load.
+fn is_load(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::QueueFull | Reason::Shed | Reason::DeadlineBeforeRun | Reason::DeadlineDuringRun
+    )
 }
 
 /// The hash of an identity; `None` if the route is non-repeatable or gone.
-fn hash(world: &World, identity: Identity<'_>) -> Option<u64> {
-    let route = world.tables.routes.get(identity.route).filter(|route| route.repeatable)?;
+fn hash(world: &World, identity: Identity) -> Option<u64> {
+    let route = &world.tables.routes.get(identity.route)?.config;
     let team = &world.tables.teams.get(identity.team)?.name;
     let fingerprint = identity.fingerprint.0.to_string();
-    let last = identity.idempotency_key.unwrap_or(&fingerprint);
-    Some(home::hash_of(&[team, &route.name, last]))
+    route.repeatable.then(|| hash::of(&[team, &route.name, &fingerprint]))
 }
--- a/crates/mustardpin-world/src/system/retry.rs
+++ b/crates/mustardpin-world/src/system/retry.rs
@@ -3,6 +3,7 @@
 //! A root request starts with an allowance of repeats. Each call holds a part of it: it lends half
 //! to the node or the nested call that it goes to, and what is left there comes back with the
 //! answer. First attempts of nested calls are free; each repeat of one costs one, whoever makes it.
+//! On top, requests for a service earn the repeats that the node may make for it.
 
 mod chain;
 mod ratio;
@@ -12,12 +13,13 @@
 
 use crate::{
     clock::Millis,
-    command::Command,
-    id::CallKey,
+    hash,
+    id::{CallKey, ServiceKey},
+    note::{Level, Note},
     options::{self, RetryPolicy},
     refusal::{Outcome, Reason},
-    request::{ForwardEnd, Request, RunEnd},
-    system::{finish, screening},
+    request::{ForwardEnd, Request, RunEnd, SERVER_ERROR},
+    system::finish,
     table::{
         call::{Call, Stage},
         counter::Retry,
@@ -26,16 +28,18 @@
 };
 
 /// How many places may turn a call away before it has reached any target.
-const MOST_REROUTES: usize = 3;
-/// The first server error among HTTP status codes.
-const SERVER_ERROR: u16 = 500;
+const MOST_REROUTES: u32 = 3;
+
+/// The part of what the fleet may repeat that is spent on requests for a service themselves. The
+/// rest is for the calls that a repeat makes again at the services below.
+const OWN_PART: f64 = 0.3;
 
 /// What a repeat is paid from.
 #[derive(Debug)]
 struct Budget<'a> {
     /// What is left to the call or, for a nested call, to the call that makes it.
     allowance: &'a mut u32,
-    /// What successes on the route have earned.
+    /// What requests for the service have earned.
     tokens: &'a mut f64,
 }
 
@@ -47,8 +51,8 @@
     /// Pays for a nested call that the target's code makes again, or refuses it.
     fn nested(&self, budget: Budget<'_>) -> bool;
 
-    /// How often a caller may send a root request again, given the fleet's allowance; `None` if
-    /// resends are not looked at.
+    /// How often a caller may send a root request again, given its allowance; `None` if resends
+    /// are not looked at.
     fn resends(&self, allowance: u32) -> Option<u32>;
 }
 
@@ -56,8 +60,6 @@
 #[derive(Debug)]
 pub(crate) struct State {
     policy: Box<dyn Policy>,
-    /// Calls whose allowance has changed since peers were last told.
-    changed: Vec<CallKey>,
 }
 
 impl State {
@@ -67,7 +69,7 @@
             RetryPolicy::Ratio => Box::new(ratio::Ratio),
             RetryPolicy::Unbounded => Box::new(unbounded::Unbounded),
         };
-        State { policy, changed: Vec::new() }
+        State { policy }
     }
 
     /// How often a caller may send a root request again.
@@ -77,34 +79,51 @@
 }
 
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
-    for (key, retries) in std::mem::take(&mut tick.inbox.retries_returned) {
+    for (ticket, end) in std::mem::take(&mut tick.inbox.runs_ended) {
+        let Some(key) = world.tables.calls.by_ticket(ticket) else { continue };
         let Some(call) = world.tables.calls.get_mut(key) else { continue };
-        call.retry_allowance += retries.min(call.lineage.lent);
-        call.lineage.lent = 0;
-        world.systems.retry.changed.push(key);
-    }
-    for (key, end) in std::mem::take(&mut tick.inbox.runs_ended) {
+        call.lineage.arrivals += u32::from(!matches!(end, RunEnd::NotSent));
         if let RunEnd::Answered { status, .. } = end {
-            settle(world, key, status);
+            call.lineage.failed = status >= SERVER_ERROR;
         }
-        let cause = world.tables.calls.get(key).and_then(|call| run_cause(world, call, &end));
+        let cause = run_cause(world, key, end);
         // What may have crashed a target is not repeated.
-        let cause = cause.filter(|_| !screening::is_suspect(world, tick.now, key));
-        if !cause.is_some_and(|cause| again(world, tick.now, key, cause)) {
-            tick.inbox.runs_ended.push((key, end));
+        let cause = cause.filter(|_| !is_suspect(world, tick.now, key));
+        if !cause.is_some_and(|cause| again(world, tick, key, cause)) {
+            tick.inbox.runs_ended.push((ticket, end));
         }
     }
-    for (key, end, pressure) in std::mem::take(&mut tick.inbox.forwards_ended) {
+    for (ticket, end, retries) in std::mem::take(&mut tick.inbox.forwards_ended) {
+        let Some(key) = world.tables.calls.by_ticket(ticket) else { continue };
+        let Some(call) = world.tables.calls.get_mut(key) else { continue };
+        call.retry_allowance += retries.min(call.lineage.lent);
+        call.lineage.lent = 0;
         if let ForwardEnd::Answered { status } = end {
-            settle(world, key, status);
+            call.lineage.failed = status >= SERVER_ERROR;
         }
-        let cause = world.tables.calls.get(key).and_then(|call| forward_cause(world, call, &end));
-        if !cause.is_some_and(|cause| again(world, tick.now, key, cause)) {
-            tick.inbox.forwards_ended.push((key, end, pressure));
+        call.lineage.arrivals += u32::from(may_have_arrived(end));
+        let cause = forward_cause(world, key, end);
+        if !cause.is_some_and(|cause| again(world, tick, key, cause)) {
+            tick.inbox.forwards_ended.push((ticket, end, retries));
         }
     }
 }
 
+fn may_have_arrived(end: ForwardEnd) -> bool {
+    match end {
+        ForwardEnd::Answered { .. } | ForwardEnd::Broken | ForwardEnd::Cancelled => true,
+        ForwardEnd::Refused(refusal) => {
+            refusal.outcome != Outcome::NotRun || refusal.reason == Reason::TargetFailed
+        }
+        ForwardEnd::NotSent => false,
+    }
+}
+
+fn is_suspect(world: &World, now: Millis, key: CallKey) -> bool {
+    let call = world.tables.calls.get(key);
+    call.is_some_and(|call| world.tables.suspects.get(call.fingerprint, now).is_some())
+}
+
 /// Why a call may be tried elsewhere, and what that costs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Cause {
@@ -114,104 +133,133 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Price {
-    /// No target and no queue has seen the call.
+    /// No target has seen the call.
     Free,
     /// One repeat.
     One,
-    /// All that the call has left: whatever broke the run may break the next one.
-    All,
 }
 
-fn run_cause(world: &World, call: &Call, end: &RunEnd) -> Option<Cause> {
-    // The record of the run decides on a non-repeatable call.
-    if call.record.is_some() {
-        return None;
+impl Cause {
+    fn free(retry: Retry) -> Option<Cause> {
+        Some(Cause { retry, price: Price::Free })
     }
+
+    fn paid(retry: Retry) -> Option<Cause> {
+        Some(Cause { retry, price: Price::One })
+    }
+}
+
+fn run_cause(world: &World, key: CallKey, end: RunEnd) -> Option<Cause> {
+    let call = world.tables.calls.get(key)?;
     match end {
-        RunEnd::NotSent => Some(Cause { retry: Retry::NotSent, price: Price::Free }),
-        RunEnd::Declined => Some(Cause { retry: Retry::Declined, price: Price::One }),
-        RunEnd::Broken if is_repeatable(world, call) => {
-            Some(Cause { retry: Retry::Broken, price: Price::All })
-        }
+        RunEnd::NotSent => Cause::free(Retry::NotSent),
+        // The node that took the call in tries it elsewhere.
+        _ if call.from.is_some() => None,
+        RunEnd::Declined | RunEnd::Misdirected => Cause::paid(Retry::Declined),
+        RunEnd::Broken if call.repeatable => Cause::paid(Retry::Broken),
+        RunEnd::Answered { status, .. } => failed_cause(call, status),
         _ => None,
     }
 }
 
-/// A peer that refused because its target failed has itself tried what could be tried.
-fn forward_cause(world: &World, call: &Call, end: &ForwardEnd) -> Option<Cause> {
-    // Only its home may run a non-repeatable call: see the placement system.
-    if !is_repeatable(world, call) {
-        return None;
-    }
+fn forward_cause(world: &World, key: CallKey, end: ForwardEnd) -> Option<Cause> {
+    let call = world.tables.calls.get(key)?;
     match end {
-        ForwardEnd::NotSent => Some(Cause { retry: Retry::NotSent, price: Price::Free }),
-        ForwardEnd::Broken if is_repeatable(world, call) => {
-            Some(Cause { retry: Retry::Broken, price: Price::All })
-        }
-        ForwardEnd::Refused(refusal) if refusal.outcome == Outcome::NotRun => {
-            match refusal.reason {
-                Reason::Leaving | Reason::Starting | Reason::CutOff | Reason::NoTarget => {
-                    Some(Cause { retry: Retry::Refused, price: Price::Free })
-                }
-                Reason::QueueFull => Some(Cause { retry: Retry::Refused, price: Price::One }),
-                _ => None,
-            }
-        }
+        ForwardEnd::NotSent => Cause::free(Retry::NotSent),
+        ForwardEnd::Broken if call.repeatable => Cause::paid(Retry::Broken),
+        ForwardEnd::Answered { status } => failed_cause(call, status),
+        ForwardEnd::Refused(refusal) => refused_cause(call, refusal.outcome, refusal.reason),
         _ => None,
     }
 }
 
-fn is_repeatable(world: &World, call: &Call) -> bool {
-    world.tables.routes.get(call.route).is_some_and(|route| route.repeatable)
+/// A nested call that failed fails the request it belongs to, so it is worth a repeat. Callers of
+/// root requests decide for themselves.
+fn failed_cause(call: &Call, status: u16) -> Option<Cause> {
+    let is_worth = call.nested && call.repeatable && call.from.is_none();
+    if status >= SERVER_ERROR && is_worth { Cause::paid(Retry::Failed) } else { None }
+}
+
+fn refused_cause(call: &Call, outcome: Outcome, reason: Reason) -> Option<Cause> {
+    match (outcome, reason) {
+        (Outcome::NotRun, Reason::TargetFailed) => Cause::paid(Retry::Declined),
+        (
+            Outcome::NotRun,
+            Reason::Leaving
+            | Reason::Starting
+            | Reason::CutOff
+            | Reason::NoTarget
+            | Reason::QueueFull
+            | Reason::InProgressLimit,
+        ) => Cause::free(Retry::Refused),
+        (_, Reason::TargetFailed) if call.repeatable => Cause::paid(Retry::Broken),
+        _ => None,
+    }
 }
 
 /// Sends a call back to routing. Returns false if it may not be tried again.
-fn again(world: &mut World, now: Millis, key: CallKey, cause: Cause) -> bool {
+fn again(world: &mut World, tick: &mut Tick, key: CallKey, cause: Cause) -> bool {
     let tables = &mut world.tables;
     let Some(call) = tables.calls.get_mut(key) else { return false };
-    if call.abandoned || call.deadline <= now {
+    if call.abandoned || call.cancelling || call.deadline <= tick.now {
         return false;
     }
     let paid = match cause.price {
-        Price::Free => call.tried.len() < MOST_REROUTES,
-        Price::One | Price::All => {
-            let Some(row) = tables.demand.row(call.route) else { return false };
+        Price::Free => {
+            call.lineage.reroutes += 1;
+            call.lineage.reroutes <= MOST_REROUTES
+        }
+        Price::One => {
+            let Some(service) = tables.services.get_mut(call.service) else { return false };
             let allowance = &mut call.retry_allowance;
-            let budget = Budget { allowance, tokens: &mut row.retry_tokens };
+            let budget = Budget { allowance, tokens: &mut service.retry_tokens };
             world.systems.retry.policy.repeat(budget)
         }
     };
     if !paid {
         return false;
     }
-    world.systems.retry.changed.push(key);
-    if cause.price == Price::All {
-        call.retry_allowance = 0;
-    }
-    call.lineage.may_have_run |= cause.retry == Retry::Broken;
+    call.lineage.may_have_run |= matches!(cause.retry, Retry::Broken | Retry::Failed);
     let stage = call.stage;
-    match (stage, call.peer.take()) {
+    let peer = call.peer.take();
+    match (stage, peer) {
         (Stage::Forwarded, Some(peer)) => call.tried.push(peer),
         _ => call.lineage.own_tried = true,
     }
-    let peer = call.tried.last().copied().filter(|_| stage == Stage::Forwarded);
+    if call.is_logged || cause.price == Price::One {
+        let note = Note::new(Level::Info, "tried_again")
+            .on(&call.id)
+            .with("cause", cause.retry.to_string())
+            .with("allowance", call.retry_allowance)
+            .with("left", call.deadline - tick.now);
+        tick.log(note);
+    }
     finish::release(tables, stage, peer);
     tables.counters.retry(cause.retry);
-    tables.calls.advance(key, Stage::Routing, now);
+    tables.calls.advance(key, Stage::Routing, tick.now);
     true
 }
 
-/// Takes the status of a target's answer in.
-fn settle(world: &mut World, key: CallKey, status: u16) {
-    let Some(call) = world.tables.calls.get_mut(key) else { return };
-    call.lineage.failed = status >= SERVER_ERROR;
-    if call.lineage.failed {
+/// A first attempt of a request for a service earns a part of a repeat.
+pub(super) fn earn(world: &mut World, key: CallKey) {
+    let Some(call) = world.tables.calls.get(key) else { return };
+    if call.from.is_some() {
         return;
     }
-    let options = &world.options.retry;
-    let Some(row) = world.tables.demand.row(call.route) else { return };
-    let earned = f64::from(options.ratio_percent) / 100.0;
-    row.retry_tokens = (row.retry_tokens + earned).min(f64::from(options.ratio_burst));
+    let nodes = world.tables.peers.len() + 1;
+    let (ratio, burst) = share(&world.options.retry, nodes);
+    let Some(service) = world.tables.services.get_mut(call.service) else { return };
+    service.retry_tokens = (service.retry_tokens + ratio).min(burst);
+}
+
+/// What each request earns at this node, and what a service may save up here.
+fn share(options: &options::Retry, nodes: usize) -> (f64, f64) {
+    let Some(fleet) = options.fleet else {
+        return (f64::from(options.ratio_percent) / 100.0, f64::from(options.ratio_burst));
+    };
+    let ratio = f64::from(fleet.permille) / 1_000.0 * OWN_PART;
+    let burst = f64::from(fleet.slack) * OWN_PART / nodes as f64;
+    (ratio, burst.max(1.0))
 }
 
 /// Takes from a call what it lends to the node that it is passed to.
@@ -220,45 +268,28 @@
     let kept = call.retry_allowance / 2;
     let lent = call.retry_allowance - kept;
     call.retry_allowance = kept;
-    world.systems.retry.changed.push(key);
     lent
 }
 
-/// A call has got retries back.
-pub(super) fn returned(world: &mut World, key: CallKey) {
-    world.systems.retry.changed.push(key);
-}
-
-/// Tells the traffic side what calls of peers have left at present, for the heads of answers that
-/// may go out before the calls are over.
-pub(super) fn report(world: &mut World, tick: &mut Tick) {
-    let mut changed = std::mem::take(&mut world.systems.retry.changed);
-    changed.sort_unstable();
-    changed.dedup();
-    for key in changed {
-        let Some(call) = world.tables.calls.get(key) else { continue };
-        if call.from.is_some() {
-            tick.commands.push(Command::ReturnRetries { call: key, retries: call.retry_allowance });
-        }
-    }
-}
-
 /// What identifies a nested call among those of its parent.
 fn identity(request: &Request) -> u64 {
-    let fingerprint = request.fingerprint.0.to_string();
-    crate::home::hash_of(&[&request.method, &request.path, &fingerprint])
+    hash::of(&[&request.method, &request.path, &request.fingerprint.0.to_string()])
 }
 
 /// Lends a part of its parent's allowance to a nested call. A repeat is paid for first.
-pub(super) fn adopt(world: &mut World, parent: CallKey, request: &Request) -> Result<u32, Reason> {
+pub(super) fn adopt(
+    world: &mut World,
+    parent: CallKey,
+    service: ServiceKey,
+    request: &Request,
+) -> Result<u32, Reason> {
     let identity = identity(request);
     let tables = &mut world.tables;
-    let route = tables.routes.resolve(&request.method, &request.path);
-    let row = route.and_then(|route| tables.demand.row(route)).ok_or(Reason::RouteUnknown)?;
+    let service = tables.services.get_mut(service).ok_or(Reason::NoTarget)?;
     let call = tables.calls.get_mut(parent).ok_or(Reason::CallTokenInvalid)?;
     if call.lineage.nested.contains(&identity) {
         let allowance = &mut call.retry_allowance;
-        let budget = Budget { allowance, tokens: &mut row.retry_tokens };
+        let budget = Budget { allowance, tokens: &mut service.retry_tokens };
         if !world.systems.retry.policy.nested(budget) {
             return Err(Reason::RetryAllowance);
         }
--- a/crates/mustardpin-world/src/system/routing.rs
+++ b/crates/mustardpin-world/src/system/routing.rs
@@ -1,8 +1,8 @@
 //! Finds a place for each call: the own target or a peer's.
 //!
-//! The own target comes first, then peers of the own data centre, then those of others, for as long
-//! as they have room by what this node measures and by what their last answers said. Among peers,
-//! the less loaded of two drawn at random is taken.
+//! Each place has a cost: how long a run takes there, as a multiple of what it usually takes, and
+//! how long it waits there first. A place in another data centre has to be better by a margin,
+//! since the way there costs time and bytes.
 
 use rand::RngExt as _;
 
@@ -10,28 +10,33 @@
     clock::Millis,
     command::Command,
     id::{CallKey, PeerKey},
+    note::{Level, Note},
     refusal::{Reason, Refusal},
     request::{Forward, Forwarded, Verdict},
-    system::{finish, placement, pressure, retry},
+    system::{finish, pressure, retry},
     table::{
         call::{Call, Stage},
         counter::Work,
         health::Standing,
-        peer::{Peer, State},
+        peer::{Link, Peer},
     },
     world::{Tick, World},
 };
 
-/// What a peer's answer said of its load is believed for this long.
-const BELIEVED_FOR: Millis = Millis(500);
-/// How many peers are drawn in search of two that may get the call.
-const DRAWS: usize = 6;
-/// A target that has more than this multiple of its limit running and waiting is crowded.
-const CROWDED: f64 = 1.25;
+/// What a peer said of its load is believed for this long; after it, only this node's own requests
+/// count.
+const BELIEVED_FOR: Millis = Millis(1_000);
 /// The limit of a peer that has not told its own.
 const ASSUMED_LIMIT: u32 = 8;
+/// From this part of its limit on, a target counts as increasingly crowded.
+const CROWDED_FROM: f32 = 0.7;
+/// The cost of a target at its limit beyond that of an idle one, in runs.
+const CROWDED_COST: f32 = 1.0;
+/// Costs that differ by less than this are the same, in runs: the choice among them is random, so
+/// that nodes do not all choose the same target.
+const SAME_COST: f32 = 0.15;
 /// How long a caller should wait before it sends a refused request again.
-const RETRY_AFTER: Millis = Millis(1_000);
+const RETRY_AFTER: Millis = Millis(500);
 
 /// Where a call may go.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -40,11 +45,11 @@
     Peer(PeerKey),
 }
 
-/// A place and how loaded it is, as a multiple of its limit.
+/// A place and what it costs to go there, in runs.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Candidate {
     place: Place,
-    load: f64,
+    cost: f32,
 }
 
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
@@ -55,12 +60,12 @@
 
 fn route(world: &mut World, tick: &mut Tick, key: CallKey) {
     let Some(call) = world.tables.calls.get(key) else { return };
-    let is_retry = call.lineage.own_tried || !call.tried.is_empty();
-    if !is_retry && let Err(refusal) = pressure::admit(world, key) {
-        return finish::run(world, tick, key, Verdict::Refuse(refusal));
-    }
-    if placement::name(&world.tables, key).is_some() {
-        return placement::run(world, tick, key);
+    let is_first = !call.lineage.own_tried && call.tried.is_empty();
+    if is_first {
+        retry::earn(world, key);
+        if let Err(refusal) = pressure::admit(world, key) {
+            return finish::run(world, tick, key, Verdict::Refuse(refusal));
+        }
     }
     match choose(world, tick.now, key) {
         Ok(Place::Own) => world.tables.calls.advance(key, Stage::Screening, tick.now),
@@ -69,156 +74,144 @@
     }
 }
 
-/// The first place with room; without any, the least loaded.
+/// The place with the least cost.
 fn choose(world: &mut World, now: Millis, key: CallKey) -> Result<Place, Refusal> {
-    let Some(call) = world.tables.calls.get(key).cloned() else {
+    let noise = world.rng.random::<u64>();
+    let tables = &world.tables;
+    let Some(call) = tables.calls.get(key) else {
         return Err(Refusal::not_run(Reason::NoTarget));
     };
-    let own = own_candidate(world, now, &call);
+    let own = own_candidate(world, now, call);
     if let Some(own) = own
-        && (own.load < 1.0 || call.hops > 0)
+        && call.from.is_some()
     {
         return Ok(own.place);
     }
     let mut best = own;
-    if call.hops < world.options.routing.max_hops {
-        for data_centre in data_centres(world, &call) {
-            let Some(peer) = draw(world, now, &call, &data_centre) else { continue };
-            if peer.load < CROWDED {
-                return Ok(peer.place);
+    if call.hops < world.options.routing.max_hops
+        && let Some(service) = tables.services.get(call.service)
+    {
+        let count = service.peers.len();
+        for index in 0..count {
+            // Beginning anywhere makes the choice among equals random.
+            let peer = service.peers[(index + noise as usize) % count];
+            let cost = tables.peers.get(peer).and_then(|row| cost(world, row, peer, call, now));
+            let Some(cost) = cost else { continue };
+            if best.is_none_or(|best| cost + SAME_COST < best.cost) {
+                best = Some(Candidate { place: Place::Peer(peer), cost });
             }
-            best = best.filter(|best| best.load <= peer.load).or(Some(peer));
         }
     }
-    let best = best.ok_or_else(|| no_target(world, &call))?;
-    if best.load.is_infinite() {
-        return Err(Refusal::not_run(Reason::Shed).after(RETRY_AFTER));
-    }
-    Ok(best.place)
+    best.map(|best| best.place).ok_or_else(|| no_target(call))
 }
 
-fn no_target(world: &World, call: &Call) -> Refusal {
-    let failed = call.lineage.own_tried || !call.tried.is_empty();
-    let known = world.tables.routes.get(call.route).is_some();
-    match (known, failed) {
-        (false, _) => Refusal::not_run(Reason::RouteUnknown),
-        (true, false) => Refusal::not_run(Reason::NoTarget),
-        (true, true) => Refusal::not_run(Reason::NoTarget).after(RETRY_AFTER),
-    }
+fn no_target(call: &Call) -> Refusal {
+    Refusal::not_run(Reason::NoTarget).after(RETRY_AFTER.min(call.deadline - call.arrived))
 }
 
 fn own_candidate(world: &World, now: Millis, call: &Call) -> Option<Candidate> {
     let tables = &world.tables;
     let target = &tables.target;
-    let route = tables.routes.get(call.route)?;
-    let takes_work = target.present && !target.report.draining && !tables.leaving;
-    if route.service != *world.identity.service() || !takes_work || call.lineage.own_tried {
+    let service = tables.services.get(call.service)?;
+    if service.name != *world.identity.service() || call.lineage.own_tried {
         return None;
     }
-    if target.health.standing(now, target.running) == Standing::Ejected {
+    if !target.is_open() || tables.leaving {
         return None;
     }
-    let load = f64::from(target.running + target.queued) / f64::from(target.limit.max(1));
-    Some(Candidate { place: Place::Own, load })
-}
-
-/// The data centres with peers of the call's service, the own one first, the others in random
-/// order.
-fn data_centres(world: &mut World, call: &Call) -> Vec<compact_str::CompactString> {
-    let Some(route) = world.tables.routes.get(call.route) else { return Vec::new() };
-    let own = world.identity.data_centre();
-    let mut names: Vec<_> = world.tables.peers.data_centres(&route.service).cloned().collect();
-    let local = names.iter().position(|name| name == own);
-    if let Some(local) = local {
-        names.swap(0, local);
-    }
-    let first = usize::from(local.is_some());
-    for index in (first + 1..names.len()).rev() {
-        names.swap(index, world.rng.random_range(first..=index));
-    }
-    names
-}
-
-/// The less loaded of two peers drawn at random from those that may get the call.
-fn draw(world: &mut World, now: Millis, call: &Call, data_centre: &str) -> Option<Candidate> {
-    let tables = &world.tables;
-    let route = tables.routes.get(call.route)?;
-    let peers = tables.peers.at(&route.service, data_centre);
-    if peers.is_empty() {
+    if target.health.standing(now, target.running) == Standing::Ejected {
         return None;
     }
-    let mut best: Option<(PeerKey, f64)> = None;
-    let mut seen = 0;
-    let start = world.rng.random_range(0..peers.len());
-    let draws = if peers.len() <= DRAWS { peers.len() } else { DRAWS };
-    for draw in 0..draws {
-        let index = match peers.len() <= DRAWS {
-            true => (start + draw) % peers.len(),
-            false => world.rng.random_range(0..peers.len()),
-        };
-        let key = peers[index];
-        let Some(load) = tables.peers.get(key).and_then(|peer| load(peer, key, call, now)) else {
-            continue;
-        };
-        if best.is_none_or(|(_, least)| load < least) {
-            best = Some((key, load));
-        }
-        seen += 1;
-        if seen == 2 {
-            break;
-        }
-    }
-    best.map(|(key, load)| Candidate { place: Place::Peer(key), load })
+    let cost = 1.0 + crowding(target.running + target.queued, target.limit);
+    Some(Candidate { place: Place::Own, cost })
 }
 
-/// How loaded a peer is, or `None` if it may not get the call. A peer that refuses the call's
-/// importance at present counts as infinitely loaded.
-fn load(peer: &Peer, key: PeerKey, call: &Call, now: Millis) -> Option<f64> {
+/// What it costs to pass a call to a peer, or `None` if that may not be.
+fn cost(world: &World, peer: &Peer, key: PeerKey, call: &Call, now: Millis) -> Option<f32> {
     let node = peer.announcement.node;
-    if peer.state != State::Alive || Some(node) == call.from || call.tried.contains(&key) {
+    if peer.link != Link::Up || Some(node) == call.from || call.tried.contains(&key) {
         return None;
     }
     if peer.health.standing(now, peer.in_flight) == Standing::Ejected {
         return None;
     }
-    let recent = peer.pressure.filter(|_| now - peer.pressure_as_of < BELIEVED_FOR);
-    if recent.is_some_and(|pressure| call.importance < pressure.least_importance) {
-        return Some(f64::INFINITY);
+    let load = peer.load?;
+    if !load.open {
+        return None;
     }
-    let limit = peer.pressure.map_or(ASSUMED_LIMIT, |pressure| pressure.limit.max(1));
-    let reported = recent.map_or(0, |pressure| pressure.running + pressure.queued);
-    Some(f64::from(reported.max(peer.in_flight)) / f64::from(limit))
+    let reported = if now - peer.load_as_of < BELIEVED_FOR { load.running + load.queued } else { 0 };
+    let present = (reported + peer.unreported).max(peer.in_flight);
+    let limit = if load.limit == 0 { ASSUMED_LIMIT } else { load.limit };
+    let distance = match peer.is_local {
+        true => 0.0,
+        false => world.options.routing.local_preference as f32 / 100.0,
+    };
+    Some(peer.pace + crowding(present, limit) + distance)
+}
+
+/// What it costs that so many requests are at a target with this limit, in runs.
+fn crowding(present: u32, limit: u32) -> f32 {
+    let load = (present + 1) as f32 / limit.max(1) as f32;
+    if load <= CROWDED_FROM {
+        return load * 0.1;
+    }
+    let crowded = (load - CROWDED_FROM) / (1.0 - CROWDED_FROM);
+    crowded * CROWDED_COST
 }
 
 /// Passes a call to a peer.
-pub(super) fn forward(world: &mut World, tick: &mut Tick, key: CallKey, peer_key: PeerKey) {
+fn forward(world: &mut World, tick: &mut Tick, key: CallKey, peer_key: PeerKey) {
     let lent = retry::lend(world, key);
     let tables = &mut world.tables;
     tables.calls.advance(key, Stage::Forwarded, tick.now);
     let Some(call) = tables.calls.get_mut(key) else { return };
     let Some(peer) = tables.peers.get_mut(peer_key) else { return };
-    let Some(route) = tables.routes.get(call.route) else { return };
     call.peer = Some(peer_key);
     call.lineage.lent = lent;
     peer.in_flight += 1;
-    let key_id =
-        call.tenant.and_then(|tenant| tables.tenants.get(tenant)).map(|key| key.id.clone());
+    peer.unreported += 1;
+    let tenant = call.tenant.and_then(|tenant| tables.tenants.get(tenant));
+    let key_id = tenant.map(|key| key.id.clone()).or_else(|| call.key_id.clone());
+    let route = call.route.and_then(|route| tables.routes.get(route));
+    let team = call.team.and_then(|team| tables.teams.get(team));
+    let service = tables.services.get(call.service);
     let forwarded = Forwarded {
         from: world.identity.announcement.node,
+        revision: tables.configuration.revision,
         key_id,
-        route: route.name.clone(),
-        importance: call.importance,
+        team: team.map(|team| team.name.clone()),
+        route: route.map(|route| route.config.name.clone()).unwrap_or_default(),
+        service: service.map(|service| service.name.clone()).unwrap_or_default(),
+        rank: call.rank,
+        nested: call.nested,
+        repeatable: call.repeatable,
+        objective: call.objective - tick.now,
         retry_allowance: lent,
         depth: call.depth,
         hops: call.hops + 1,
     };
+    if call.is_logged {
+        tick.commands.push(Command::Log(forwarded_note(call, peer, tick.now)));
+    }
     tables.counters.work(Work::Forwarded);
     tick.commands.push(Command::Forward(Forward {
-        call: key,
+        ticket: call.ticket,
         to: peer.announcement.node,
-        address: peer.announcement.traffic_address.clone(),
         forwarded,
+        timeout: (call.deadline - tick.now) - world.options.routing.margin,
         deadline: call.deadline,
-        repeatable: route.repeatable,
     }));
 }
+
+fn forwarded_note(call: &Call, peer: &Peer, now: Millis) -> Note {
+    let load = peer.load.unwrap_or_default();
+    Note::new(Level::Debug, "forwarded")
+        .on(&call.id)
+        .with("peer", peer.announcement.name.clone())
+        .with("attempt", call.lineage.arrivals + call.lineage.reroutes + 1)
+        .with("peer_running", load.running)
+        .with("peer_queued", load.queued)
+        .with("peer_limit", load.limit)
+        .with("load_age", now - peer.load_as_of)
+        .with("left", call.deadline - now)
+}
--- /dev/null
+++ b/crates/mustardpin-world/src/system/stop.rs
@@ -0,0 +1,104 @@
+//! Says whether the node is ready, and lets it leave without cutting off a request.
+
+use crate::{
+    clock::Millis,
+    command::Command,
+    note::{Level, Note},
+    refusal::{Reason, Refusal},
+    request::Verdict,
+    system::{finish, fleet},
+    table::call::Stage,
+    world::{Tick, World},
+};
+
+/// What still waits for a place this long before the end of the grace time is refused, so that its
+/// caller gets an answer.
+const REFUSE_BEFORE_END: Millis = Millis(500);
+
+/// What the system remembers from tick to tick.
+#[derive(Debug, Default)]
+pub(crate) struct State {
+    started: Option<Millis>,
+    leaving_since: Millis,
+    ready: Option<bool>,
+}
+
+pub(super) fn run(world: &mut World, tick: &mut Tick) {
+    if world.systems.stop.started.is_none() {
+        world.systems.stop.started = Some(tick.now);
+        let announcement = &world.identity.announcement;
+        let note = Note::new(Level::Info, "started")
+            .with("node", announcement.node)
+            .with("name", announcement.name.clone())
+            .with("data_centre", announcement.data_centre.clone())
+            .with("service", announcement.service.clone())
+            .with("address", announcement.address.clone());
+        tick.log(note);
+    }
+    if tick.inbox.stop && !world.tables.leaving {
+        world.tables.leaving = true;
+        world.systems.stop.leaving_since = tick.now;
+        let calls = world.tables.calls.len();
+        tick.log(Note::new(Level::Info, "leaving").with("calls", calls));
+        tick.commands.push(Command::CloseIdle);
+    }
+}
+
+/// Says whether the node is ready, if that has changed.
+pub(super) fn judge(world: &mut World, tick: &mut Tick) {
+    let started = world.systems.stop.started.unwrap_or(tick.now);
+    let tables = &world.tables;
+    let has_met = fleet::has_met(world) || tick.now - started >= world.options.fleet.meet_within;
+    let has_configuration = tables.configuration.revision.0 > 0;
+    let ready = has_configuration && has_met && tables.freshness.fresh && !tables.leaving;
+    if !has_met {
+        tick.wake(started + world.options.fleet.meet_within);
+    }
+    if world.systems.stop.ready == Some(ready) {
+        return;
+    }
+    world.systems.stop.ready = Some(ready);
+    let note = Note::new(Level::Info, "ready")
+        .with("ready", ready)
+        .with("leaving", tables.leaving)
+        .with("revision", tables.configuration.revision.0)
+        .with("configuration_age", tables.freshness.age)
+        .with("has_met_peers", has_met);
+    tick.log(note);
+    tick.commands.push(Command::Ready(ready));
+}
+
+/// Lets a leaving node go once it has finished everything and others know, or its time is up.
+pub(super) fn leave(world: &mut World, tick: &mut Tick) {
+    judge(world, tick);
+    if !world.tables.leaving {
+        return;
+    }
+    let options = &world.options.stop;
+    let since = world.systems.stop.leaving_since;
+    let (earliest, end) = (since + options.stay, since + options.grace);
+    if tick.now < earliest {
+        return tick.wake(earliest);
+    }
+    let last_call = end - REFUSE_BEFORE_END;
+    if tick.now >= last_call {
+        refuse_waiting(world, tick);
+    }
+    if world.tables.calls.is_empty() || tick.now >= end {
+        tick.log(Note::new(Level::Info, "stopped").with("calls", world.tables.calls.len()));
+        return tick.commands.push(Command::Exit);
+    }
+    tick.wake(if tick.now < last_call { last_call } else { end });
+}
+
+/// Refuses what has not been sent anywhere.
+fn refuse_waiting(world: &mut World, tick: &mut Tick) {
+    let is_waiting = |stage| !matches!(stage, Stage::Running | Stage::Forwarded);
+    let calls = world.tables.calls.iter();
+    let waiting: Vec<_> =
+        calls.filter(|(_, call)| is_waiting(call.stage)).map(|(key, _)| key).collect();
+    for key in waiting {
+        let refusal = Refusal::not_run(Reason::Leaving).after(REFUSE_BEFORE_END);
+        finish::run(world, tick, key, Verdict::Refuse(refusal));
+    }
+}
--- /dev/null
+++ b/crates/mustardpin-world/src/system/target.rs
@@ -0,0 +1,133 @@
+//! Follows what the own target says of itself.
+//!
+//! Reports may come late and out of order, also from a process that has ended. The start of the
+//! process and the number of the report tell which one counts.
+
+use crate::{
+    clock::Millis,
+    command::{Command, TargetPlace},
+    event::TargetReport,
+    note::{Level, Note},
+    refusal::{Reason, Refusal},
+    request::Verdict,
+    system::{TargetChange, finish, queueing},
+    table::{call::Stage, target::Target},
+    world::{Tick, World},
+};
+
+pub(super) fn run(world: &mut World, tick: &mut Tick) {
+    let was_open = world.tables.target.is_open();
+    for index in 0..tick.inbox.target.len() {
+        match &tick.inbox.target[index] {
+            TargetChange::Reported(report) => {
+                let report = report.clone();
+                take_report(world, tick, report);
+            }
+            TargetChange::Gone { instance } => {
+                let is_own = *instance == world.tables.target.report.instance;
+                if is_own && world.tables.target.is_open() {
+                    world.tables.target.report.draining = true;
+                    note(world, tick, "target_deregistered");
+                }
+            }
+            TargetChange::Lost => lose(world, tick),
+        }
+    }
+    let target = &world.tables.target;
+    if target.present {
+        let silent_at = target.reported + world.options.target.lost_after;
+        if tick.now >= silent_at {
+            lose(world, tick);
+        } else {
+            tick.wake(silent_at);
+        }
+    }
+    if was_open && !world.tables.target.is_open() {
+        hand_back_queue(world, tick);
+    }
+}
+
+fn take_report(world: &mut World, tick: &mut Tick, report: TargetReport) {
+    let target = &mut world.tables.target;
+    if is_late(target, &report) {
+        let note = Note::new(Level::Info, "target_report_ignored")
+            .with("instance", report.instance)
+            .with("sequence", report.sequence)
+            .with("known_instance", target.report.instance.clone())
+            .with("known_sequence", target.report.sequence);
+        return tick.log(note);
+    }
+    let is_new = is_another(target, &report);
+    let is_change = is_new || !target.present || target.report.draining != report.draining;
+    let place =
+        TargetPlace { address: report.address.clone(), instance: report.instance.clone() };
+    let moved = is_new || !target.present || target.report.address != report.address;
+    target.present = true;
+    target.reported = tick.now;
+    target.cold_until = tick.now + report.cold;
+    target.report = report;
+    if is_new {
+        target.health.succeed();
+    }
+    if moved {
+        tick.commands.push(Command::Target(Some(place)));
+    }
+    if is_change {
+        note(world, tick, "target_reported");
+    }
+}
+
+/// Whether a report is older than the last one that was taken in.
+fn is_late(target: &Target, report: &TargetReport) -> bool {
+    let known = &target.report;
+    if !target.present && known.sequence == 0 {
+        return false;
+    }
+    if report.born != known.born {
+        return report.born < known.born;
+    }
+    report.instance == known.instance && report.sequence != 0 && report.sequence <= known.sequence
+}
+
+/// Whether a report comes from another process than the last one.
+fn is_another(target: &Target, report: &TargetReport) -> bool {
+    report.born != target.report.born || report.instance != target.report.instance
+}
+
+fn note(world: &World, tick: &mut Tick, event: &'static str) {
+    let report = &world.tables.target.report;
+    let note = Note::new(Level::Info, event)
+        .with("instance", report.instance.clone())
+        .with("address", report.address.clone())
+        .with("sequence", report.sequence)
+        .with("slots", report.slots.unwrap_or_default())
+        .with("draining", report.draining)
+        .with("cold", report.cold);
+    tick.log(note);
+}
+
+fn lose(world: &mut World, tick: &mut Tick) {
+    if !world.tables.target.present {
+        return;
+    }
+    world.tables.target.present = false;
+    tick.commands.push(Command::Target(None));
+    let silent = tick.now - world.tables.target.reported;
+    let instance = world.tables.target.report.instance.clone();
+    let note = Note::new(Level::Warn, "target_lost");
+    tick.log(note.with("instance", instance).with("silent", silent));
+}
+
+/// Finds other places for what waits for a target that takes no more requests.
+fn hand_back_queue(world: &mut World, tick: &mut Tick) {
+    for key in queueing::take_all(world) {
+        let Some(call) = world.tables.calls.get_mut(key) else { continue };
+        call.lineage.own_tried = true;
+        if call.from.is_none() {
+            world.tables.calls.advance(key, Stage::Routing, tick.now);
+            continue;
+        }
+        let refusal = Refusal::not_run(Reason::Leaving).after(Millis(1));
+        finish::run(world, tick, key, Verdict::Refuse(refusal));
+    }
+}
--- a/crates/mustardpin-world/src/system/validation.rs
+++ b/crates/mustardpin-world/src/system/validation.rs
@@ -23,10 +23,8 @@
 const MAX_WEIGHT: u32 = 1_000;
 /// The longest time limit of a route.
 const MAX_TIMEOUT: Millis = Millis::from_secs(3_600);
-/// The longest time for which a cut-off data centre may go on.
+/// The longest time for which a cut-off node may go on.
 const MAX_GRACE: Millis = Millis::from_secs(86_400);
-/// The longest time for which records are kept.
-const MAX_RETENTION: Millis = Millis::from_secs(86_400);
 /// The most retries that one root request may cause.
 const MAX_RETRIES: u32 = 100;
 
@@ -85,7 +83,7 @@
 /// A withdrawn key stays withdrawn.
 fn check_tombstone(tables: &Tables, path: &Path, row: &Row) -> Result<(), ChangeError> {
     let Row::Key(key) = row else { return Ok(()) };
-    let known = tables.tenants.by_name(&key.id).and_then(|tenant| tables.tenants.get(tenant));
+    let known = tables.tenants.by_id(&key.id).and_then(|tenant| tables.tenants.get(tenant));
     if known.is_some_and(|known| known.withdrawn && !key.withdrawn) {
         return Err(invalid(path, "was withdrawn for good: issue a new key"));
     }
@@ -118,7 +116,6 @@
     if let CutOffPolicy::Serve(grace) = fleet.cut_off {
         check_length("cut-off grace", grace, MAX_GRACE)?;
     }
-    check_length("record retention", fleet.record_retention, MAX_RETENTION)?;
     if fleet.retry_allowance > MAX_RETRIES {
         return Err(format_compact!("retry allowance is above {MAX_RETRIES}"));
     }
@@ -145,9 +142,18 @@
 }
 
 fn check_route(rows: &Rows<'_>, route: &Route) -> Result<(), CompactString> {
-    if route.service.trim().is_empty() {
+    if route.parts.is_empty() || route.parts.iter().any(|part| part.service.trim().is_empty()) {
         return Err("has no service".into());
     }
+    for part in &route.parts {
+        check_count("the weight of a service", part.weight, MAX_WEIGHT)?;
+    }
+    if route.attempts == Some(0) {
+        return Err("attempts is 0: give at least 1".into());
+    }
+    if let Some(objective) = route.objective {
+        check_length("objective", objective, MAX_TIMEOUT)?;
+    }
     if !route.path_prefix.starts_with('/') {
         return Err("path prefix does not start with a slash".into());
     }
--- a/crates/mustardpin-world/src/table.rs
+++ b/crates/mustardpin-world/src/table.rs
@@ -3,16 +3,15 @@
 pub mod call;
 pub mod configuration;
 pub mod counter;
-pub mod data_centre;
 pub mod demand;
-pub mod epoch;
 pub mod exception;
 pub mod health;
 pub mod peer;
-pub mod record;
 pub mod registry;
 pub mod resend;
+pub mod roster;
 pub mod route;
+pub mod service;
 pub mod share;
 pub mod suspect;
 pub mod target;
@@ -28,23 +27,23 @@
     pub calls: call::Calls,
     /// What has been counted.
     pub counters: counter::Counters,
-    /// Data centres.
-    pub data_centres: data_centre::DataCentres,
     /// Exceptions.
     pub exceptions: exception::Exceptions,
-    /// What is asked of each route, and what comes of it.
+    /// What runs of each route cost, and what is asked for.
     pub demand: demand::Demand,
     /// Other nodes.
     pub peers: peer::Peers,
-    /// Records of non-repeatable requests.
-    pub records: record::Records,
     /// Root requests that failed a short time ago.
     pub failed: resend::Failed,
+    /// Among whom rates are dealt out.
+    pub roster: roster::Roster,
     /// Routes.
     pub routes: route::Routes,
+    /// Services.
+    pub services: service::Services,
     /// Rate tokens.
     pub shares: share::Shares,
-    /// Requests that were in flight as a target crashed.
+    /// Requests that were running as a target crashed.
     pub suspects: suspect::Suspects,
     /// The own target.
     pub target: target::Target,
@@ -56,8 +55,6 @@
     pub configuration: configuration::Configuration,
     /// How old the node's knowledge is.
     pub freshness: Freshness,
-    /// Who holds shares and homes.
-    pub epoch: epoch::Standing,
     /// Whether the node is leaving.
     pub leaving: bool,
 }
@@ -65,25 +62,33 @@
 /// How old the node's knowledge is.
 #[derive(Debug, Default)]
 pub struct Freshness {
-    /// The last point in time as of which the node knows what the platform held.
-    pub platform_as_of: Option<Millis>,
-    /// The age of what the node knows, as of this tick.
+    /// The last point in time as of which the node knows the configuration that the store held.
+    pub configuration_as_of: Option<Millis>,
+    /// The same for the rows by which nodes find each other.
+    pub fleet_as_of: Option<Millis>,
+    /// The age of the configuration, as of this tick.
     pub age: Millis,
-    /// Whether the age is within the window.
+    /// Whether that age is within the window.
     pub fresh: bool,
-    /// Whether the node is in contact with its own data centre, so that a policy for cut-off data
-    /// centres holds for it.
-    pub is_with_own: bool,
+    /// Whether the node may not judge keys any more, since it is not.
+    pub is_cut_off: bool,
+    /// Whether the age of the rows of nodes is within the window.
+    pub fleet_fresh: bool,
 }
 
 impl Freshness {
-    /// The age of what the node knows of the platform.
+    /// The age of what the node knows of the configuration.
     ///
     /// ```
     /// use mustardpin_world::{Millis, table::Freshness};
-    /// assert_eq!(Freshness::default().platform_age(Millis(9)), Millis::MAX);
+    /// assert_eq!(Freshness::default().configuration_age(Millis(9)), Millis::MAX);
     /// ```
-    pub fn platform_age(&self, now: Millis) -> Millis {
-        self.platform_as_of.map_or(Millis::MAX, |as_of| now - as_of)
+    pub fn configuration_age(&self, now: Millis) -> Millis {
+        self.configuration_as_of.map_or(Millis::MAX, |as_of| now - as_of)
+    }
+
+    /// The age of what the node knows of the rows of nodes.
+    pub fn fleet_age(&self, now: Millis) -> Millis {
+        self.fleet_as_of.map_or(Millis::MAX, |as_of| now - as_of)
     }
 }
--- a/crates/mustardpin-world/src/table/call.rs
+++ b/crates/mustardpin-world/src/table/call.rs
@@ -1,6 +1,9 @@
 //! Calls: requests this node has taken in and not yet answered.
 
-use std::collections::HashMap;
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, HashMap},
+};
 
 use compact_str::CompactString;
 use rapidhash::fast::RandomState;
@@ -9,8 +12,8 @@
 
 use crate::{
     clock::Millis,
-    config::Importance,
-    id::{CallKey, NodeId, PeerKey, RecordKey, RouteKey, TeamKey, TenantKey},
+    config::Rank,
+    id::{CallKey, NodeId, PeerKey, RouteKey, ServiceKey, TeamKey, TenantKey},
     request::{CallToken, Fingerprint, Ticket},
 };
 
@@ -23,8 +26,6 @@
     Routing,
     /// Waits for the check against requests that crash targets.
     Screening,
-    /// Waits for the record of a non-repeatable request.
-    Recording,
     /// Waits in the queue of the own target.
     Queued,
     /// Runs on the own target.
@@ -33,25 +34,45 @@
     Forwarded,
 }
 
-const STAGES: usize = 7;
+const STAGES: usize = 6;
+
+impl Stage {
+    /// The stage's name, as in logs.
+    ///
+    /// ```
+    /// assert_eq!(mustardpin_world::table::call::Stage::Queued.name(), "queued");
+    /// ```
+    pub const fn name(self) -> &'static str {
+        match self {
+            Stage::Rating => "rating",
+            Stage::Routing => "routing",
+            Stage::Screening => "screening",
+            Stage::Queued => "queued",
+            Stage::Running => "running",
+            Stage::Forwarded => "forwarded",
+        }
+    }
+}
 
 /// What links a call to the calls around it, and what it has cost so far.
 #[derive(Debug, Clone, Default)]
 pub struct Lineage {
     /// Calls that the own target made in the course of this one and that are in progress.
-    pub children: SmallVec<[CallKey; 4]>,
+    pub children: SmallVec<[CallKey; 2]>,
     /// The identities of all calls that the own target made in the course of this one.
-    pub nested: SmallVec<[u64; 4]>,
+    pub nested: SmallVec<[u64; 2]>,
     /// Retries lent to the peer that has the call.
     pub lent: u32,
     /// Whether a target may have seen the call in an attempt that failed.
     pub may_have_run: bool,
+    /// How many attempts have been made that may have reached a target.
+    pub arrivals: u32,
+    /// How often it was turned away before it reached any target.
+    pub reroutes: u32,
     /// Whether the own target was tried and failed.
     pub own_tried: bool,
     /// Whether the target answered with a server error.
     pub failed: bool,
-    /// Whether a call below it was refused because of load.
-    pub shed_below: bool,
 }
 
 /// A request this node has taken in.
@@ -59,24 +80,36 @@
 pub struct Call {
     /// What the answer is matched by.
     pub ticket: Ticket,
+    /// The id of the request, as in logs.
+    pub id: CompactString,
+    /// Whether ordinary decisions about it are logged.
+    pub is_logged: bool,
     /// The peer that passed it on, if one did.
     pub from: Option<NodeId>,
-    /// The call on the own target that caused it, if one did.
+    /// The call on the own target that caused it, if one did and is known.
     pub parent: Option<CallKey>,
-    /// The tenant key it came with; `None` on routes open to all.
+    /// Whether a target made it in the course of another request.
+    pub nested: bool,
+    /// The tenant key it came with, if this node took it from its caller.
     pub tenant: Option<TenantKey>,
+    /// The id of the tenant key, if a peer passed the call on.
+    pub key_id: Option<CompactString>,
     /// The team it runs for.
     pub team: Option<TeamKey>,
-    /// Its route.
-    pub route: RouteKey,
+    /// Its route; `None` if a peer passed it on by a configuration that this node does not have.
+    pub route: Option<RouteKey>,
+    /// The service that has to run it.
+    pub service: ServiceKey,
     /// How much it matters.
-    pub importance: Importance,
-    /// Its idempotency key.
-    pub idempotency_key: Option<CompactString>,
+    pub rank: Rank,
+    /// Whether running it twice does no harm.
+    pub repeatable: bool,
     /// The digest of the request.
     pub fingerprint: Fingerprint,
     /// When it arrived.
     pub arrived: Millis,
+    /// Until when its answer is worth most.
+    pub objective: Millis,
     /// When it must have been answered.
     pub deadline: Millis,
     /// The retries left to it and everything below it.
@@ -97,28 +130,37 @@
     pub tried: SmallVec<[PeerKey; 4]>,
     /// Whether the caller has gone.
     pub abandoned: bool,
-    /// The record that it runs under, if its route is non-repeatable.
-    pub record: Option<RecordKey>,
-    /// Whether it must run alone on the target.
-    pub isolated: bool,
+    /// Whether an attempt is being cancelled.
+    pub cancelling: bool,
     /// What links it to the calls around it.
     pub lineage: Lineage,
 }
 
+impl Call {
+    /// Whether this node took the call from its caller, in no other call's course.
+    pub fn is_root(&self) -> bool {
+        self.from.is_none() && self.parent.is_none() && !self.nested
+    }
+}
+
 /// The table of calls.
 #[derive(Debug, Default)]
 pub struct Calls {
     rows: SlotMap<CallKey, Call>,
+    by_ticket: HashMap<Ticket, CallKey, RandomState>,
     by_token: HashMap<CallToken, CallKey, RandomState>,
+    deadlines: BinaryHeap<Reverse<(Millis, CallKey)>>,
     work: [Vec<CallKey>; STAGES],
 }
 
 impl Calls {
     /// Adds a call and puts it on the work list of its stage.
     pub fn insert(&mut self, call: Call) -> CallKey {
-        let (stage, token) = (call.stage, call.token);
+        let (stage, token, ticket, deadline) = (call.stage, call.token, call.ticket, call.deadline);
         let key = self.rows.insert(call);
+        self.by_ticket.insert(ticket, key);
         self.by_token.insert(token, key);
+        self.deadlines.push(Reverse((deadline, key)));
         self.work[stage as usize].push(key);
         key
     }
@@ -133,6 +175,11 @@
         self.rows.get_mut(key)
     }
 
+    /// The call that the traffic side knows by this ticket.
+    pub fn by_ticket(&self, ticket: Ticket) -> Option<CallKey> {
+        self.by_ticket.get(&ticket).copied()
+    }
+
     /// The call in progress for which the token was issued.
     pub fn by_token(&self, token: CallToken) -> Option<CallKey> {
         self.by_token.get(&token).copied()
@@ -160,9 +207,32 @@
         }
     }
 
+    /// Takes the calls whose deadline has passed by this point.
+    pub fn take_due(&mut self, now: Millis) -> Vec<CallKey> {
+        let mut due = Vec::new();
+        while let Some(&Reverse((deadline, key))) = self.deadlines.peek() {
+            if !self.rows.contains_key(key) {
+                self.deadlines.pop();
+                continue;
+            }
+            if deadline > now {
+                break;
+            }
+            self.deadlines.pop();
+            due.push(key);
+        }
+        due
+    }
+
+    /// When the next call's deadline passes.
+    pub fn next_deadline(&self) -> Option<Millis> {
+        self.deadlines.peek().map(|Reverse((deadline, _))| *deadline)
+    }
+
     /// Removes a call that is over.
     pub fn remove(&mut self, key: CallKey) -> Option<Call> {
         let call = self.rows.remove(key)?;
+        self.by_ticket.remove(&call.ticket);
         self.by_token.remove(&call.token);
         Some(call)
     }
--- a/crates/mustardpin-world/src/table/configuration.rs
+++ b/crates/mustardpin-world/src/table/configuration.rs
@@ -5,8 +5,8 @@
 use compact_str::CompactString;
 
 use crate::{
-    config::{CutOffPolicy, Delta, Fleet, Importance, Kind, Path, Record, Row},
-    id::{Revision, RouteKey, TeamKey},
+    config::{CutOffPolicy, Fleet, Kind, Path, Rank, Record, Row, Update},
+    id::{Position, Revision, RouteKey, TeamKey},
     table::Tables,
 };
 
@@ -15,54 +15,41 @@
 pub struct Configuration {
     /// The revision the node is at. Never falls.
     pub revision: Revision,
-    /// The revision of the platform's table that the node has read.
-    pub polled: Revision,
-    /// The revision of the head row, as the platform last gave it.
-    pub head: Revision,
-    /// The ids of the last changes, newest last, as the platform last gave them.
+    /// How far the node has read the store's area.
+    pub read: Option<Position>,
+    /// The position of the head row, as the store last gave it.
+    pub head: Position,
+    /// The ids of the last changes, newest last, as the store last gave them.
     pub recent: Vec<CompactString>,
-    /// Every row and every removal, by path.
+    /// Every row, and every removal that the node has seen, by path.
     pub records: BTreeMap<Path, Record>,
     /// The fleet's defaults.
     pub fleet: Fleet,
 }
 
 impl Configuration {
-    /// What a node at an earlier revision lacks, up to about `limit` records.
-    ///
-    /// ```
-    /// use mustardpin_world::{id::Revision, table::configuration::Configuration};
-    /// assert!(Configuration::default().delta(Revision(0), 10).records.is_empty());
-    /// ```
-    pub fn delta(&self, after: Revision, limit: usize) -> Delta {
-        let mut records: Vec<Record> =
-            self.records.values().filter(|record| record.revision > after).cloned().collect();
-        records.sort_by_key(|record| record.revision);
-        let mut upto = self.revision;
-        if let Some(last) = records.get(limit) {
-            // A revision is passed on whole, so the page ends before or after one.
-            let whole = records.iter().take(limit).rev().map(|record| record.revision);
-            upto =
-                whole.clone().find(|&revision| revision < last.revision).unwrap_or(last.revision);
-            records.retain(|record| record.revision <= upto);
-        }
-        Delta { after, upto, records }
+    /// Every row that is there.
+    pub fn rows(&self) -> impl Iterator<Item = &Row> {
+        self.records.values().filter_map(|record| record.row.as_ref())
     }
 }
 
 impl Tables {
-    /// A team's rate and burst, with exceptions.
+    /// A team's rate and burst, with exceptions; `None` if it is gone or has no limit.
     pub fn limits(&self, team: TeamKey) -> Option<(u32, u32)> {
         let team = self.teams.get(team)?;
-        Some(self.exceptions.rate(&team.name).unwrap_or((team.rate, team.burst)))
+        let limits = self.exceptions.rate(&team.name).unwrap_or((team.rate, team.burst));
+        Some(limits).filter(|(rate, _)| *rate > 0)
     }
 
     /// How much a request of a team on a route matters, with exceptions.
-    pub fn importance(&self, team: Option<TeamKey>, route: RouteKey) -> Importance {
-        let Some(route) = self.routes.get(route) else { return Importance::default() };
-        let team = team.and_then(|team| self.teams.get(team));
-        team.and_then(|team| self.exceptions.importance(&team.name, &route.name))
-            .unwrap_or(route.importance)
+    pub fn rank(&self, team: Option<TeamKey>, route: RouteKey) -> Rank {
+        let Some(route) = self.routes.get(route) else { return Rank::default() };
+        let Some(team) = team.and_then(|team| self.teams.get(team)) else {
+            return Rank { route: route.config.importance, ..Rank::default() };
+        };
+        let exception = self.exceptions.importance(&team.name, &route.config.name);
+        Rank { team: team.importance, route: exception.unwrap_or(route.config.importance) }
     }
 
     /// What a cut-off node does with requests of a team, with exceptions.
@@ -71,17 +58,39 @@
         grace.map_or(self.configuration.fleet.cut_off, CutOffPolicy::Serve)
     }
 
-    /// Takes a delta in. Returns `false`, and changes nothing, if it does not reach further than
-    /// the node's revision, or starts after it: there may be changes in between.
-    pub(crate) fn apply_delta(&mut self, delta: Delta) -> bool {
-        if delta.after > self.configuration.revision || delta.upto <= self.configuration.revision {
-            return false;
+    /// Takes an update in. What is not later than what the node has changes nothing.
+    pub(crate) fn apply(&mut self, update: Update) {
+        match update {
+            Update::Whole { revision, rows } => self.replace(revision, rows),
+            Update::Records(records) => {
+                for record in records {
+                    self.apply_record(record);
+                }
+            }
+        }
+    }
+
+    /// Puts a whole configuration in place of the one that is there.
+    fn replace(&mut self, revision: Revision, rows: Vec<Row>) {
+        if revision <= self.configuration.revision {
+            return;
+        }
+        let mut gone: Vec<Path> = self.configuration.records.keys().cloned().collect();
+        for row in rows {
+            let path = row.path();
+            if let Ok(index) = gone.binary_search(&path) {
+                gone.remove(index);
+            }
+            let known = self.configuration.records.get(&path);
+            if known.is_some_and(|known| known.row.as_ref() == Some(&row)) {
+                continue;
+            }
+            self.apply_record(Record { path, revision, row: Some(row) });
         }
-        for record in delta.records {
-            self.apply_record(record);
+        for path in gone {
+            self.apply_record(Record { path, revision, row: None });
         }
-        self.configuration.revision = delta.upto;
-        true
+        self.configuration.revision = revision;
     }
 
     /// Takes a record in, unless the node has one of the same path that is as late.
@@ -94,7 +103,9 @@
             Some(row) => self.derive(row.clone()),
             None => self.withdraw(&record.path),
         }
-        self.configuration.records.insert(record.path.clone(), record);
+        let configuration = &mut self.configuration;
+        configuration.revision = configuration.revision.max(record.revision);
+        configuration.records.insert(record.path.clone(), record);
     }
 
     fn derive(&mut self, row: Row) {
@@ -104,7 +115,7 @@
                 self.teams.put(team);
             }
             Row::Route(route) => {
-                self.routes.put(route);
+                self.routes.put(route, &mut self.services);
             }
             Row::Key(key) => {
                 self.tenants.put(key);
--- a/crates/mustardpin-world/src/table/counter.rs
+++ b/crates/mustardpin-world/src/table/counter.rs
@@ -10,7 +10,7 @@
     /// No connection could be made.
     #[display("not_sent")]
     NotSent,
-    /// The target declined.
+    /// The target declined, or was another one than expected.
     #[display("declined")]
     Declined,
     /// The peer refused and said that the request had not run.
@@ -19,6 +19,9 @@
     /// The connection broke; the request is repeatable.
     #[display("broken")]
     Broken,
+    /// The target answered with a server error; the request is repeatable.
+    #[display("failed")]
+    Failed,
     /// The target's code made the same call again.
     #[display("nested")]
     Nested,
@@ -29,11 +32,12 @@
 
 impl Retry {
     /// Every reason to retry.
-    pub const ALL: [Retry; 6] = [
+    pub const ALL: [Retry; 7] = [
         Retry::NotSent,
         Retry::Declined,
         Retry::Refused,
         Retry::Broken,
+        Retry::Failed,
         Retry::Nested,
         Retry::Resent,
     ];
@@ -54,9 +58,6 @@
     /// Whole answers given.
     #[display("answered")]
     Answered,
-    /// Recorded answers given again.
-    #[display("replayed")]
-    Replayed,
     /// Runs cancelled.
     #[display("cancelled")]
     Cancelled,
@@ -67,12 +68,11 @@
 
 impl Work {
     /// Every kind of work.
-    pub const ALL: [Work; 7] = [
+    pub const ALL: [Work; 6] = [
         Work::Accepted,
         Work::Run,
         Work::Forwarded,
         Work::Answered,
-        Work::Replayed,
         Work::Cancelled,
         Work::Messages,
     ];
--- a/crates/mustardpin-world/src/table/demand.rs
+++ b/crates/mustardpin-world/src/table/demand.rs
@@ -1,65 +1,52 @@
-//! What is asked of each route through this node, and what comes of it.
+//! What runs of each route cost, and how much of each is asked for at the top of call chains.
 
 use std::collections::BTreeMap;
 
+use compact_str::CompactString;
 use slotmap::SecondaryMap;
 
 use crate::{
-    config::Importance,
-    id::{RouteKey, TeamKey},
+    clock::Millis,
+    config::Rank,
+    id::{RouteKey, ServiceKey},
 };
 
-/// Requests of one importance for one team; `None` stands for routes open to all.
-pub type Class = (Importance, Option<TeamKey>);
-
-/// What is asked of one route. Amounts decay, so they follow the last second or so.
+/// What a run of one route costs, as the nodes that run it say.
 #[derive(Debug, Clone, Default)]
-pub struct Row {
-    /// Requests that came, by class.
-    pub offered: BTreeMap<Class, f64>,
-    /// Requests that were served.
-    pub served: f64,
-    /// Requests that a service below refused because of load.
-    pub shed: f64,
-    /// The share of each class that is let through. A class that is not here is let through whole.
-    pub admitted: BTreeMap<Class, f64>,
-    /// Repeats that successes have earned.
-    pub retry_tokens: f64,
+pub struct Cost {
+    /// How long a run holds its place, in milliseconds, smoothed over what nodes say.
+    pub hold: f64,
+    /// The routes that a run calls, and how often, smoothed likewise.
+    pub calls: BTreeMap<CompactString, f64>,
 }
 
-impl Row {
-    /// Lets all amounts decay by a factor and forgets classes that have become rare.
-    pub fn decay(&mut self, factor: f64) {
-        const RARE: f64 = 0.05;
-
-        self.served *= factor;
-        self.shed *= factor;
-        self.offered.retain(|_, amount| {
-            *amount *= factor;
-            *amount > RARE
-        });
-    }
+/// What a request at the top of a call chain costs a service, in milliseconds of a place on a
+/// target.
+pub type Load = Vec<(ServiceKey, f64)>;
+
+/// Requests for one route by one rank. Amounts decay, so they follow the last second or so.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Offer {
+    /// Requests that came.
+    pub offered: f64,
+    /// The share that is let through.
+    pub admitted: f64,
 }
 
-/// The table of demand, with a row for each route in use.
+/// The table of demand.
 #[derive(Debug, Default)]
 pub struct Demand {
-    rows: SecondaryMap<RouteKey, Row>,
+    /// What runs cost, by the route's name.
+    pub costs: BTreeMap<CompactString, Cost>,
+    /// What requests at the top of call chains cost, with all the calls below them.
+    pub loads: SecondaryMap<RouteKey, Load>,
+    /// What is asked for at the top of call chains at this node.
+    pub offers: BTreeMap<(Rank, RouteKey), Offer>,
 }
 
 impl Demand {
-    /// The row of a route, once it was used.
-    pub fn get(&self, route: RouteKey) -> Option<&Row> {
-        self.rows.get(route)
-    }
-
-    /// The row of a route. Adds it if need be.
-    pub fn row(&mut self, route: RouteKey) -> Option<&mut Row> {
-        Some(self.rows.entry(route)?.or_default())
-    }
-
-    /// All rows.
-    pub fn iter_mut(&mut self) -> impl Iterator<Item = (RouteKey, &mut Row)> {
-        self.rows.iter_mut()
+    /// The time that a run of a route holds its place, if that is known.
+    pub fn hold(&self, route: &str) -> Option<Millis> {
+        self.costs.get(route).map(|cost| Millis(cost.hold as u64))
     }
 }
--- a/crates/mustardpin-world/src/table/health.rs
+++ b/crates/mustardpin-world/src/table/health.rs
@@ -2,8 +2,12 @@
 
 use crate::clock::Millis;
 
-/// Failures in a row after which a target is ejected.
-const EJECT_AFTER: u32 = 3;
+/// Points of failures in a row after which a target is ejected.
+const EJECT_AFTER: u32 = 6;
+/// What a connection that could not be made counts: the target is likely to be gone.
+const UNREACHABLE_POINTS: u32 = 2;
+/// What an answer that broke off counts: the target may still serve other requests.
+const BROKEN_POINTS: u32 = 1;
 /// How long the first ejection lasts. Each later one lasts twice as long as the one before.
 const FIRST_EJECTION: Millis = Millis(500);
 /// The longest ejection.
@@ -24,7 +28,7 @@
 /// What was seen of a target on the traffic path.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Health {
-    /// Failures in a row.
+    /// Points of failures in a row.
     pub failures: u32,
     /// No request goes there before this point.
     pub ejected_until: Millis,
@@ -38,7 +42,7 @@
     ///
     /// let mut health = Health::default();
     /// for _ in 0..3 {
-    ///     health.fail(Millis(0));
+    ///     health.unreachable(Millis(0));
     /// }
     /// assert_eq!(health.standing(Millis(10), 0), Standing::Ejected);
     /// assert_eq!(health.standing(Millis(500), 0), Standing::Probe);
@@ -56,14 +60,28 @@
         Standing::Probe
     }
 
+    /// Whether the target was ejected and has not answered since.
+    pub fn is_ejected(&self) -> bool {
+        self.failures >= EJECT_AFTER
+    }
+
     /// Takes a success in: the target is open again.
     pub fn succeed(&mut self) {
         *self = Health::default();
     }
 
-    /// Takes a failure in. Enough of them in a row eject the target.
-    pub fn fail(&mut self, now: Millis) {
-        self.failures = self.failures.saturating_add(1);
+    /// The target could not be reached. Enough failures in a row eject it.
+    pub fn unreachable(&mut self, now: Millis) {
+        self.fail(now, UNREACHABLE_POINTS);
+    }
+
+    /// An answer of the target broke off. Enough failures in a row eject it.
+    pub fn broken(&mut self, now: Millis) {
+        self.fail(now, BROKEN_POINTS);
+    }
+
+    fn fail(&mut self, now: Millis, points: u32) {
+        self.failures = self.failures.saturating_add(points);
         if self.failures < EJECT_AFTER || now < self.ejected_until {
             return;
         }
