--- a/crates/mustardpin-world/src/table/peer.rs
+++ b/crates/mustardpin-world/src/table/peer.rs
@@ -7,38 +7,41 @@
 
 use crate::{
     clock::Millis,
-    id::{NodeId, PeerKey},
-    platform::Announcement,
-    request::Pressure,
+    id::{NodeId, PeerKey, Position, Revision, ServiceKey},
+    request::Load,
+    store::Announcement,
     table::health::Health,
 };
 
-/// What this node believes of a peer. Within an incarnation, a later state wins over an earlier.
+/// The connection to a peer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
-pub enum State {
-    /// It answers.
+pub enum Link {
+    /// It was not there since the node knows the peer.
     #[default]
-    Alive,
-    /// It missed a probe.
-    Suspect,
-    /// It is leaving and takes no new work.
-    Leaving,
-    /// It is gone.
-    Dead,
+    New,
+    /// It is there and answers.
+    Up,
+    /// It is there and does not answer.
+    Silent,
+    /// It has ended, or could not be made.
+    Down,
+    /// The place where the peer was says that it is not there.
+    Refused,
 }
 
-impl State {
+impl Link {
     /// The state's name, as in logs.
     ///
     /// ```
-    /// assert_eq!(mustardpin_world::table::peer::State::Dead.name(), "dead");
+    /// assert_eq!(mustardpin_world::table::peer::Link::Silent.name(), "silent");
     /// ```
     pub const fn name(self) -> &'static str {
         match self {
-            State::Alive => "alive",
-            State::Suspect => "suspect",
-            State::Leaving => "leaving",
-            State::Dead => "dead",
+            Link::New => "new",
+            Link::Up => "up",
+            Link::Silent => "silent",
+            Link::Down => "down",
+            Link::Refused => "refused",
         }
     }
 }
@@ -48,66 +51,78 @@
 pub struct Peer {
     /// Who and where.
     pub announcement: Announcement,
-    /// Grows when the peer refutes a suspicion.
-    pub incarnation: u32,
-    /// What this node believes of it.
-    pub state: State,
+    /// The service of its target.
+    pub service: ServiceKey,
+    /// Whether it stands in the own data centre.
+    pub is_local: bool,
+    /// The position of its row in the store, if it has one that this node knows.
+    pub row: Option<Position>,
+    /// The state of the connection to it.
+    pub link: Link,
     /// Since when.
-    pub since: Millis,
-    /// Whether it has replied to this node, and so knows it.
-    pub introduced: bool,
-    /// Whether this node has had a message from it since it last counted as dead.
-    pub heard: bool,
-    /// When its row in the platform was last seen to be written.
-    pub row_seen: Option<Millis>,
+    pub link_since: Millis,
+    /// The revision of its configuration, as it last said.
+    pub revision: Revision,
     /// Calls this node has passed to it that have not ended.
     pub in_flight: u32,
-    /// What its last answer said of its target.
-    pub pressure: Option<Pressure>,
+    /// Calls this node has passed to it since it last said how much its target has to do.
+    pub unreported: u32,
+    /// What it last said of its target.
+    pub load: Option<Load>,
     /// When it said so.
-    pub pressure_as_of: Millis,
+    pub load_as_of: Millis,
+    /// How long its answers take, as a multiple of what answers on their routes usually take.
+    pub pace: f32,
     /// How it does on the traffic path.
     pub health: Health,
 }
 
 impl Peer {
     /// A peer that has just been found.
-    pub fn new(announcement: Announcement, now: Millis) -> Peer {
+    pub fn new(
+        announcement: Announcement,
+        service: ServiceKey,
+        is_local: bool,
+        now: Millis,
+    ) -> Peer {
         Peer {
             announcement,
-            incarnation: 0,
-            state: State::Alive,
-            since: now,
-            introduced: false,
-            heard: false,
-            row_seen: None,
+            service,
+            is_local,
+            row: None,
+            link: Link::New,
+            link_since: now,
+            revision: Revision(0),
             in_flight: 0,
-            pressure: None,
-            pressure_as_of: Millis::ZERO,
+            unreported: 0,
+            load: None,
+            load_as_of: Millis::ZERO,
+            pace: 1.0,
             health: Health::default(),
         }
     }
+
+    /// Whether requests may be passed to it, as far as it says.
+    pub fn is_open(&self) -> bool {
+        self.link == Link::Up && self.load.is_some_and(|load| load.open)
+    }
 }
 
-/// The table of peers.
+/// The table of peers. There is one for each place: a new process in a place takes it over.
 #[derive(Debug, Default)]
 pub struct Peers {
     rows: SlotMap<PeerKey, Peer>,
     by_node: BTreeMap<NodeId, PeerKey>,
-    by_place: BTreeMap<CompactString, BTreeMap<CompactString, Vec<PeerKey>>>,
+    by_name: BTreeMap<CompactString, PeerKey>,
 }
 
 impl Peers {
-    /// Adds a peer, or returns the key of the one that is there with the same id.
+    /// Adds a peer. There must be none in its place.
     pub fn insert(&mut self, peer: Peer) -> PeerKey {
-        let node = peer.announcement.node;
-        if let Some(&key) = self.by_node.get(&node) {
-            return key;
-        }
-        let Announcement { service, data_centre, .. } = peer.announcement.clone();
+        let (node, name) = (peer.announcement.node, peer.announcement.name.clone());
         let key = self.rows.insert(peer);
         self.by_node.insert(node, key);
-        self.by_place.entry(service).or_default().entry(data_centre).or_default().push(key);
+        self.by_name.insert(name, key);
         key
     }
 
@@ -126,32 +141,22 @@
         self.by_node.get(&node).copied()
     }
 
-    /// The peers of a service in one data centre, in the order in which they were found.
-    pub fn at(&self, service: &str, data_centre: &str) -> &[PeerKey] {
-        let places = self.by_place.get(service);
-        places.and_then(|places| places.get(data_centre)).map_or(&[], Vec::as_slice)
-    }
-
-    /// The data centres in which peers of a service were found.
-    pub fn data_centres(&self, service: &str) -> impl Iterator<Item = &CompactString> {
-        self.by_place.get(service).into_iter().flat_map(BTreeMap::keys)
+    /// The key of the peer in this place.
+    pub fn by_name(&self, name: &str) -> Option<PeerKey> {
+        self.by_name.get(name).copied()
     }
 
     /// Forgets a peer.
     pub fn remove(&mut self, key: PeerKey) -> Option<Peer> {
         let peer = self.rows.remove(key)?;
-        let Announcement { node, service, data_centre, .. } = &peer.announcement;
-        self.by_node.remove(node);
-        let places = self.by_place.get_mut(service);
-        if let Some(keys) = places.and_then(|places| places.get_mut(data_centre)) {
-            keys.retain(|&other| other != key);
-        }
+        self.by_node.remove(&peer.announcement.node);
+        self.by_name.remove(&peer.announcement.name);
         Some(peer)
     }
 
-    /// All peers, in the order of their ids.
+    /// All peers, in the order of their places' names.
     pub fn iter(&self) -> impl Iterator<Item = (PeerKey, &Peer)> {
-        self.by_node.values().map(|&key| (key, &self.rows[key]))
+        self.by_name.values().map(|&key| (key, &self.rows[key]))
     }
 
     /// How many peers there are.
--- a/crates/mustardpin-world/src/table/registry.rs
+++ b/crates/mustardpin-world/src/table/registry.rs
@@ -19,18 +19,6 @@
     }
 }
 
-impl Row for config::Key {
-    fn name(&self) -> &CompactString {
-        &self.id
-    }
-}
-
-impl Row for config::Route {
-    fn name(&self) -> &CompactString {
-        &self.name
-    }
-}
-
 impl Row for config::Team {
     fn name(&self) -> &CompactString {
         &self.name
@@ -57,7 +45,13 @@
     /// use mustardpin_world::{config::Team, table::team::Teams};
     ///
     /// let mut teams = Teams::default();
-    /// let team = Team { name: "garage".into(), rate: 10, burst: 5, weight: 1 };
+    /// let team = Team {
+    ///     name: "garage".into(),
+    ///     rate: 10,
+    ///     burst: 5,
+    ///     weight: 1,
+    ///     importance: Default::default(),
+    /// };
     /// let key = teams.put(team.clone());
     /// assert_eq!(teams.put(Team { rate: 20, ..team }), key);
     /// assert_eq!(teams.get(key).map(|team| team.rate), Some(20));
--- a/crates/mustardpin-world/src/table/share.rs
+++ b/crates/mustardpin-world/src/table/share.rs
@@ -7,12 +7,13 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use compact_str::CompactString;
 use slotmap::{SecondaryMap, SlotMap};
 use smallvec::SmallVec;
 
 use crate::{
     clock::Millis,
-    id::{CallKey, NodeId, TeamKey},
+    id::{CallKey, Position, TeamKey},
     message::share::Shard,
 };
 
@@ -67,7 +68,7 @@
         Terms { rate, parts, shards, capacity: total / u64::from(shards), hold }
     }
 
-    /// The terms if every member of an epoch spends an equal part of the rate by itself.
+    /// The terms if every member of the roster spends an equal part of the rate by itself.
     ///
     /// ```
     /// use mustardpin_world::table::share::{TOKEN, Terms};
@@ -147,8 +148,17 @@
     pub quiet_until: Millis,
     /// Whether the keeper, rather than the bucket, is why.
     pub unreachable: bool,
-    /// The draw that has no reply yet, when it was sent, and to which node.
-    pub pending: Option<(u64, Millis, NodeId)>,
+    /// The message with the draw that has no reply yet, and when it was sent.
+    pub pending: Option<(u64, Millis)>,
+}
+
+/// Who keeps a shard.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Keeper {
+    /// The shard.
+    pub shard: Shard,
+    /// The place that keeps it; `None` stands for this node.
+    pub place: Option<CompactString>,
 }
 
 /// Tokens of one team that a node has drawn, and the calls that wait for more.
@@ -164,10 +174,10 @@
     pub arrived: u32,
     /// When the team last had a request here.
     pub last_request: Millis,
-    /// The keepers of the team's shards, the nearest first, as of `keepers_epoch`.
-    pub keepers: Vec<(Shard, NodeId)>,
-    /// The epoch that the keepers were found in.
-    pub keepers_epoch: u64,
+    /// The keepers of the team's shards, the nearest first, as of `keepers_roster`.
+    pub keepers: Vec<Keeper>,
+    /// The position of the roster by which the keepers were found.
+    pub keepers_roster: Position,
     /// What the node knows of each shard.
     pub sources: SmallVec<[Source; MAX_SHARDS as usize]>,
 }
@@ -201,8 +211,8 @@
 pub struct Shares {
     buckets: SlotMap<BucketKey, Bucket>,
     by_shard: BTreeMap<(TeamKey, Shard), BucketKey>,
-    /// The epoch for which buckets of lost shards were given up.
-    pub buckets_epoch: u64,
+    /// The position of the roster for which buckets of lost shards were given up.
+    pub buckets_roster: Position,
     /// The node's stock of each team's tokens.
     pub stocks: SecondaryMap<TeamKey, Stock>,
 }
--- a/crates/mustardpin-world/src/table/suspect.rs
+++ b/crates/mustardpin-world/src/table/suspect.rs
@@ -1,14 +1,14 @@
-//! Suspects: requests that were in flight as a target crashed.
+//! Suspects: requests that were running as a target crashed.
 
 use std::collections::BTreeMap;
 
-use crate::{clock::Millis, message::quarantine::Mark};
+use crate::{clock::Millis, request::Fingerprint};
 
-/// What is known of a request that was in flight at a crash.
+/// What is known of a request that was running at a crash.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Suspect {
-    /// Whether it was alone, and so is known to crash targets.
-    pub quarantined: bool,
+    /// At how many crashes it was running.
+    pub crashes: u32,
     /// When it is forgotten.
     pub until: Millis,
 }
@@ -16,34 +16,33 @@
 /// The table of suspects.
 #[derive(Debug, Default)]
 pub struct Suspects {
-    rows: BTreeMap<Mark, Suspect>,
+    rows: BTreeMap<Fingerprint, Suspect>,
 }
 
 impl Suspects {
-    /// Adds a suspect. A request in quarantine stays there. At the limit, the suspect that would be
-    /// forgotten first makes room, one in quarantine last.
-    pub fn insert(&mut self, mark: Mark, suspect: Suspect, limit: usize) {
-        if self.rows.get(&mark).is_some_and(|known| known.quarantined && !suspect.quarantined) {
-            return;
-        }
-        self.rows.insert(mark, suspect);
+    /// Counts a crash against a request. At the limit, the request that would be forgotten first
+    /// makes room. Returns at how many crashes it was running.
+    pub fn accuse(&mut self, fingerprint: Fingerprint, until: Millis, limit: usize) -> u32 {
+        let row = self.rows.entry(fingerprint).or_insert(Suspect { crashes: 0, until });
+        row.crashes += 1;
+        row.until = until;
+        let crashes = row.crashes;
         while self.rows.len() > limit {
-            let first = self.rows.iter().min_by_key(|(_, row)| (row.quarantined, row.until));
-            let Some(first) = first.map(|(&mark, _)| mark) else { return };
+            let first = self.rows.iter().min_by_key(|(_, row)| (row.crashes, row.until));
+            let Some(first) = first.map(|(&fingerprint, _)| fingerprint) else { break };
             self.rows.remove(&first);
         }
+        crashes
     }
 
-    /// The suspect with this mark, unless it is to be forgotten.
-    pub fn get(&self, mark: Mark, now: Millis) -> Option<Suspect> {
-        self.rows.get(&mark).copied().filter(|suspect| now < suspect.until)
+    /// The suspect with this fingerprint, unless it is to be forgotten.
+    pub fn get(&self, fingerprint: Fingerprint, now: Millis) -> Option<Suspect> {
+        self.rows.get(&fingerprint).copied().filter(|suspect| now < suspect.until)
     }
 
-    /// Forgets a suspect that is not in quarantine.
-    pub fn clear(&mut self, mark: Mark) {
-        if self.rows.get(&mark).is_some_and(|suspect| !suspect.quarantined) {
-            self.rows.remove(&mark);
-        }
+    /// Forgets a suspect.
+    pub fn clear(&mut self, fingerprint: Fingerprint) {
+        self.rows.remove(&fingerprint);
     }
 
     /// Forgets suspects whose time is over.
@@ -52,8 +51,8 @@
     }
 
     /// All suspects.
-    pub fn iter(&self) -> impl Iterator<Item = (Mark, Suspect)> {
-        self.rows.iter().map(|(&mark, &suspect)| (mark, suspect))
+    pub fn iter(&self) -> impl Iterator<Item = (Fingerprint, Suspect)> {
+        self.rows.iter().map(|(&fingerprint, &suspect)| (fingerprint, suspect))
     }
 
     /// How many suspects there are.
--- a/crates/mustardpin-world/src/table/tenant.rs
+++ b/crates/mustardpin-world/src/table/tenant.rs
@@ -1,6 +1,71 @@
 //! Tenant keys, derived from the configuration.
 
-use crate::{config, id::TenantKey, table::registry::Registry};
+use std::collections::{BTreeMap, HashMap};
 
-/// The table of tenant keys, named by their ids. Withdrawn keys stay in it.
-pub type Tenants = Registry<TenantKey, config::Key>;
+use compact_str::CompactString;
+use rapidhash::fast::RandomState;
+use slotmap::SlotMap;
+
+use crate::{
+    config,
+    id::{KeyDigest, TenantKey},
+};
+
+/// The table of tenant keys. Withdrawn keys stay in it.
+///
+/// Keys are found by their digests. A digest is that of the whole text that a caller sent, so the
+/// time that the search takes says nothing about any key.
+#[derive(Debug, Default)]
+pub struct Tenants {
+    rows: SlotMap<TenantKey, config::Key>,
+    by_id: BTreeMap<CompactString, TenantKey>,
+    by_digest: HashMap<KeyDigest, TenantKey, RandomState>,
+}
+
+impl Tenants {
+    /// Adds a key or replaces the one with the same id.
+    pub fn put(&mut self, row: config::Key) -> TenantKey {
+        let (id, digest) = (row.id.clone(), row.digest);
+        let key = match self.by_id.get(&id) {
+            Some(&key) => {
+                let old = std::mem::replace(&mut self.rows[key], row);
+                self.by_digest.remove(&old.digest);
+                key
+            }
+            None => self.rows.insert(row),
+        };
+        self.by_id.insert(id, key);
+        self.by_digest.insert(digest, key);
+        key
+    }
+
+    /// Removes the key with this id.
+    pub fn remove(&mut self, id: &str) {
+        let Some(key) = self.by_id.remove(id) else { return };
+        if let Some(row) = self.rows.remove(key)
+            && self.by_digest.get(&row.digest) == Some(&key)
+        {
+            self.by_digest.remove(&row.digest);
+        }
+    }
+
+    /// The row with this key.
+    pub fn get(&self, key: TenantKey) -> Option<&config::Key> {
+        self.rows.get(key)
+    }
+
+    /// The key with this id.
+    pub fn by_id(&self, id: &str) -> Option<TenantKey> {
+        self.by_id.get(id).copied()
+    }
+
+    /// The key with this digest.
+    pub fn by_digest(&self, digest: &KeyDigest) -> Option<TenantKey> {
+        self.by_digest.get(digest).copied()
+    }
+
+    /// All keys, in the order of their ids.
+    pub fn iter(&self) -> impl Iterator<Item = (TenantKey, &config::Key)> {
+        self.by_id.values().map(|&key| (key, &self.rows[key]))
+    }
+}
--- a/crates/mustardpin-world/src/world.rs
+++ b/crates/mustardpin-world/src/world.rs
@@ -10,10 +10,11 @@
     event::Event,
     id::{NodeId, PeerKey},
     message::Message,
+    note::Note,
     options::Options,
-    platform::{Announcement, Operation, Ticket},
+    store::{Announcement, Operation, Ticket},
     system,
-    table::{Tables, counter::Work, peer::Peer},
+    table::{Tables, counter::Work},
 };
 
 /// Who a node is: fixed while its process runs.
@@ -29,6 +30,11 @@
         self.announcement.node
     }
 
+    /// The name of the place that the node's process runs in.
+    pub fn name(&self) -> &CompactString {
+        &self.announcement.name
+    }
+
     /// The name of the node's data centre.
     pub fn data_centre(&self) -> &CompactString {
         &self.announcement.data_centre
@@ -64,24 +70,29 @@
     pub(crate) fn wake(&mut self, at: Millis) {
         self.next_wake = self.next_wake.min(at);
     }
+
+    /// Writes a log line.
+    pub(crate) fn log(&mut self, note: Note) {
+        self.commands.push(Command::Log(note));
+    }
 }
 
 impl World {
     /// A world without any knowledge. The seed decides all its random choices.
     ///
     /// ```
-    /// use mustardpin_world::{Identity, Millis, Options, World, id::NodeId, platform::Announcement};
+    /// use mustardpin_world::{Identity, Millis, Options, World, id::NodeId, store::Announcement};
     ///
     /// let announcement = Announcement {
     ///     node: NodeId(1),
+    ///     name: "north-1".into(),
     ///     data_centre: "north".into(),
     ///     service: "ledger".into(),
-    ///     control_address: "127.0.0.1:7101".into(),
-    ///     traffic_address: "127.0.0.1:7102".into(),
+    ///     address: "127.0.0.1:7101".into(),
     /// };
     /// let mut world = World::new(Identity { announcement }, Options::default(), 42);
     /// let commands = world.tick(Millis(0), Vec::new());
-    /// assert!(!commands.is_empty(), "it asks the platform for its configuration");
+    /// assert!(!commands.is_empty(), "it asks the store for its configuration");
     /// ```
     pub fn new(identity: Identity, options: Options, seed: u64) -> World {
         let systems = system::State::new(&options);
@@ -114,9 +125,9 @@
         &self.tables
     }
 
-    /// Whether the node is in no epoch and others have all records it kept.
-    pub fn has_handed_over(&self) -> bool {
-        system::recording::handed_over(self)
+    /// The options.
+    pub fn options(&self) -> &Options {
+        &self.options
     }
 
     /// Who the node is.
@@ -124,22 +135,18 @@
         &self.identity
     }
 
-    /// Asks the platform; the reply comes with the ticket returned.
-    pub(crate) fn ask_platform(&mut self, tick: &mut Tick, operation: Operation) -> Ticket {
+    /// Asks the store; the reply comes with the ticket returned.
+    pub(crate) fn ask_store(&mut self, tick: &mut Tick, operation: Operation) -> Ticket {
         self.systems.last_ticket.0 += 1;
         let ticket = self.systems.last_ticket;
-        tick.commands.push(Command::Platform(ticket, operation));
+        tick.commands.push(Command::Store(ticket, operation));
         ticket
     }
 
     /// Sends a message to a peer.
     pub(crate) fn send(&mut self, tick: &mut Tick, to: PeerKey, message: impl Into<Message>) {
         let Some(peer) = self.tables.peers.get(to) else { return };
-        tick.commands.push(Command::Send {
-            to: peer.announcement.node,
-            address: peer.announcement.control_address.clone(),
-            message: message.into(),
-        });
+        tick.commands.push(Command::Send { to: peer.announcement.node, message: message.into() });
         self.tables.counters.work(Work::Messages);
     }
 
@@ -150,20 +157,6 @@
         }
     }
 
-    /// Up to `count` different peers, drawn at random from those that fit.
-    pub(crate) fn sample(&mut self, count: usize, fits: impl Fn(&Peer) -> bool) -> Vec<PeerKey> {
-        let peers = self.tables.peers.iter();
-        let mut peers: Vec<PeerKey> =
-            peers.filter(|(_, peer)| fits(peer)).map(|(key, _)| key).collect();
-        let count = count.min(peers.len());
-        for index in 0..count {
-            let other = self.rng.random_range(index..peers.len());
-            peers.swap(index, other);
-        }
-        peers.truncate(count);
-        peers
-    }
-
     /// A random length between zero and `longest`.
     pub(crate) fn jitter(&mut self, longest: Millis) -> Millis {
         Millis(self.rng.random_range(0..=longest.0))
--- a/src/access.rs
+++ b/src/access.rs
@@ -44,8 +44,9 @@
         let mut credential = self.credential_file.map(read_credential).transpose()?;
         if let Some(file) = &self.settings {
             let settings = Settings::load(file)?;
-            addresses.push(settings.addresses.admin);
-            credential = credential.or(Some(settings.credentials.operator));
+            addresses.extend(settings.addresses.admin);
+            let own = settings.addresses.admin.map(|_| settings.credentials.operator);
+            credential = credential.or(own);
         }
         let credential = credential.or_else(|| env::var(CREDENTIAL_VARIABLE).ok().map(Into::into));
         let Some(credential) = credential else {
--- a/src/assignment.rs
+++ b/src/assignment.rs
@@ -1,11 +1,12 @@
 //! Values of a row as operators write them: `rate=100 burst=20`.
 
-use compact_str::{CompactString, ToCompactString as _};
+use compact_str::CompactString;
 use derive_more::{Display, Error};
 use mustardpin_settings::reader::parse_length;
+use mustardpin_wire::config as wire;
 use mustardpin_world::{
     Millis,
-    config::{CutOffPolicy, Importance},
+    config::{CutOffPolicy, Importance, Part},
 };
 
 /// Why values were not accepted.
@@ -67,6 +68,14 @@
     }
 }
 
+impl Value for u8 {
+    const EXPECTED: &'static str = "a whole number up to 255";
+
+    fn read(text: &str) -> Option<u8> {
+        text.parse().ok()
+    }
+}
+
 impl Value for bool {
     const EXPECTED: &'static str = "true or false";
 
@@ -84,10 +93,10 @@
 }
 
 impl Value for Importance {
-    const EXPECTED: &'static str = "low, normal, high or critical";
+    const EXPECTED: &'static str = "low, normal, high, critical or a number up to 255";
 
     fn read(text: &str) -> Option<Importance> {
-        Importance::ALL.into_iter().find(|importance| importance.to_compact_string() == text)
+        wire::Importance::try_from(text).ok().map(|importance| importance.0)
     }
 }
 
@@ -125,12 +134,58 @@
     }
 }
 
+/// Services with their weights.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Parts(pub Vec<Part>);
+
+impl Value for Parts {
+    const EXPECTED: &'static str = "a service, or services with weights such as old:90,new:10";
+
+    fn read(text: &str) -> Option<Parts> {
+        let part = |text: &str| match text.split_once(':') {
+            None => Some(Part { service: text.into(), weight: 1 }),
+            Some((service, weight)) => {
+                Some(Part { service: service.into(), weight: weight.parse().ok()? })
+            }
+        };
+        text.split(',').map(part).collect::<Option<Vec<Part>>>().map(Parts)
+    }
+}
+
+impl std::fmt::Display for Parts {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        if let [only] = &self.0[..] {
+            return f.write_str(&only.service);
+        }
+        for (index, part) in self.0.iter().enumerate() {
+            let comma = if index > 0 { "," } else { "" };
+            write!(f, "{comma}{}:{}", part.service, part.weight)?;
+        }
+        Ok(())
+    }
+}
+
+/// A value, or `none` or `any`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct NoneOr<T>(pub Option<T>);
+
+impl<T: Value> Value for NoneOr<T> {
+    const EXPECTED: &'static str = T::EXPECTED;
+
+    fn read(text: &str) -> Option<NoneOr<T>> {
+        if text == "none" || text == "any" {
+            return Some(NoneOr(None));
+        }
+        T::read(text).map(|value| NoneOr(Some(value)))
+    }
+}
+
 /// A name, or `any`.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct AnyOr(pub Option<CompactString>);
 
 impl Value for AnyOr {
-    const EXPECTED: &'static str = "a method such as GET, or any";
+    const EXPECTED: &'static str = "a name, or any";
 
     fn read(text: &str) -> Option<AnyOr> {
         Some(AnyOr((text != "any").then(|| text.into())))
--- a/src/client.rs
+++ b/src/client.rs
@@ -21,7 +21,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::net::TcpStream;
 
-/// How long one request may take. Longer than a node waits for the platform.
+/// How long one request may take. Longer than a node waits for the store.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(12);
 /// How long a change is sent again while its outcome is unknown.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(15);
--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -37,7 +37,7 @@
   2  wrong arguments or settings
   3  another operator's change came first; nothing was changed
   4  the change is not allowed; nothing was changed
-  5  no node or platform answered; send a change again with its change id
+  5  no node or store answered; send a change again with its change id
   6  accepted, but not known to be in force everywhere yet
   7  the operator credential is missing or wrong";
 
--- a/src/cmd/defaults.rs
+++ b/src/cmd/defaults.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     access,
-    assignment::{AnyOr, Assignments, Names},
+    assignment::{AnyOr, Assignments, Names, NoneOr, Parts},
     cmd::proposal::{self, Arguments, Session},
     error::Error,
     table,
@@ -21,16 +21,18 @@
 
 Usage:
   mustardpin defaults show [--json]
-  mustardpin defaults set team NAME [rate=N] [burst=N] [weight=N]
-  mustardpin defaults set route NAME [service=NAME] [path=/PREFIX] [method=GET|any]
-      [importance=low|normal|high|critical] [repeatable=BOOL] [open=BOOL] [timeout=TIME]
-      [teams=NAME,NAME|all]
+  mustardpin defaults set team NAME [rate=N] [burst=N] [weight=N] [importance=LEVEL]
+  mustardpin defaults set route NAME [service=NAME[:WEIGHT],...] [host=NAME|any] [path=/PREFIX]
+      [method=GET|any] [importance=LEVEL] [repeatable=BOOL] [open=BOOL] [timeout=TIME]
+      [objective=TIME|none] [attempts=N|any] [teams=NAME,NAME|all]
   mustardpin defaults set fleet [cut-off=refuse|serve:TIME] [retry-allowance=N]
-      [record-retention=TIME]
   mustardpin defaults remove team|route NAME
 
 What is left out of `set` stays as it is. Rates are requests a second across all instances
-together, bursts are requests. TIME is written as 500ms, 3s or 10min.";
+together, bursts are requests. TIME is written as 500ms, 3s or 10min, LEVEL as low, normal, high,
+critical or a number up to 255. Of two requests, the one of the less important team is refused
+first, and within a team the one on the less important route. A route with several services splits
+its requests between them by weight.";
 
 /// The time limit of a new route.
 const ROUTE_TIMEOUT: Millis = Millis::from_secs(10);
@@ -71,6 +73,10 @@
         rate,
         burst: values.value("burst", present.as_ref().map_or(rate, |team| team.burst))?,
         weight: values.value("weight", present.as_ref().map_or(TEAM_WEIGHT, |team| team.weight))?,
+        importance: values.value(
+            "importance",
+            present.as_ref().map_or(Importance::default(), |team| team.importance),
+        )?,
     };
     values.finish()?;
     session.write(Row::Team(team)).await
@@ -87,7 +93,8 @@
     let known = present.as_ref();
     let route = Route {
         name: name.into(),
-        service: values.required("service", known.map(|route| route.service.clone()))?,
+        parts: values.required("service", known.map(|route| Parts(route.parts.clone())))?.0,
+        host: values.value("host", AnyOr(known.and_then(|route| route.host.clone())))?.0,
         path_prefix: values.required("path", known.map(|route| route.path_prefix.clone()))?,
         method: values.value("method", AnyOr(known.and_then(|route| route.method.clone())))?.0,
         importance: values
@@ -96,6 +103,10 @@
         repeatable: values.value("repeatable", known.is_some_and(|route| route.repeatable))?,
         open: values.value("open", known.is_some_and(|route| route.open))?,
         timeout: values.value("timeout", known.map_or(ROUTE_TIMEOUT, |route| route.timeout))?,
+        objective: values
+            .value("objective", NoneOr(known.and_then(|route| route.objective)))?
+            .0,
+        attempts: values.value("attempts", NoneOr(known.and_then(|route| route.attempts)))?.0,
         teams: values
             .value("teams", Names(known.map(|route| route.teams.clone()).unwrap_or_default()))?
             .0,
@@ -115,7 +126,7 @@
     let fleet = Fleet {
         cut_off: values.value("cut-off", present.cut_off)?,
         retry_allowance: values.value("retry-allowance", present.retry_allowance)?,
-        record_retention: values.value("record-retention", present.record_retention)?,
+        callers: present.callers,
     };
     values.finish()?;
     session.write(Row::Fleet(fleet)).await
@@ -150,12 +161,8 @@
         CutOffPolicy::Refuse => "refuse".into(),
         CutOffPolicy::Serve(grace) => compact_str::format_compact!("serve:{}ms", grace.0),
     };
-    let rows = [[
-        cut_off.to_string(),
-        fleet.retry_allowance.to_string(),
-        fleet.record_retention.to_string(),
-    ]];
-    table::print(["cut-off", "retry-allowance", "record-retention"], &rows);
+    let rows = [[cut_off.to_string(), fleet.retry_allowance.to_string()]];
+    table::print(["cut-off", "retry-allowance"], &rows);
     println!();
 }
 
@@ -166,10 +173,11 @@
             format!("{}/s", team.rate),
             team.burst.to_string(),
             team.weight.to_string(),
+            team.importance.to_string(),
         ]),
         _ => None,
     });
-    table::print(["team", "rate", "burst", "weight"], &teams.collect::<Vec<_>>());
+    table::print(["team", "rate", "burst", "weight", "importance"], &teams.collect::<Vec<_>>());
     println!();
 }
 
@@ -178,12 +186,15 @@
         Row::Route(route) => Some([
             route.name.to_string(),
             route.method.as_deref().unwrap_or("any").to_owned(),
+            route.host.as_deref().unwrap_or("any").to_owned(),
             route.path_prefix.to_string(),
-            route.service.to_string(),
+            Parts(route.parts.clone()).to_string(),
             route.importance.to_string(),
             route.repeatable.to_string(),
             route.open.to_string(),
             route.timeout.to_string(),
+            route.objective.map_or("none".to_owned(), |objective| objective.to_string()),
+            route.attempts.map_or("any".to_owned(), |attempts| attempts.to_string()),
             if route.teams.is_empty() { "all".to_owned() } else { route.teams.join(",") },
         ]),
         _ => None,
@@ -191,12 +202,15 @@
     let titles = [
         "route",
         "method",
+        "host",
         "path",
         "service",
         "importance",
         "repeatable",
         "open",
         "timeout",
+        "objective",
+        "attempts",
         "teams",
     ];
     table::print(titles, &routes.collect::<Vec<_>>());
--- a/src/cmd/keys.rs
+++ b/src/cmd/keys.rs
@@ -147,8 +147,8 @@
     for &address in client.addresses() {
         match client.status_at(address).await {
             Ok(status) => {
-                for other in status.view.data_centres {
-                    forces.entry(other.name).or_default();
+                for peer in status.peers {
+                    forces.entry(peer.data_centre).or_default();
                 }
                 let force = forces.entry(status.data_centre).or_default();
                 force.nodes += 1;
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -6,7 +6,7 @@
 use crate::{access, cmd::proposal::Arguments, error::Error, table};
 
 const HELP: &str = "\
-Shows the state of a node and what it knows of the fleet: nodes, target, revision and epoch,
+Shows the state of a node and what it knows of the fleet: nodes, target, revision,
 freshness, limits, refusals and retries by reason.
 
 Usage: mustardpin status [--json]";
@@ -29,7 +29,8 @@
 
 fn show(status: &Status) {
     let leaving = if status.leaving { ", leaving" } else { "" };
-    println!("node {} of {} in {}{leaving}\n", status.node, status.service, status.data_centre);
+    let Status { node, name, service, data_centre, .. } = status;
+    println!("node {name} ({node}) of {service} in {data_centre}{leaving}\n");
     show_view(status);
     show_target(status);
     show_peers(status);
@@ -40,24 +41,14 @@
 
 fn show_view(status: &Status) {
     let view = &status.view;
-    let age = view.platform_age_ms.map_or("unknown".to_owned(), |age| format!("{age} ms"));
+    let age = view.store_age_ms.map_or("unknown".to_owned(), |age| format!("{age} ms"));
     let rows = [[
         view.revision.to_string(),
-        format!("{} with {} nodes", view.epoch, view.members),
+        view.members.to_string(),
         if view.fresh { "fresh" } else { "cut off" }.to_owned(),
         age,
     ]];
-    table::print(["revision", "epoch", "knowledge", "news from the platform"], &rows);
-    println!();
-    let rows: Vec<_> = view
-        .data_centres
-        .iter()
-        .map(|data_centre| {
-            let age = data_centre.age_ms.map_or("none".to_owned(), |age| format!("{age} ms"));
-            [data_centre.name.to_string(), age]
-        })
-        .collect();
-    table::print(["data centre", "age of its news"], &rows);
+    table::print(["revision", "roster", "knowledge", "news from the store"], &rows);
     println!();
 }
 
@@ -77,7 +68,6 @@
         target.running.to_string(),
         target.queued.to_string(),
         format!("{} ms", target.latency_ms),
-        target.least_importance.to_string(),
         status.calls.to_string(),
     ]];
     let titles = [
@@ -87,7 +77,6 @@
         "running",
         "queued",
         "latency",
-        "least importance",
         "calls",
     ];
     table::print(titles, &rows);
@@ -100,18 +89,19 @@
         .iter()
         .map(|peer| {
             [
-                peer.node.to_string(),
+                peer.name.to_string(),
                 peer.data_centre.to_string(),
                 peer.service.to_string(),
-                peer.control_address.to_string(),
-                peer.state.to_string(),
+                peer.address.to_string(),
+                peer.link.to_string(),
+                if peer.open { "open" } else { "closed" }.to_owned(),
                 peer.in_flight.to_string(),
                 peer.limit.map_or("unknown".to_owned(), |limit| limit.to_string()),
             ]
         })
         .collect();
     let titles =
-        ["node", "data centre", "service", "control address", "state", "in flight", "limit"];
+        ["node", "data centre", "service", "address", "link", "target", "in flight", "limit"];
     table::print(titles, &rows);
 }
 
