--- a/crates/mustardpin-node/src/traffic/link/outgoing.rs
+++ b/crates/mustardpin-node/src/traffic/link/outgoing.rs
@@ -186,7 +186,7 @@
         route: forwarded.route.clone(),
         service: forwarded.service.clone(),
         rank: (forwarded.rank.team.0, forwarded.rank.route.0),
-        nested: forwarded.nested,
+        nesting: forwarded.nesting.into(),
         repeatable: forwarded.repeatable,
         objective_ms: forwarded.objective.0,
         retry_allowance: forwarded.retry_allowance,
--- a/crates/mustardpin-virtual/examples/control_traffic.rs
+++ b/crates/mustardpin-virtual/examples/control_traffic.rs
@@ -6,14 +6,19 @@
 use std::env;
 
 use mustardpin_virtual::{Fleet, Service, Site};
-use mustardpin_world::{Millis, Options, config, event::Proposal, platform};
+use mustardpin_world::{
+    Millis, Options, config,
+    event::Proposal,
+    store::{Name, Value},
+    table::peer::Peer,
+};
 
 const DATA_CENTRES: usize = 8;
 /// Virtual time for all nodes to find each other after they started at once.
 const START: Millis = Millis::from_secs(30);
 /// Virtual time that each phase is measured for.
 const PHASE: Millis = Millis::from_secs(10);
-/// The longest time that is waited for a change or an epoch.
+/// The longest time that is waited for a change to be everywhere.
 const LONGEST_WAIT: Millis = Millis::from_secs(30);
 /// The time between two looks at all nodes.
 const STEP: Millis = Millis(20);
@@ -47,26 +52,32 @@
     });
     let victim = Site(nodes / 2);
     let node = fleet.world_at(victim).identity().node();
-    fleet.kill(victim);
-    phase(&mut fleet, "one node dead", PHASE, |fleet| {
+    let is_known = move |fleet: &Fleet, node| {
         let mut others = fleet.sites().filter(|&site| site != victim);
-        others.all(|site| !fleet.world_at(site).tables().epoch.contains(node))
-    });
+        others.any(|site| fleet.world_at(site).tables().peers.by_node(node).is_some())
+    };
+    fleet.kill(victim);
+    phase(&mut fleet, "one node dead", PHASE, |fleet| !is_known(fleet, node));
     fleet.restart(victim);
     let node = fleet.world_at(victim).identity().node();
     phase(&mut fleet, "one node replaced", PHASE, |fleet| {
-        fleet.sites().all(|site| fleet.world_at(site).tables().epoch.contains(node))
+        let mut others = fleet.sites().filter(|&site| site != victim);
+        others.all(|site| {
+            let peers = &fleet.world_at(site).tables().peers;
+            peers.by_node(node).and_then(|peer| peers.get(peer)).is_some_and(Peer::is_open)
+        })
     });
 }
 
 fn team(name: &str) -> config::Row {
-    config::Row::Team(config::Team { name: name.into(), rate: 100, burst: 100, weight: 1 })
+    let importance = config::Importance::default();
+    let name = name.into();
+    config::Row::Team(config::Team { name, rate: 100, burst: 100, weight: 1, importance })
 }
 
 fn put(fleet: &mut Fleet) {
-    let row = team("first");
-    let row = platform::Row::Configuration(row.path(), Some(row));
-    fleet.platform.put(vec![row, platform::Row::Head(Vec::new())]);
+    fleet.platform.put_configuration(vec![team("first")]);
+    fleet.platform.put(vec![(Name::Head, Value::Head(Vec::new()))]);
 }
 
 /// Lets a phase pass and prints its row.
--- a/crates/mustardpin-virtual/src/experiment.rs
+++ b/crates/mustardpin-virtual/src/experiment.rs
@@ -172,7 +172,7 @@
 
 /// The importances that the experiments use, the one refused last at the front.
 pub const IMPORTANCES: [Importance; 4] =
-    [Importance::Critical, Importance::High, Importance::Normal, Importance::Low];
+    [Importance::CRITICAL, Importance::HIGH, Importance::NORMAL, Importance::LOW];
 
 impl Scenario {
     fn reports(self) -> Reports {
--- a/crates/mustardpin-virtual/src/experiment/result.rs
+++ b/crates/mustardpin-virtual/src/experiment/result.rs
@@ -145,7 +145,7 @@
                 self.served_of(|sent| sent.is_deep && sent.importance == importance);
             (sent as f64 * share * (1.0 - share)) as u64
         };
-        Importance::ALL.into_iter().max_by_key(contest).unwrap_or_default()
+        Importance::NAMED.into_iter().max_by_key(contest).unwrap_or_default()
     }
 
     /// What the worst-served team got of its max-min fair share of what was served at the
--- a/crates/mustardpin-virtual/src/fleet.rs
+++ b/crates/mustardpin-virtual/src/fleet.rs
@@ -3,6 +3,7 @@
 mod call;
 mod caller;
 mod link;
+mod message;
 mod run;
 mod step;
 
@@ -12,20 +13,20 @@
 };
 
 use mustardpin_world::{
-    Event, Identity, Millis, Options, World,
-    command::Change,
-    config,
+    Event, Identity, Millis, Options, World, config,
     event::{Proposal, ProposalTicket},
-    id::{CallKey, KeyDigest, NodeId, Revision},
-    platform::Announcement,
-    request::{self, ForwardEnd, Origin, Pressure, RunEnd},
+    id::{KeyDigest, NodeId, Revision},
+    note::Note,
+    request::{self, ForwardEnd, Load, Origin, RunEnd, Ticket, Verdict},
+    store::{self, Announcement},
 };
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
 
 use crate::{
+    fleet::link::Link,
     network::Network,
-    platform::Platform,
+    platform::{Platform, Waiting},
     target::{Ran, Service, Target},
 };
 
@@ -40,34 +41,62 @@
 enum Waiter {
     /// The caller of a root request.
     Caller { root: u64 },
-    /// A node that forwarded its call.
-    Node { site: Site, life: u32, call: CallKey },
+    /// A node that passed it on.
+    Node { site: Site, life: u32, ticket: Ticket },
     /// A target that made a call in the course of another.
-    Target { site: Site, life: u32, parent: CallKey, run: u64, index: usize },
+    Target { site: Site, life: u32, parent: Ticket, run: u64, index: usize },
 }
 
-/// A request a node is working on.
+/// The answer of a target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Answer {
+    status: u16,
+    body: Vec<u8>,
+}
+
+/// A request on its way, with what the history needs to know of it.
+#[derive(Debug, Clone)]
+struct Parcel {
+    request: Request,
+    origin: Origin,
+    waiter: Waiter,
+    root: u64,
+}
+
+/// A request that a node has.
 #[derive(Debug, Clone)]
 struct Held {
     waiter: Waiter,
     root: u64,
     request: Request,
-    /// The body of the answer that a target gave.
-    body: Option<Vec<u8>>,
+    /// The answer of a target that waits for the node's word.
+    answer: Option<Answer>,
+}
+
+/// What a node says of a request to who waits for it.
+#[derive(Debug, Clone)]
+enum Word {
+    Answered(Answer),
+    Refused(Verdict),
 }
 
 #[derive(Debug)]
 enum Step {
     Tick { life: u32 },
     Deliver { life: u32, event: Event },
-    Arrive { request: Request, origin: Origin, waiter: Waiter, root: u64 },
+    Arrive { parcel: Parcel },
+    Pass { life: u32, to: NodeId, parcel: Parcel },
+    Return { to: Site, life: u32, ticket: Ticket, word: Word, retries: u32 },
     Begin { life: u32, run: request::Run },
-    ServiceOver { life: u32, call: CallKey, run: u64 },
-    ChildOver { life: u32, parent: CallKey, run: u64, index: usize, status: u16 },
-    RunDeadline { life: u32, call: CallKey },
-    ForwardDeadline { life: u32, call: CallKey },
+    ServiceOver { life: u32, ticket: Ticket, run: u64 },
+    ChildOver { life: u32, parent: Ticket, run: u64, index: usize, status: u16 },
+    RunDeadline { life: u32, ticket: Ticket },
+    ForwardDeadline { life: u32, ticket: Ticket },
     Report { life: u32 },
     Resend { root: u64 },
+    Connect { life: u32, to: NodeId },
+    Watch { life: u32 },
+    StoreWatchOver { life: u32, ticket: store::Ticket },
 }
 
 #[derive(Debug)]
@@ -79,19 +108,16 @@
     up: bool,
     frozen: bool,
     exited: bool,
+    ready: bool,
     pending: Vec<Event>,
-    pressure: Pressure,
+    load: Load,
+    links: BTreeMap<NodeId, Link>,
     /// When the next tick is due; later ticks in the queue are stale.
     next_tick: Millis,
-    tickets: BTreeMap<request::Ticket, Held>,
-    calls: BTreeMap<CallKey, Held>,
-    by_waiter: HashMap<Waiter, CallKey>,
-    /// Retries left over from calls that are about to be answered.
-    leftover: BTreeMap<CallKey, u32>,
-    /// The statuses of the targets' answers to calls.
-    statuses: BTreeMap<CallKey, u16>,
-    /// Calls passed on, and where they are there, once known.
-    forwarded: BTreeMap<CallKey, Site>,
+    requests: BTreeMap<Ticket, Held>,
+    by_waiter: HashMap<Waiter, Ticket>,
+    /// Requests passed on, and to whom.
+    forwarded: BTreeMap<Ticket, NodeId>,
     held_back: Vec<Step>,
 }
 
@@ -109,17 +135,19 @@
     pub received: Vec<Received>,
     /// What operators were answered.
     pub answers: BTreeMap<u64, Result<Revision, config::ChangeError>>,
-    /// Changes of state that nodes logged.
-    pub log: Vec<(Millis, Site, Change)>,
+    /// Log lines of nodes that are not about a request.
+    pub log: Vec<(Millis, Site, Note)>,
     /// Messages sent between worlds.
     pub messages: u64,
-    /// Their estimated size together, in bytes.
+    /// The bytes that they took on the network, with the headers of the network's protocols.
     pub message_bytes: u64,
     nodes: Vec<Node>,
     /// Whether [`Fleet::ran`] is written.
     pub keep_runs: bool,
     roots: Vec<(Site, Millis, Request)>,
     last_received: HashMap<u64, usize>,
+    by_node: HashMap<NodeId, Site>,
+    waiting: Vec<(Site, u32, store::Ticket, Waiting)>,
     queue: BinaryHeap<Reverse<(Millis, u64, usize, usize)>>,
     /// Steps named by the queue, and the places in it that are free.
     steps: Vec<Option<Step>>,
@@ -151,6 +179,8 @@
             keep_runs: true,
             roots: Vec::new(),
             last_received: HashMap::new(),
+            by_node: HashMap::new(),
+            waiting: Vec::new(),
             queue: BinaryHeap::new(),
             steps: Vec::new(),
             free_steps: Vec::new(),
@@ -173,14 +203,13 @@
             up: true,
             frozen: false,
             exited: false,
+            ready: false,
             pending: Vec::new(),
-            pressure: Pressure::default(),
+            load: Load::default(),
+            links: BTreeMap::new(),
             next_tick: Millis::MAX,
-            tickets: BTreeMap::new(),
-            calls: BTreeMap::new(),
+            requests: BTreeMap::new(),
             by_waiter: HashMap::new(),
-            leftover: BTreeMap::new(),
-            statuses: BTreeMap::new(),
             forwarded: BTreeMap::new(),
             held_back: Vec::new(),
         });
@@ -208,31 +237,35 @@
         self.nodes[site.0].exited
     }
 
+    /// Whether the node at a site says that it is ready for callers.
+    pub fn is_ready(&self, site: Site) -> bool {
+        self.nodes[site.0].up && self.nodes[site.0].ready
+    }
+
     /// Ends a node's process at once. Its target stays.
     pub fn kill(&mut self, site: Site) {
         let node = &mut self.nodes[site.0];
         node.up = false;
+        node.ready = false;
+        self.end_life(site);
+    }
+
+    /// What a process held is gone with it.
+    fn end_life(&mut self, site: Site) {
+        let node = &mut self.nodes[site.0];
         node.life += 1;
         node.next_tick = Millis::MAX;
         node.target.drop_work();
-        let held: Vec<Held> = std::mem::take(&mut node.calls)
-            .into_values()
-            .chain(std::mem::take(&mut node.tickets).into_values())
-            .collect();
         node.by_waiter.clear();
-        node.leftover.clear();
-        node.statuses.clear();
         node.pending.clear();
         node.held_back.clear();
         node.forwarded.clear();
-        for held in held {
-            self.break_off(site, held.waiter);
-        }
-        let callers: Vec<(Site, CallKey)> = self.calls_forwarded_to(site);
-        for (caller, call) in callers {
-            self.nodes[caller.0].forwarded.remove(&call);
-            self.deliver_later(caller, Millis(1), forward_ended(call, ForwardEnd::Broken));
+        node.links.clear();
+        let held = std::mem::take(&mut node.requests);
+        for held in held.into_values() {
+            self.break_off(held.waiter);
         }
+        self.end_links_to(site);
     }
 
     /// Starts a new process at a site, with a new id and no memory.
@@ -249,7 +282,7 @@
         node.up = true;
         node.exited = false;
         node.frozen = false;
-        node.next_tick = Millis::MAX;
+        node.load = Load::default();
         node.target.up = true;
         node.target.draining = false;
         self.boot(site);
@@ -288,8 +321,8 @@
         let node = &mut self.nodes[site.0];
         node.target.up = false;
         node.target.crashes += 1;
-        for call in node.target.drop_work() {
-            self.deliver_later(site, Millis(0), Event::RunEnded(call, RunEnd::Broken));
+        for ticket in node.target.drop_work() {
+            self.deliver_later(site, Millis(0), Event::RunEnded(ticket, RunEnd::Broken));
         }
         self.deliver_later(site, Millis(0), Event::TargetLost);
     }
@@ -312,18 +345,18 @@
 
     fn send_root(&mut self, root: u64) {
         let (site, _, request) = self.roots[root as usize].clone();
-        let origin = Origin::Caller { key: request.key.as_deref().map(split_key) };
+        let origin = Origin::Caller { key: request.key.as_deref().map(KeyDigest::of) };
         let waiter = Waiter::Caller { root };
-        self.schedule(site, self.now, Step::Arrive { request, origin, waiter, root });
+        let parcel = Parcel { request, origin, waiter, root };
+        self.schedule(site, self.now, Step::Arrive { parcel });
     }
 
     /// The caller of a root request hangs up.
     pub fn hang_up(&mut self, root: u64) {
         let Some((site, _, _)) = self.roots.get(root as usize) else { return };
         let site = *site;
-        let waiter = Waiter::Caller { root };
-        if let Some(call) = self.call_of(site, waiter) {
-            self.deliver_later(site, Millis(0), Event::CallerGone(call));
+        if let Some(ticket) = self.ticket_of(site, Waiter::Caller { root }) {
+            self.deliver_later(site, Millis(0), Event::CallerGone(ticket));
         }
     }
 
@@ -337,6 +370,12 @@
         self.deliver_later(site, Millis(0), event);
     }
 
+    /// Tells a node of another, as the addresses in its settings do.
+    pub fn introduce(&mut self, site: Site, to: Site) {
+        let peer = self.nodes[to.0].world.identity().announcement.clone();
+        self.deliver_later(site, Millis(1), Event::PeerSeen(peer));
+    }
+
     /// Lets virtual time pass up to a point.
     pub fn run_until(&mut self, end: Millis) {
         while let Some(Reverse((at, ..))) = self.queue.peek() {
@@ -362,14 +401,22 @@
         self.last_received.get(&root).map(|&index| &self.received[index])
     }
 
-    fn world(&self, site: Site, life: u32, data_centre: &str, service: &str) -> World {
+    /// A number that was not given before.
+    fn next_number(&mut self) -> u64 {
+        self.sequence += 1;
+        self.sequence
+    }
+
+    fn world(&mut self, site: Site, life: u32, data_centre: &str, service: &str) -> World {
+        let node = node_id(site, life);
         let announcement = Announcement {
-            node: node_id(site, life),
+            node,
+            name: format!("{data_centre}-{}", site.0).into(),
             data_centre: data_centre.into(),
             service: service.into(),
-            control_address: address(site, life).into(),
-            traffic_address: address(site, life).into(),
+            address: format!("127.0.0.1:{}", site.0 + 1).into(),
         };
+        self.by_node.insert(node, site);
         let seed = self.seed ^ ((site.0 as u64) << 32) ^ u64::from(life);
         World::new(Identity { announcement }, self.options.clone(), seed)
     }
@@ -378,22 +425,14 @@
         let life = self.nodes[site.0].life;
         self.tick_at(site, self.now);
         self.schedule(site, self.now, Step::Report { life });
+        self.schedule(site, self.now + link::WATCH_PERIOD, Step::Watch { life });
     }
 }
 
-fn forward_ended(call: CallKey, end: ForwardEnd) -> Event {
-    Event::ForwardEnded { call, end, pressure: None }
+fn forward_ended(ticket: Ticket, end: ForwardEnd) -> Event {
+    Event::ForwardEnded { ticket, end, retries: 0 }
 }
 
 fn node_id(site: Site, life: u32) -> NodeId {
-    NodeId(((life as u64) << 32) + site.0 as u64 + 1)
-}
-
-fn address(site: Site, life: u32) -> String {
-    format!("{}:{life}", site.0)
-}
-
-fn split_key(key: &str) -> (compact_str::CompactString, KeyDigest) {
-    let id = key.split('.').next().unwrap_or(key);
-    (id.into(), KeyDigest::of(key))
+    NodeId((u64::from(life) << 32) + site.0 as u64 + 1)
 }
--- a/crates/mustardpin-virtual/src/fleet/call.rs
+++ b/crates/mustardpin-virtual/src/fleet/call.rs
@@ -2,138 +2,111 @@
 
 use mustardpin_world::{
     Event, Millis,
-    id::CallKey,
-    request::{self, Fingerprint, ForwardEnd, Origin, RunEnd, Verdict},
+    id::NodeId,
+    request::{self, Fingerprint, ForwardEnd, Origin, Ticket, Verdict, passes_unasked},
 };
 use rand::RngExt as _;
 
 use crate::fleet::{
-    Fleet, Held, RESEND_AFTER, Received, Request, Site, Step, Waiter, forward_ended,
+    Answer, Fleet, Held, Parcel, RESEND_AFTER, Received, Site, Step, Waiter, Word, forward_ended,
 };
 
+/// What is under way while two nodes are cut off from each other is sent again after this time, as
+/// TCP does, for as long as the connection lasts.
+const SEND_AGAIN: Millis = Millis(100);
+/// How long an answer takes to be seen as lost.
+const LOSS_SEEN: Millis = Millis(100);
+
 impl Fleet {
-    pub(super) fn arrive(
-        &mut self,
-        site: Site,
-        request: Request,
-        origin: Origin,
-        waiter: Waiter,
-        root: u64,
-    ) {
+    pub(super) fn arrive(&mut self, site: Site, parcel: Parcel) {
         if !self.nodes[site.0].up {
-            return self.refuse_connection(site, waiter);
+            return self.break_off(parcel.waiter);
         }
-        self.sequence += 1;
-        let ticket = request::Ticket(self.sequence);
+        let ticket = Ticket(self.next_number());
+        let Parcel { request, origin, waiter, root } = parcel;
         let event = Event::Arrived(request::Request {
             ticket,
             origin,
+            id: format!("{root:016x}").into(),
+            host: Default::default(),
             method: request.method.as_str().into(),
             path: request.path.as_str().into(),
-            idempotency_key: request.idempotency_key.as_deref().map(Into::into),
             fingerprint: Fingerprint(request.fingerprint),
             timeout: request.timeout,
         });
         let node = &mut self.nodes[site.0];
-        node.tickets.insert(ticket, Held { waiter, root, request, body: None });
+        node.by_waiter.insert(waiter, ticket);
+        node.requests.insert(ticket, Held { waiter, root, request, answer: None });
         node.pending.push(event);
         self.tick_at(site, self.now);
     }
 
-    /// No process listens at the site: the sender learns that no byte was sent.
-    pub(super) fn refuse_connection(&mut self, site: Site, waiter: Waiter) {
-        match waiter {
-            Waiter::Node { site: sender, life, call } => {
-                if self.nodes[sender.0].life == life {
-                    self.nodes[sender.0].forwarded.remove(&call);
-                    let event = forward_ended(call, ForwardEnd::NotSent);
-                    self.deliver_later(sender, Millis(1), event);
-                }
-            }
-            _ => self.break_off(site, waiter),
-        }
-    }
-
-    pub(super) fn break_off(&mut self, site: Site, waiter: Waiter) {
+    /// Whoever waits learns that the connection has ended.
+    pub(super) fn break_off(&mut self, waiter: Waiter) {
         match waiter {
             Waiter::Caller { root } => self.receive(root, None, None),
-            Waiter::Node { site: sender, life, call } => {
-                if self.nodes[sender.0].life == life {
-                    self.nodes[sender.0].forwarded.remove(&call);
-                    let event = forward_ended(call, ForwardEnd::Broken);
-                    self.deliver_later(sender, Millis(1), event);
-                }
-            }
-            Waiter::Target { site: target, life, parent, run, index } => {
-                let _ = site;
+            // The node sees its connection end.
+            Waiter::Node { .. } => {}
+            Waiter::Target { site, life, parent, run, index } => {
                 let step = Step::ChildOver { life, parent, run, index, status: 502 };
-                self.schedule(target, self.now, step);
+                self.schedule(site, self.now, step);
             }
         }
     }
 
-    pub(super) fn return_retries(&mut self, site: Site, call: CallKey, waiter: Waiter) {
-        let Some(retries) = self.nodes[site.0].leftover.remove(&call) else { return };
-        let Waiter::Node { site: sender, life, call } = waiter else { return };
-        if self.nodes[sender.0].life != life {
+    /// The node's target, or a peer, has answered: a good answer goes on, another one waits for
+    /// the node's word.
+    pub(super) fn answered(&mut self, site: Site, ticket: Ticket, answer: Answer, retries: u32) {
+        let node = &mut self.nodes[site.0];
+        if !passes_unasked(answer.status) {
+            if let Some(held) = node.requests.get_mut(&ticket) {
+                held.answer = Some(answer);
+            }
             return;
         }
-        if let Some(delay) = self.delay(site, sender) {
-            self.deliver_later(sender, delay, Event::RetriesReturned { call, retries });
+        if let Some(held) = node.requests.remove(&ticket) {
+            node.by_waiter.remove(&held.waiter);
+            self.tell(site, held.waiter, Word::Answered(answer), retries);
         }
     }
 
-    /// Hands a verdict with the status and the body of a target's answer to who waits for it.
-    pub(super) fn answer(
-        &mut self,
-        site: Site,
-        waiter: Waiter,
-        verdict: Verdict,
-        (status, body): (u16, Option<Vec<u8>>),
-    ) {
-        let body = match &verdict {
-            Verdict::Pass => body,
-            Verdict::Replay(answer) => Some(answer.body.clone()),
-            Verdict::Refuse(_) => None,
+    /// The node has said how a request ends.
+    pub(super) fn finish(&mut self, site: Site, ticket: Ticket, verdict: Verdict, retries: u32) {
+        let node = &mut self.nodes[site.0];
+        node.forwarded.remove(&ticket);
+        let Some(held) = node.requests.remove(&ticket) else { return };
+        node.by_waiter.remove(&held.waiter);
+        let word = match (verdict, held.answer) {
+            (Verdict::Pass, Some(answer)) => Word::Answered(answer),
+            (verdict, _) => Word::Refused(verdict),
         };
+        self.tell(site, held.waiter, word, retries);
+    }
+
+    fn tell(&mut self, site: Site, waiter: Waiter, word: Word, retries: u32) {
         match waiter {
-            Waiter::Caller { root } if status >= 500 && verdict == Verdict::Pass => {
-                self.receive(root, None, None);
-            }
-            Waiter::Caller { root } => self.receive(root, Some(verdict), body),
-            Waiter::Node { site: sender, life, call } => {
-                if verdict == Verdict::Pass {
-                    self.nodes[sender.0].statuses.insert(call, status);
+            Waiter::Caller { root } => match word {
+                Word::Answered(answer) if passes_unasked(answer.status) => {
+                    self.receive(root, Some(Verdict::Pass), Some(answer.body));
                 }
-                let pressure = self.nodes[site.0].pressure;
-                let end = match verdict {
-                    Verdict::Pass => ForwardEnd::Answered { status },
-                    Verdict::Replay(answer) => ForwardEnd::Answered { status: answer.status },
-                    Verdict::Refuse(refusal) => ForwardEnd::Refused(refusal),
-                };
-                let lost = self.network.answer_loss > 0.0
+                Word::Answered(_) => self.receive(root, None, None),
+                Word::Refused(verdict) => self.receive(root, Some(verdict), None),
+            },
+            Waiter::Node { site: to, life, ticket } => {
+                let is_lost = self.network.answer_loss > 0.0
                     && self.rng.random_bool(self.network.answer_loss);
-                let delay = self.delay(site, sender).filter(|_| !lost);
-                let node = &mut self.nodes[sender.0];
-                if delay.is_some()
-                    && node.life == life
-                    && let Some(held) = node.calls.get_mut(&call)
-                {
-                    held.body = body;
-                }
-                let event = match delay {
-                    Some(_) => Event::ForwardEnded { call, end, pressure: Some(pressure) },
-                    None => forward_ended(call, ForwardEnd::Broken),
-                };
-                if self.nodes[sender.0].life == life {
-                    self.deliver_later(sender, delay.unwrap_or(Millis(100)), event);
+                if is_lost {
+                    return self.lose_answer(to, life, ticket);
                 }
+                let step = Step::Return { to, life, ticket, word, retries };
+                let delay = self.delay(site, to).unwrap_or(SEND_AGAIN);
+                self.schedule(site, self.now + delay, step);
             }
             Waiter::Target { site: target, life, parent, run, index } => {
-                let status = match verdict {
-                    Verdict::Pass => status,
-                    Verdict::Replay(answer) => answer.status,
-                    Verdict::Refuse(refusal) => refusal.reason.status(),
+                let status = match word {
+                    Word::Answered(answer) => answer.status,
+                    Word::Refused(Verdict::Refuse(refusal)) => refusal.status(),
+                    Word::Refused(Verdict::Pass) => 502,
                 };
                 let step = Step::ChildOver { life, parent, run, index, status };
                 self.schedule(target, self.now, step);
@@ -141,6 +114,45 @@
         }
     }
 
+    fn lose_answer(&mut self, to: Site, life: u32, ticket: Ticket) {
+        let node = &mut self.nodes[to.0];
+        if node.life == life && node.forwarded.remove(&ticket).is_some() {
+            self.deliver_later(to, LOSS_SEEN, forward_ended(ticket, ForwardEnd::Broken));
+        }
+    }
+
+    /// A peer's word on a request reaches the node that passed it on.
+    pub(super) fn returned(
+        &mut self,
+        from: Site,
+        (to, life, ticket): (Site, u32, Ticket),
+        word: Word,
+        retries: u32,
+    ) {
+        let node = &self.nodes[to.0];
+        if node.life != life || !node.forwarded.contains_key(&ticket) {
+            return;
+        }
+        if self.delay(from, to).is_none() {
+            let step = Step::Return { to, life, ticket, word, retries };
+            return self.schedule(from, self.now + SEND_AGAIN, step);
+        }
+        self.nodes[to.0].forwarded.remove(&ticket);
+        let peer = self.nodes[from.0].world.identity().node();
+        let load = self.nodes[from.0].load;
+        self.deliver_later(to, Millis(0), Event::Load { from: peer, load });
+        let end = match word {
+            Word::Answered(answer) => {
+                let status = answer.status;
+                self.answered(to, ticket, answer, retries);
+                ForwardEnd::Answered { status }
+            }
+            Word::Refused(Verdict::Refuse(refusal)) => ForwardEnd::Refused(refusal),
+            Word::Refused(Verdict::Pass) => ForwardEnd::Broken,
+        };
+        self.deliver_later(to, Millis(0), Event::ForwardEnded { ticket, end, retries });
+    }
+
     pub(super) fn receive(&mut self, root: u64, verdict: Option<Verdict>, body: Option<Vec<u8>>) {
         let Some((site, sent, request)) = self.roots.get_mut(root as usize) else { return };
         let received = Received { root, site: *site, sent: *sent, at: self.now, verdict, body };
@@ -156,67 +168,75 @@
 
     pub(super) fn forward(&mut self, site: Site, forward: request::Forward) {
         let life = self.nodes[site.0].life;
-        let Some(held) = self.nodes[site.0].calls.get(&forward.call).cloned() else { return };
-        let to = self.site_of(&forward.address);
-        let delay = to.and_then(|to| self.delay(site, to));
-        let (Some(to), Some(delay)) = (to, delay) else {
-            let event = forward_ended(forward.call, ForwardEnd::NotSent);
-            return self.deliver_later(site, Millis(1), event);
-        };
-        self.nodes[site.0].forwarded.insert(forward.call, to);
-        let waiter = Waiter::Node { site, life, call: forward.call };
-        let origin = Origin::Peer(forward.forwarded);
+        let ticket = forward.ticket;
+        let Some(held) = self.nodes[site.0].requests.get(&ticket).cloned() else { return };
+        if !self.is_linked(site, forward.to) {
+            let event = forward_ended(ticket, ForwardEnd::NotSent);
+            return self.deliver_later(site, Millis(0), event);
+        }
+        self.nodes[site.0].forwarded.insert(ticket, forward.to);
         let mut request = held.request;
-        request.timeout = Some(forward.deadline - self.now);
-        let step = Step::Arrive { request, origin, waiter, root: held.root };
-        self.schedule(to, self.now + delay, step);
-        let step = Step::ForwardDeadline { life, call: forward.call };
-        self.schedule(site, forward.deadline, step);
+        request.timeout = Some(forward.timeout);
+        let parcel = Parcel {
+            request,
+            origin: Origin::Peer(forward.forwarded),
+            waiter: Waiter::Node { site, life, ticket },
+            root: held.root,
+        };
+        self.pass(site, life, forward.to, parcel);
+        self.schedule(site, forward.deadline, Step::ForwardDeadline { life, ticket });
+    }
+
+    /// Sends a request over a connection, or tries again while the connection lasts.
+    pub(super) fn pass(&mut self, site: Site, life: u32, to: NodeId, parcel: Parcel) {
+        let Waiter::Node { ticket, .. } = parcel.waiter else { return };
+        let node = &self.nodes[site.0];
+        if node.life != life || node.forwarded.get(&ticket) != Some(&to) {
+            return;
+        }
+        let receiver = self.site_of(to);
+        match receiver.and_then(|receiver| Some((receiver, self.delay(site, receiver)?))) {
+            Some((receiver, delay)) => {
+                self.schedule(receiver, self.now + delay, Step::Arrive { parcel });
+            }
+            None => {
+                self.schedule(site, self.now + SEND_AGAIN, Step::Pass { life, to, parcel });
+            }
+        }
     }
 
-    pub(super) fn forward_deadline(&mut self, site: Site, life: u32, call: CallKey) {
-        if self.nodes[site.0].life == life && self.nodes[site.0].forwarded.contains_key(&call) {
-            self.cancel(site, call);
+    pub(super) fn forward_deadline(&mut self, site: Site, life: u32, ticket: Ticket) {
+        if self.nodes[site.0].life == life && self.nodes[site.0].forwarded.contains_key(&ticket) {
+            self.cancel(site, ticket);
         }
     }
 
-    pub(super) fn run_deadline(&mut self, site: Site, life: u32, call: CallKey) {
-        if self.nodes[site.0].life == life && self.nodes[site.0].target.progress.contains_key(&call)
-        {
-            self.cancel(site, call);
+    pub(super) fn run_deadline(&mut self, site: Site, life: u32, ticket: Ticket) {
+        let node = &self.nodes[site.0];
+        if node.life == life && node.target.progress.contains_key(&ticket) {
+            self.cancel(site, ticket);
         }
     }
 
-    pub(super) fn cancel(&mut self, site: Site, call: CallKey) {
-        if self.nodes[site.0].target.progress.contains_key(&call) {
-            self.nodes[site.0].target.cancel(call);
-            self.deliver_later(site, Millis(0), Event::RunEnded(call, RunEnd::Cancelled));
+    pub(super) fn cancel(&mut self, site: Site, ticket: Ticket) {
+        if self.nodes[site.0].target.progress.contains_key(&ticket) {
+            self.nodes[site.0].target.cancel(ticket);
+            let event = Event::RunEnded(ticket, request::RunEnd::Cancelled);
+            self.deliver_later(site, Millis(0), event);
             self.start_waiting(site);
             return;
         }
-        let Some(to) = self.nodes[site.0].forwarded.remove(&call) else { return };
+        let Some(to) = self.nodes[site.0].forwarded.remove(&ticket) else { return };
         let life = self.nodes[site.0].life;
-        let waiter = Waiter::Node { site, life, call };
-        let there = self.call_of(to, waiter);
-        if let (Some(there), Some(delay)) = (there, self.delay(site, to)) {
+        if let Some((to, delay)) = self.reach(site, to)
+            && let Some(there) = self.ticket_of(to, Waiter::Node { site, life, ticket })
+        {
             self.deliver_later(to, delay, Event::CallerGone(there));
         }
-        self.deliver_later(site, Millis(0), forward_ended(call, ForwardEnd::Cancelled));
+        self.deliver_later(site, Millis(0), forward_ended(ticket, ForwardEnd::Cancelled));
     }
 
-    pub(super) fn call_of(&self, site: Site, waiter: Waiter) -> Option<CallKey> {
+    pub(super) fn ticket_of(&self, site: Site, waiter: Waiter) -> Option<Ticket> {
         self.nodes[site.0].by_waiter.get(&waiter).copied()
     }
-
-    pub(super) fn calls_forwarded_to(&self, site: Site) -> Vec<(Site, CallKey)> {
-        let mut calls = Vec::new();
-        for (index, node) in self.nodes.iter().enumerate() {
-            for (&call, &to) in &node.forwarded {
-                if to == site {
-                    calls.push((Site(index), call));
-                }
-            }
-        }
-        calls
-    }
 }
--- a/crates/mustardpin-virtual/src/fleet/caller.rs
+++ b/crates/mustardpin-virtual/src/fleet/caller.rs
@@ -13,8 +13,6 @@
     pub path: String,
     /// The tenant key, `ID.SECRET`.
     pub key: Option<String>,
-    /// The idempotency key.
-    pub idempotency_key: Option<String>,
     /// The digest of the request; the same for a resent one.
     pub fingerprint: u64,
     /// The time the caller is willing to wait.
@@ -34,20 +32,23 @@
         }
     }
 
-    /// A POST request with an idempotency key, which also decides its fingerprint.
-    pub fn post(path: &str, key: &str, idempotency_key: &str) -> Request {
+    /// A POST request of a name, which decides its fingerprint.
+    pub fn post(path: &str, key: &str, name: &str) -> Request {
         Request {
             method: "POST".to_owned(),
             path: path.to_owned(),
             key: Some(key.to_owned()),
-            idempotency_key: Some(idempotency_key.to_owned()),
-            fingerprint: mustardpin_world::home::hash_of(&[path, idempotency_key]),
-            timeout: None,
-            resends: 0,
+            fingerprint: mustardpin_world::hash::of(&[path, name]),
+            ..Request::default()
         }
     }
 }
 
+/// The public part of a tenant key.
+pub(super) fn id_of(key: &str) -> &str {
+    key.split('.').next().unwrap_or(key)
+}
+
 /// What the caller of a root request received.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Received {
@@ -68,7 +69,7 @@
 impl Received {
     /// Whether a whole answer of a target came.
     pub fn is_whole(&self) -> bool {
-        matches!(self.verdict, Some(Verdict::Pass | Verdict::Replay(_)))
+        matches!(self.verdict, Some(Verdict::Pass))
     }
 
     /// Whether the system said that the request has not run.
--- a/crates/mustardpin-virtual/src/fleet/step.rs
+++ b/crates/mustardpin-virtual/src/fleet/step.rs
@@ -2,7 +2,7 @@
 
 use std::cmp::Reverse;
 
-use mustardpin_world::{Command, Event, Millis, request::Verdict};
+use mustardpin_world::{Command, Event, Millis};
 
 use crate::fleet::{Fleet, Site, Step};
 
@@ -46,18 +46,23 @@
                     self.tick_at(site, self.now);
                 }
             }
-            Step::Arrive { request, origin, waiter, root } => {
-                self.arrive(site, request, origin, waiter, root);
+            Step::Arrive { parcel } => self.arrive(site, parcel),
+            Step::Pass { life, to, parcel } => self.pass(site, life, to, parcel),
+            Step::Return { to, life, ticket, word, retries } => {
+                self.returned(site, (to, life, ticket), word, retries);
             }
             Step::Begin { life, run } => self.begin(site, life, run),
-            Step::ServiceOver { life, call, run } => self.service_over(site, life, call, run),
+            Step::ServiceOver { life, ticket, run } => self.service_over(site, life, ticket, run),
             Step::ChildOver { life, parent, run, index, status } => {
-                self.child_over(site, life, parent, run, index, status);
+                self.child_over(site, life, parent, (run, index), status);
             }
             Step::Resend { root } => self.send_root(root),
-            Step::RunDeadline { life, call } => self.run_deadline(site, life, call),
-            Step::ForwardDeadline { life, call } => self.forward_deadline(site, life, call),
+            Step::RunDeadline { life, ticket } => self.run_deadline(site, life, ticket),
+            Step::ForwardDeadline { life, ticket } => self.forward_deadline(site, life, ticket),
             Step::Report { life } => self.report(site, life),
+            Step::Connect { life, to } => self.connect(site, life, to),
+            Step::Watch { life } => self.watch_links(site, life),
+            Step::StoreWatchOver { life, ticket } => self.store_watch_over(site, life, ticket),
         }
     }
 
@@ -78,46 +83,33 @@
     pub(super) fn carry_out(&mut self, site: Site, command: Command) {
         let life = self.nodes[site.0].life;
         match command {
-            Command::Accepted(ticket, call) => {
-                let node = &mut self.nodes[site.0];
-                if let Some(held) = node.tickets.remove(&ticket) {
-                    node.by_waiter.insert(held.waiter, call);
-                    node.calls.insert(call, held);
-                }
-            }
-            Command::ReturnRetries { call, retries } => {
-                self.nodes[site.0].leftover.insert(call, retries);
-            }
-            Command::Reject(ticket, refusal) => {
-                if let Some(held) = self.nodes[site.0].tickets.remove(&ticket) {
-                    self.answer(site, held.waiter, Verdict::Refuse(refusal), (503, None));
-                }
-            }
             Command::Run(run) => self.schedule(site, self.now, Step::Begin { life, run }),
             Command::Forward(forward) => self.forward(site, forward),
-            Command::Finish(call, verdict) => {
-                let node = &mut self.nodes[site.0];
-                if let Some(held) = node.calls.remove(&call) {
-                    node.by_waiter.remove(&held.waiter);
-                    node.forwarded.remove(&call);
-                    let status = node.statuses.remove(&call).unwrap_or(200);
-                    self.return_retries(site, call, held.waiter);
-                    self.answer(site, held.waiter, verdict, (status, held.body));
-                }
+            Command::Finish { ticket, verdict, retries } => {
+                self.finish(site, ticket, verdict, retries);
             }
-            Command::Cancel(call) => self.cancel(site, call),
-            Command::Send { to, address, message } => self.message(site, to, &address, message),
-            Command::Platform(ticket, operation) => self.ask_platform(site, ticket, operation),
+            Command::Cancel(ticket) => self.cancel(site, ticket),
+            Command::Send { to, message } => self.message(site, to, message),
+            Command::Link(announcement) => self.keep_link(site, announcement),
+            Command::Unlink(peer) => self.drop_link(site, peer),
+            Command::Store(ticket, operation) => self.ask_store(site, ticket, operation),
             Command::Answer(ticket, answer) => {
                 self.answers.insert(ticket.0, answer);
             }
-            Command::Publish(pressure) => self.nodes[site.0].pressure = pressure,
-            Command::Log(change) => self.log.push((self.now, site, change)),
-            Command::CloseIdle => {}
+            Command::Publish { load, urgent } => self.publish(site, load, urgent),
+            Command::Ready(ready) => self.nodes[site.0].ready = ready,
+            Command::Log(note) => {
+                if note.request.is_none() {
+                    self.log.push((self.now, site, note));
+                }
+            }
+            Command::Target(_) | Command::Callers(_) | Command::CloseIdle => {}
             Command::Exit => {
                 let node = &mut self.nodes[site.0];
                 node.exited = true;
                 node.up = false;
+                node.ready = false;
+                self.end_life(site);
             }
             Command::Wake(at) => {
                 if at < Millis::MAX {
--- a/crates/mustardpin-virtual/src/target.rs
+++ b/crates/mustardpin-virtual/src/target.rs
@@ -5,8 +5,8 @@
 use mustardpin_world::{
     Millis,
     event::TargetReport,
-    id::{CallKey, NodeId},
-    request::Fingerprint,
+    id::NodeId,
+    request::{CallToken, Fingerprint, Ticket},
 };
 use rand::RngExt as _;
 use rand_pcg::Pcg64Mcg;
@@ -77,8 +77,6 @@
     pub path: String,
     /// The digest of the request.
     pub fingerprint: Fingerprint,
-    /// The idempotency key.
-    pub idempotency_key: Option<String>,
     /// The key id its caller sent, as the test knows it.
     pub key_id: Option<String>,
     /// The number of the root request.
@@ -104,10 +102,12 @@
     pub started: Millis,
     /// How often it crashed.
     pub crashes: u32,
+    /// Reports that it has made.
+    pub(crate) reports: u64,
     past: VecDeque<(Millis, TargetReport)>,
-    pub(crate) waiting: VecDeque<CallKey>,
-    pub(crate) busy: BTreeSet<CallKey>,
-    pub(crate) progress: BTreeMap<CallKey, Progress>,
+    pub(crate) waiting: VecDeque<Ticket>,
+    pub(crate) busy: BTreeSet<Ticket>,
+    pub(crate) progress: BTreeMap<Ticket, Progress>,
 }
 
 /// How far a target is with a request.
@@ -119,6 +119,7 @@
     pub(crate) open: usize,
     pub(crate) resends: u32,
     pub(crate) run: u64,
+    pub(crate) token: CallToken,
 }
 
 impl Target {
@@ -133,6 +134,7 @@
             draining: false,
             started: Millis::ZERO,
             crashes: 0,
+            reports: 0,
             past: VecDeque::new(),
             waiting: VecDeque::new(),
             busy: BTreeSet::new(),
@@ -150,11 +152,13 @@
         match self.service.reports {
             Reports::Prompt => truth,
             Reports::Late(lag) => {
-                self.past.push_back((now, truth));
+                self.past.push_back((now, truth.clone()));
                 while self.past.get(1).is_some_and(|(at, _)| *at + lag <= now) {
                     self.past.pop_front();
                 }
-                self.past.front().map(|(_, report)| report.clone()).unwrap_or_default()
+                let past = self.past.front().map(|(_, report)| report.clone()).unwrap_or_default();
+                let TargetReport { slots, running, healthy, draining, .. } = past;
+                TargetReport { slots, running, healthy, draining, ..truth }
             }
             Reports::False => {
                 let slots = Some(if rng.random() { 1 } else { 1_000 });
@@ -172,19 +176,19 @@
     }
 
     /// Forgets all work, as a process that ends does. Returns what it was at.
-    pub(crate) fn drop_work(&mut self) -> Vec<CallKey> {
+    pub(crate) fn drop_work(&mut self) -> Vec<Ticket> {
         self.waiting.clear();
         self.busy.clear();
         std::mem::take(&mut self.progress).into_keys().collect()
     }
 
     /// Drops one request, if the target stops cancelled work.
-    pub(crate) fn cancel(&mut self, call: CallKey) {
+    pub(crate) fn cancel(&mut self, ticket: Ticket) {
         if !self.service.cancellable {
             return;
         }
-        self.waiting.retain(|&waiting| waiting != call);
-        self.busy.remove(&call);
-        self.progress.remove(&call);
+        self.waiting.retain(|&waiting| waiting != ticket);
+        self.busy.remove(&ticket);
+        self.progress.remove(&ticket);
     }
 }
--- a/crates/mustardpin-wire/src/frame.rs
+++ b/crates/mustardpin-wire/src/frame.rs
@@ -11,7 +11,7 @@
     config::{Importance, Rank},
     id::{KeyDigest, NodeId, Revision},
     refusal::{Outcome, Reason, Refusal},
-    request::{Fingerprint, Forwarded, Load},
+    request::{self, Fingerprint, Forwarded, Load},
 };
 use serde::{Deserialize, Serialize};
 
@@ -78,6 +78,36 @@
     }
 }
 
+/// Where in a chain of calls a request stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[allow(missing_docs, reason = "mirrors mustardpin_world::request::Nesting")]
+pub enum Nesting {
+    Root,
+    Linked,
+    Unlinked,
+}
+
+impl From<request::Nesting> for Nesting {
+    fn from(nesting: request::Nesting) -> Nesting {
+        match nesting {
+            request::Nesting::Root => Nesting::Root,
+            request::Nesting::Linked => Nesting::Linked,
+            request::Nesting::Unlinked => Nesting::Unlinked,
+        }
+    }
+}
+
+impl From<Nesting> for request::Nesting {
+    fn from(nesting: Nesting) -> request::Nesting {
+        match nesting {
+            Nesting::Root => request::Nesting::Root,
+            Nesting::Linked => request::Nesting::Linked,
+            Nesting::Unlinked => request::Nesting::Unlinked,
+        }
+    }
+}
+
 /// A request that one node passes to another.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -95,7 +125,7 @@
     pub route: CompactString,
     pub service: CompactString,
     pub rank: (u8, u8),
-    pub nested: bool,
+    pub nesting: Nesting,
     pub repeatable: bool,
     pub objective_ms: u64,
     pub retry_allowance: u32,
@@ -119,7 +149,7 @@
             route: self.route.clone(),
             service: self.service.clone(),
             rank: Rank { team: Importance(team), route: Importance(route) },
-            nested: self.nested,
+            nesting: self.nesting.into(),
             repeatable: self.repeatable,
             objective: Millis(self.objective_ms),
             retry_allowance: self.retry_allowance,
--- a/crates/mustardpin-wire/src/message.rs
+++ b/crates/mustardpin-wire/src/message.rs
@@ -32,11 +32,13 @@
     Known(Vec<Announcement>),
     WantConfiguration { after: u64 },
     HaveConfiguration { revision: u64, rows: Vec<config::Row> },
+    AskFreshness { number: u64 },
+    TellFreshness { number: u64, age: u64, revision: u64, fleet_age: u64, roster: u64 },
     Draw { number: u64, draws: Vec<(CompactString, u8, u32)> },
     Grant { number: u64, grants: Vec<(u32, u64)> },
     Handover { roster: u64, team: CompactString, shard: u8, level: u64 },
     Costs(Vec<(CompactString, u64, Vec<(CompactString, f32)>)>),
-    Crashed { crash: u64, requests: Vec<u64> },
+    Crashed { crash: u64, requests: Vec<u64>, tried: Option<u64> },
     Cleared(u64),
 }
 
@@ -47,6 +49,7 @@
                 Message::Known(known.into_iter().map(Announcement::from).collect())
             }
             message::Message::Configuration(message) => message.into(),
+            message::Message::Freshness(message) => message.into(),
             message::Message::Share(message) => message.into(),
             message::Message::Pressure(message::pressure::Message::Costs(costs)) => {
                 let costs = costs.into_iter();
@@ -73,6 +76,23 @@
     }
 }
 
+impl From<message::freshness::Message> for Message {
+    fn from(message: message::freshness::Message) -> Message {
+        match message {
+            message::freshness::Message::Ask { number } => Message::AskFreshness { number },
+            message::freshness::Message::Tell { number, age, revision, fleet_age, roster } => {
+                Message::TellFreshness {
+                    number,
+                    age: age.0,
+                    revision: revision.0,
+                    fleet_age: fleet_age.0,
+                    roster: roster.0,
+                }
+            }
+        }
+    }
+}
+
 impl From<message::share::Message> for Message {
     fn from(message: message::share::Message) -> Message {
         match message {
@@ -96,9 +116,9 @@
 impl From<message::quarantine::Message> for Message {
     fn from(message: message::quarantine::Message) -> Message {
         match message {
-            message::quarantine::Message::Crashed { crash, requests } => {
+            message::quarantine::Message::Crashed { crash, requests, tried } => {
                 let requests = requests.into_iter().map(|request| request.0).collect();
-                Message::Crashed { crash, requests }
+                Message::Crashed { crash, requests, tried: tried.map(|tried| tried.0) }
             }
             message::quarantine::Message::Cleared(request) => Message::Cleared(request.0),
         }
@@ -124,6 +144,17 @@
                 let revision = Revision(revision);
                 message::configuration::Message::Have { revision, rows: rows? }.into()
             }
+            Message::AskFreshness { number } => message::freshness::Message::Ask { number }.into(),
+            Message::TellFreshness { number, age, revision, fleet_age, roster } => {
+                message::freshness::Message::Tell {
+                    number,
+                    age: Millis(age),
+                    revision: Revision(revision),
+                    fleet_age: Millis(fleet_age),
+                    roster: Position(roster),
+                }
+                .into()
+            }
             Message::Draw { number, draws } => {
                 let draw = |(team, shard, wanted)| message::share::Draw {
                     team,
@@ -151,9 +182,10 @@
                 };
                 message::pressure::Message::Costs(costs.into_iter().map(cost).collect()).into()
             }
-            Message::Crashed { crash, requests } => {
+            Message::Crashed { crash, requests, tried } => {
                 let requests = requests.into_iter().map(Fingerprint).collect();
-                message::quarantine::Message::Crashed { crash, requests }.into()
+                let tried = tried.map(Fingerprint);
+                message::quarantine::Message::Crashed { crash, requests, tried }.into()
             }
             Message::Cleared(request) => {
                 message::quarantine::Message::Cleared(Fingerprint(request)).into()
--- a/crates/mustardpin-world/src/config.rs
+++ b/crates/mustardpin-world/src/config.rs
@@ -112,6 +112,34 @@
     pub teams: Vec<CompactString>,
 }
 
+impl Route {
+    /// A route to one service for all methods and hosts, of normal importance, that may not be
+    /// repeated, needs a key and is open to all teams.
+    ///
+    /// ```
+    /// use mustardpin_world::{Millis, config::Route};
+    ///
+    /// let route = Route::new("look", "/look", "ledger", Millis::from_secs(5));
+    /// assert_eq!(route.parts[0].service, "ledger");
+    /// ```
+    pub fn new(name: &str, path_prefix: &str, service: &str, timeout: Millis) -> Route {
+        Route {
+            name: name.into(),
+            parts: vec![Part { service: service.into(), weight: 1 }],
+            host: None,
+            method: None,
+            path_prefix: path_prefix.into(),
+            importance: Importance::NORMAL,
+            repeatable: false,
+            open: false,
+            timeout,
+            objective: None,
+            attempts: None,
+            teams: Vec::new(),
+        }
+    }
+}
+
 /// A tenant key. Only its digest is stored.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Key {
--- a/crates/mustardpin-world/src/message.rs
+++ b/crates/mustardpin-world/src/message.rs
@@ -2,6 +2,7 @@
 
 pub mod configuration;
 pub mod fleet;
+pub mod freshness;
 pub mod pressure;
 pub mod quarantine;
 pub mod share;
@@ -16,6 +17,8 @@
     Fleet(fleet::Message),
     /// What operators agreed on.
     Configuration(configuration::Message),
+    /// How old knowledge is.
+    Freshness(freshness::Message),
     /// Rate tokens.
     Share(share::Message),
     /// What services cost and how much they are asked for.
--- a/crates/mustardpin-world/src/message/quarantine.rs
+++ b/crates/mustardpin-world/src/message/quarantine.rs
@@ -11,6 +11,8 @@
         crash: u64,
         /// The requests.
         requests: Vec<Fingerprint>,
+        /// The one among them that was tried alone, if there was one.
+        tried: Option<Fingerprint>,
     },
     /// This request, suspected before, has run to its end.
     Cleared(Fingerprint),
--- a/crates/mustardpin-world/src/options.rs
+++ b/crates/mustardpin-world/src/options.rs
@@ -153,13 +153,16 @@
 pub struct Pressure {
     /// Whether requests are refused early when services below refuse them.
     pub early_refusal: bool,
+    /// The part of what a service can do that is shared out to all importances alike when it has
+    /// too much to do, in hundredths. The rest goes to the most important requests first.
+    pub floor_percent: u32,
     /// Whether work whose caller has gone or whose deadline has passed is cancelled.
     pub cancellation: bool,
 }
 
 impl Default for Pressure {
     fn default() -> Pressure {
-        Pressure { early_refusal: true, cancellation: true }
+        Pressure { early_refusal: true, floor_percent: 0, cancellation: true }
     }
 }
 
--- a/crates/mustardpin-world/src/request.rs
+++ b/crates/mustardpin-world/src/request.rs
@@ -42,6 +42,30 @@
     Peer(Forwarded),
 }
 
+/// Where in a chain of calls a request stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub enum Nesting {
+    /// At the top: a caller sent it.
+    #[default]
+    Root,
+    /// A target made it in the course of a request that the system knows.
+    Linked,
+    /// A target made it in the course of some request: it did not say which.
+    Unlinked,
+}
+
+impl Nesting {
+    /// Whether a target made the request in the course of another.
+    ///
+    /// ```
+    /// use mustardpin_world::request::Nesting;
+    /// assert!(Nesting::Unlinked.is_nested() && !Nesting::Root.is_nested());
+    /// ```
+    pub const fn is_nested(self) -> bool {
+        !matches!(self, Nesting::Root)
+    }
+}
+
 /// What travels with a request that one node passes to another.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Forwarded {
@@ -59,8 +83,8 @@
     pub service: CompactString,
     /// How much it matters.
     pub rank: Rank,
-    /// Whether a target made it in the course of another request.
-    pub nested: bool,
+    /// Where in a chain of calls it stands.
+    pub nesting: Nesting,
     /// Whether running it twice does no harm.
     pub repeatable: bool,
     /// How long its answer is worth most, from now.
--- a/crates/mustardpin-world/src/store.rs
+++ b/crates/mustardpin-world/src/store.rs
@@ -136,6 +136,8 @@
         whole: bool,
         /// The position that the store had reached.
         upto: Position,
+        /// What the store's own steady clock showed as it answered, if it says so.
+        clock: Option<crate::Millis>,
         /// The news.
         news: News,
     },
--- a/crates/mustardpin-world/src/system.rs
+++ b/crates/mustardpin-world/src/system.rs
@@ -107,6 +107,7 @@
     pub(crate) links: Vec<LinkChange>,
     pub(crate) fleet: Vec<(NodeId, message::fleet::Message)>,
     pub(crate) configuration: Vec<(NodeId, message::configuration::Message)>,
+    pub(crate) freshness: Vec<(NodeId, message::freshness::Message)>,
     pub(crate) share: Vec<(NodeId, message::share::Message)>,
     pub(crate) pressure: Vec<(NodeId, message::pressure::Message)>,
     pub(crate) quarantine: Vec<(NodeId, message::quarantine::Message)>,
@@ -160,6 +161,7 @@
         match message {
             Message::Fleet(message) => self.fleet.push((from, message)),
             Message::Configuration(message) => self.configuration.push((from, message)),
+            Message::Freshness(message) => self.freshness.push((from, message)),
             Message::Share(message) => self.share.push((from, message)),
             Message::Pressure(message) => self.pressure.push((from, message)),
             Message::Quarantine(message) => self.quarantine.push((from, message)),
--- a/crates/mustardpin-world/src/system/configuration.rs
+++ b/crates/mustardpin-world/src/system/configuration.rs
@@ -86,7 +86,7 @@
 }
 
 fn read_store(world: &mut World, reply: &Reply) {
-    let Reply::News { area: Area::Configuration, whole, upto, news } = reply else { return };
+    let Reply::News { area: Area::Configuration, whole, upto, news, .. } = reply else { return };
     match news {
         News::Document(update) => world.tables.apply(update.clone()),
         News::Rows(rows) => {
--- a/crates/mustardpin-world/src/system/intake.rs
+++ b/crates/mustardpin-world/src/system/intake.rs
@@ -10,7 +10,7 @@
     id::{CallKey, NodeId, RouteKey, ServiceKey, TeamKey, TenantKey},
     note::{self, Level, Note},
     refusal::{Reason, Refusal},
-    request::{CallToken, Forwarded, Origin, Request, Verdict},
+    request::{CallToken, Forwarded, Nesting, Origin, Request, Verdict},
     system::{finish, permission, pressure, resend, retry},
     table::{
         call::{Call, Stage},
@@ -31,7 +31,7 @@
     service: ServiceKey,
     from: Option<NodeId>,
     parent: Option<CallKey>,
-    nested: bool,
+    nesting: Nesting,
     tenant: Option<TenantKey>,
     key_id: Option<CompactString>,
     team: Option<TeamKey>,
@@ -85,18 +85,18 @@
     if tables.configuration.revision.0 == 0 {
         return Err(Refusal::not_run(Reason::Starting).after(RETRY_AFTER_START));
     }
-    let (parent, tenant, nested) = match &request.origin {
+    let (parent, tenant, nesting) = match &request.origin {
         Origin::Target { token: Some(token) } => {
             let parent = tables.calls.by_token(*token);
             let call = parent.and_then(|parent| tables.calls.get(parent));
             let call = call.ok_or(Refusal::not_run(Reason::CallTokenInvalid))?;
-            (parent, call.tenant, true)
+            (parent, call.tenant, Nesting::Linked)
         }
-        Origin::Target { token: None } => (None, None, true),
+        Origin::Target { token: None } => (None, None, Nesting::Unlinked),
         Origin::Caller { key } => {
-            (None, key.as_ref().and_then(|key| tables.tenants.by_digest(key)), false)
+            (None, key.as_ref().and_then(|key| tables.tenants.by_digest(key)), Nesting::Root)
         }
-        Origin::Peer(_) => (None, None, false),
+        Origin::Peer(_) => (None, None, Nesting::Root),
     };
     let route = tables.routes.resolve(&request.host, &request.method, &request.path);
     let route = route.ok_or(Refusal::not_run(Reason::RouteUnknown))?;
@@ -123,7 +123,7 @@
         service,
         from: None,
         parent,
-        nested,
+        nesting,
         tenant: grant.tenant,
         key_id: None,
         team: grant.team,
@@ -189,7 +189,7 @@
         service: tables.services.named(&forwarded.service),
         from: Some(forwarded.from),
         parent: None,
-        nested: forwarded.nested,
+        nesting: forwarded.nesting,
         tenant: None,
         key_id: forwarded.key_id.clone(),
         team: forwarded.team.as_ref().and_then(|team| tables.teams.by_name(team)),
@@ -204,7 +204,7 @@
 }
 
 fn open(world: &mut World, tick: &mut Tick, request: Request, arrival: Arrival) {
-    let is_root = arrival.from.is_none() && !arrival.nested;
+    let is_root = arrival.from.is_none() && !arrival.nesting.is_nested();
     let charged = is_root && arrival.team.is_some();
     let stage = if charged { Stage::Rating } else { Stage::Routing };
     let call = Call {
@@ -213,7 +213,7 @@
         id: request.id,
         from: arrival.from,
         parent: arrival.parent,
-        nested: arrival.nested,
+        nesting: arrival.nesting,
         tenant: arrival.tenant,
         key_id: arrival.key_id,
         team: arrival.team,
@@ -240,7 +240,7 @@
     if call.is_logged {
         tick.log(opened(world, &call));
     }
-    let from_target = call.nested && call.from.is_none();
+    let from_target = call.nesting.is_nested() && call.from.is_none();
     let (route, parent) = (call.route, call.parent);
     let key = world.tables.calls.insert(call);
     if let Some(parent) = parent.and_then(|parent| world.tables.calls.get_mut(parent)) {
@@ -264,7 +264,7 @@
         .with("route", route.map_or_else(CompactString::default, |row| row.config.name.clone()))
         .with("team", team.map_or_else(CompactString::default, |row| row.name.clone()))
         .with("rank", call.rank.to_string())
-        .with("nested", call.nested)
+        .with("nested", call.nesting.is_nested())
         .with("left", call.deadline - call.arrived)
         .with("revision", tables.configuration.revision.0)
         .with("configuration_age", tables.freshness.age);
--- a/crates/mustardpin-world/src/system/routing.rs
+++ b/crates/mustardpin-world/src/system/routing.rs
@@ -67,25 +67,31 @@
             return finish::run(world, tick, key, Verdict::Refuse(refusal));
         }
     }
-    match choose(world, tick.now, key) {
-        Ok(Place::Own) => world.tables.calls.advance(key, Stage::Screening, tick.now),
-        Ok(Place::Peer(peer)) => forward(world, tick, key, peer),
-        Err(refusal) => finish::run(world, tick, key, Verdict::Refuse(refusal)),
+    let noise = world.rng.random::<u64>();
+    let Some(call) = world.tables.calls.get(key) else { return };
+    match choose(world, tick.now, call, noise) {
+        Some(Place::Own) => world.tables.calls.advance(key, Stage::Screening, tick.now),
+        Some(Place::Peer(peer)) => forward(world, tick, key, peer),
+        None => {
+            let refusal = no_target(call);
+            finish::run(world, tick, key, Verdict::Refuse(refusal));
+        }
     }
 }
 
-/// The place with the least cost.
-fn choose(world: &mut World, now: Millis, key: CallKey) -> Result<Place, Refusal> {
-    let noise = world.rng.random::<u64>();
+/// Whether there is a place that a call may go to.
+pub(super) fn has_place(world: &World, now: Millis, key: CallKey) -> bool {
+    world.tables.calls.get(key).is_some_and(|call| choose(world, now, call, 0).is_some())
+}
+
+/// The place with the least cost. `noise` decides between equals.
+fn choose(world: &World, now: Millis, call: &Call, noise: u64) -> Option<Place> {
     let tables = &world.tables;
-    let Some(call) = tables.calls.get(key) else {
-        return Err(Refusal::not_run(Reason::NoTarget));
-    };
     let own = own_candidate(world, now, call);
     if let Some(own) = own
         && call.from.is_some()
     {
-        return Ok(own.place);
+        return Some(own.place);
     }
     let mut best = own;
     if call.hops < world.options.routing.max_hops
@@ -102,7 +108,7 @@
             }
         }
     }
-    best.map(|best| best.place).ok_or_else(|| no_target(call))
+    best.map(|best| best.place)
 }
 
 fn no_target(call: &Call) -> Refusal {
@@ -183,7 +189,7 @@
         route: route.map(|route| route.config.name.clone()).unwrap_or_default(),
         service: service.map(|service| service.name.clone()).unwrap_or_default(),
         rank: call.rank,
-        nested: call.nested,
+        nesting: call.nesting,
         repeatable: call.repeatable,
         objective: call.objective - tick.now,
         retry_allowance: lent,
--- a/crates/mustardpin-world/src/table/call.rs
+++ b/crates/mustardpin-world/src/table/call.rs
@@ -14,7 +14,7 @@
     clock::Millis,
     config::Rank,
     id::{CallKey, NodeId, PeerKey, RouteKey, ServiceKey, TeamKey, TenantKey},
-    request::{CallToken, Fingerprint, Ticket},
+    request::{CallToken, Fingerprint, Nesting, Ticket},
 };
 
 /// How far a call has come. Each stage is the work list of one system.
@@ -88,8 +88,8 @@
     pub from: Option<NodeId>,
     /// The call on the own target that caused it, if one did and is known.
     pub parent: Option<CallKey>,
-    /// Whether a target made it in the course of another request.
-    pub nested: bool,
+    /// Where in a chain of calls it stands.
+    pub nesting: Nesting,
     /// The tenant key it came with, if this node took it from its caller.
     pub tenant: Option<TenantKey>,
     /// The id of the tenant key, if a peer passed the call on.
@@ -139,7 +139,7 @@
 impl Call {
     /// Whether this node took the call from its caller, in no other call's course.
     pub fn is_root(&self) -> bool {
-        self.from.is_none() && self.parent.is_none() && !self.nested
+        self.from.is_none() && self.nesting == Nesting::Root
     }
 }
 
--- a/crates/mustardpin-world/src/table/demand.rs
+++ b/crates/mustardpin-world/src/table/demand.rs
@@ -8,7 +8,7 @@
 use crate::{
     clock::Millis,
     config::Rank,
-    id::{RouteKey, ServiceKey},
+    id::{RouteKey, ServiceKey, TeamKey},
 };
 
 /// What a run of one route costs, as the nodes that run it say.
@@ -24,8 +24,19 @@
 /// target.
 pub type Load = Vec<(ServiceKey, f64)>;
 
-/// Requests for one route by one rank. Amounts decay, so they follow the last second or so.
-#[derive(Debug, Clone, Copy, Default)]
+/// Requests at the top of call chains that are let through alike. In the order of importance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Kind {
+    /// How much they matter.
+    pub rank: Rank,
+    /// The team that they run for.
+    pub team: Option<TeamKey>,
+    /// Their route.
+    pub route: RouteKey,
+}
+
+/// Requests of one kind. Amounts decay, so they follow the last second or so.
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Offer {
     /// Requests that came.
     pub offered: f64,
@@ -41,10 +52,19 @@
     /// What requests at the top of call chains cost, with all the calls below them.
     pub loads: SecondaryMap<RouteKey, Load>,
     /// What is asked for at the top of call chains at this node.
-    pub offers: BTreeMap<(Rank, RouteKey), Offer>,
+    pub offers: BTreeMap<Kind, Offer>,
 }
 
 impl Demand {
+    /// Requests of the same importance for the same route, of this team or another.
+    pub fn like(&self, kind: Kind) -> Option<&Offer> {
+        if let Some(offer) = self.offers.get(&kind) {
+            return Some(offer);
+        }
+        let mut equals = self.offers.iter().filter(|(other, _)| other.rank == kind.rank);
+        equals.find(|(other, _)| other.route == kind.route).map(|(_, offer)| offer)
+    }
+
     /// The time that a run of a route holds its place, if that is known.
     pub fn hold(&self, route: &str) -> Option<Millis> {
         self.costs.get(route).map(|cost| Millis(cost.hold as u64))
--- a/crates/mustardpin-world/src/table/peer.rs
+++ b/crates/mustardpin-world/src/table/peer.rs
@@ -57,6 +57,8 @@
     pub is_local: bool,
     /// The position of its row in the store, if it has one that this node knows.
     pub row: Option<Position>,
+    /// Whether it has written its row again after someone removed it.
+    pub has_returned: bool,
     /// The state of the connection to it.
     pub link: Link,
     /// Since when.
@@ -90,6 +92,7 @@
             service,
             is_local,
             row: None,
+            has_returned: false,
             link: Link::New,
             link_since: now,
             revision: Revision(0),
--- a/crates/mustardpin-world/src/table/target.rs
+++ b/crates/mustardpin-world/src/table/target.rs
@@ -23,8 +23,8 @@
     pub sustained_limit: u32,
     /// How long a run takes, as measured.
     pub latency: Millis,
-    /// Runs that went on as their process was replaced, so that they no longer count.
-    pub forgotten: Vec<CallKey>,
+    /// The call that is tried alone, since it may crash the target.
+    pub trial: Option<CallKey>,
     /// How it does on the traffic path.
     pub health: Health,
 }
