--- a/crates/mustardpin-http/src/body.rs
+++ b/crates/mustardpin-http/src/body.rs
@@ -2,12 +2,14 @@
 
 use bytes::{Bytes, BytesMut};
 
-use crate::{error::Error, framing::Framing};
+use crate::{error::Error, framing::Framing, headers::Headers};
 
 /// The longest line with the size of a chunk, in bytes, with its extensions.
 const MAX_SIZE_LINE: usize = 256;
-/// The most bytes of trailers. They are read over, since nobody may rely on them.
+/// The most bytes of trailers.
 const MAX_TRAILERS: usize = 8 * 1024;
+/// The most fields among them.
+const MAX_TRAILER_FIELDS: usize = 32;
 
 /// What a body gives next.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -16,6 +18,8 @@
     Data(Bytes),
     /// More has to be read first.
     Pending,
+    /// The body is complete, and these fields follow it.
+    Trailers(Headers),
     /// The body is complete.
     End,
 }
@@ -29,8 +33,8 @@
     ChunkData(u64),
     /// The line end after a chunk.
     ChunkEnd,
-    /// After the last chunk; so many bytes of trailers have been read over.
-    Trailers(usize),
+    /// After the last chunk.
+    Trailers,
     UntilClose,
     End,
 }
@@ -88,7 +92,7 @@
                 }
                 State::ChunkSize => match chunk_size(buffer)? {
                     None => return Ok(Piece::Pending),
-                    Some(0) => self.state = State::Trailers(0),
+                    Some(0) => self.state = State::Trailers,
                     Some(size) => self.state = State::ChunkData(size),
                 },
                 State::ChunkEnd => {
@@ -100,11 +104,13 @@
                     }
                     self.state = State::ChunkSize;
                 }
-                State::Trailers(seen) => match trailer_line(buffer, seen)? {
-                    None => return Ok(Piece::Pending),
-                    Some(2) => self.state = State::End,
-                    Some(length) => self.state = State::Trailers(seen + length),
-                },
+                State::Trailers => {
+                    let Some(trailers) = trailers(buffer)? else { return Ok(Piece::Pending) };
+                    self.state = State::End;
+                    if !trailers.is_empty() {
+                        return Ok(Piece::Trailers(trailers));
+                    }
+                }
             }
         }
     }
@@ -145,14 +151,17 @@
     }
 }
 
-/// Reads over one line after the last chunk. Returns its length, with the line end.
-fn trailer_line(buffer: &mut BytesMut, seen: usize) -> Result<Option<usize>, Error> {
-    let Some(end) = buffer.iter().position(|&byte| byte == b'\n') else {
-        return if seen + buffer.len() > MAX_TRAILERS { Err(Error::Chunk) } else { Ok(None) };
-    };
-    let line = buffer.split_to(end + 1);
-    if !line.ends_with(b"\r\n") || seen + line.len() > MAX_TRAILERS {
-        return Err(Error::Chunk);
+/// Takes the fields after the last chunk, if they are there in full.
+fn trailers(buffer: &mut BytesMut) -> Result<Option<Headers>, Error> {
+    let mut fields = [httparse::EMPTY_HEADER; MAX_TRAILER_FIELDS];
+    match httparse::parse_headers(buffer, &mut fields) {
+        Ok(httparse::Status::Complete((length, parsed))) if length <= MAX_TRAILERS => {
+            let fields = parsed.iter().map(|field| (field.name, field.value));
+            let trailers = fields.collect();
+            let _ = buffer.split_to(length);
+            Ok(Some(trailers))
+        }
+        Ok(httparse::Status::Partial) if buffer.len() <= MAX_TRAILERS => Ok(None),
+        _ => Err(Error::Chunk),
     }
-    Ok(Some(line.len()))
 }
--- a/crates/mustardpin-http/src/write.rs
+++ b/crates/mustardpin-http/src/write.rs
@@ -65,8 +65,18 @@
     out.extend_from_slice(format!("{size:x}\r\n").as_bytes());
 }
 
-/// The end of a body in chunks.
-pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+/// Writes the end of a body in chunks, with the fields that follow it, as lines.
+///
+/// ```
+/// let mut out = Vec::new();
+/// mustardpin_http::write::last_chunk(&mut out, b"x-sum: 7\r\n");
+/// assert_eq!(out, b"0\r\nx-sum: 7\r\n\r\n");
+/// ```
+pub fn last_chunk(out: &mut Vec<u8>, trailers: &[u8]) {
+    out.extend_from_slice(b"0\r\n");
+    out.extend_from_slice(trailers);
+    out.extend_from_slice(b"\r\n");
+}
 
 /// The usual text for a status code.
 fn reason(status: u16) -> &'static str {
--- a/crates/mustardpin-node/src/admin.rs
+++ b/crates/mustardpin-node/src/admin.rs
@@ -4,7 +4,6 @@
 //! on a listener. Paths and bodies are those of [`mustardpin_wire::admin`].
 
 mod bridge;
-mod server;
 
 use std::{sync::Arc, time::Duration};
 
@@ -14,6 +13,7 @@
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use http_body::Body;
 use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
 use mustardpin_wire::admin::{
     Acceptance, CHANGES_PATH, CONFIGURATION_PATH, Configuration, Proposal, Rejection, STATUS_PATH,
     status::Status,
@@ -25,10 +25,9 @@
 };
 use serde::Serialize;
 
-pub use self::{
-    bridge::Bridge,
-    server::{Limits, serve},
-};
+use crate::server::Service;
+
+pub use self::bridge::Bridge;
 
 /// The largest body of a request, in bytes.
 const BODY_SIZE_LIMIT: usize = 1 << 20;
@@ -58,6 +57,15 @@
     fn configuration(&self) -> BoxFuture<'_, Result<Configuration, Stopping>>;
 }
 
+impl Service for Desk {
+    fn answer(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> BoxFuture<'static, Response<Full<Bytes>>> {
+        Box::pin(async move { Desk::answer(&self, request).await })
+    }
+}
+
 /// Answers requests of operators.
 pub struct Desk {
     credential: KeyDigest,
--- a/crates/mustardpin-node/src/control.rs
+++ b/crates/mustardpin-node/src/control.rs
@@ -6,14 +6,18 @@
 
 use derive_more::{Display, Error};
 use mustardpin_world::{
-    World,
+    Options, World,
     event::{Event, Proposal},
     note::Note,
 };
 use tokio::sync::oneshot;
 
 use crate::{
-    admin::Answer, clock::Clock, log::Journal, metric::Meter, store::Store, traffic::Traffic,
+    admin::Answer,
+    clock::Clock,
+    log::{self, Journal},
+    store::Store,
+    traffic::Traffic,
 };
 
 pub use self::thread::spawn;
@@ -34,6 +38,8 @@
     Proposed(Proposal, oneshot::Sender<Answer>),
     /// Reads the tables between two ticks.
     Report(Box<dyn FnOnce(&World) + Send>),
+    /// The settings have changed.
+    Reloaded(log::Options, Box<Options>),
     /// Ends the thread.
     Halt,
 }
@@ -48,8 +54,6 @@
     pub traffic: Box<dyn Traffic>,
     /// Log lines.
     pub journal: Box<dyn Journal>,
-    /// Counters.
-    pub meter: Meter,
 }
 
 /// The sending end of the control thread's channel.
@@ -89,6 +93,11 @@
         self.send(Input::Note(note));
     }
 
+    /// Puts other settings in force.
+    pub fn reload(&self, log: log::Options, options: Options) {
+        self.send(Input::Reloaded(log, Box::new(options)));
+    }
+
     /// Reads the world's tables between two ticks.
     ///
     /// # Errors
--- a/crates/mustardpin-node/src/control/thread.rs
+++ b/crates/mustardpin-node/src/control/thread.rs
@@ -21,8 +21,8 @@
 const MAX_BATCH: usize = 1_024;
 /// The thread waits for input at least this long, however soon the world wants to be woken.
 const MIN_WAIT: Millis = Millis(1);
-/// The time between two flushes of the counters.
-const FLUSH_PERIOD: Millis = Millis(1_000);
+/// The thread waits for input at most this long.
+const LONGEST_WAIT: Millis = Millis::from_secs(60);
 /// The size of the thread's stack, in bytes. Decisions do not nest deeply.
 const STACK_BYTES: usize = 512 * 1024;
 
@@ -43,7 +43,6 @@
         proposals: HashMap::new(),
         last_proposal: ProposalTicket(0),
         wake: Millis::ZERO,
-        next_flush: Millis::ZERO,
     };
     let builder = Builder::new().name("control".into()).stack_size(STACK_BYTES);
     builder.spawn(move || thread.run(&inputs))
@@ -57,7 +56,6 @@
     proposals: HashMap<ProposalTicket, oneshot::Sender<Answer>>,
     last_proposal: ProposalTicket,
     wake: Millis,
-    next_flush: Millis,
 }
 
 impl Thread {
@@ -83,8 +81,7 @@
 
     /// How long to wait for input.
     fn wait(&self) -> Duration {
-        let until = self.wake.min(self.next_flush);
-        let wait = (until - self.borders.clock.now()).max(MIN_WAIT);
+        let wait = (self.wake - self.borders.clock.now()).clamp(MIN_WAIT, LONGEST_WAIT);
         Duration::from_millis(wait.0)
     }
 
@@ -98,6 +95,10 @@
                 events.push(Event::Proposed(self.last_proposal, proposal));
             }
             Input::Note(note) => self.borders.journal.write(note),
+            Input::Reloaded(log, options) => {
+                self.borders.journal.reload(log);
+                events.push(Event::Reloaded(*options));
+            }
             Input::Report(read) => read(&self.world),
             // The loop ends on it before it gets here.
             Input::Halt => {}
@@ -112,10 +113,6 @@
         if !self.orders.is_empty() {
             self.borders.traffic.carry_out(std::mem::take(&mut self.orders));
         }
-        if now >= self.next_flush {
-            self.next_flush = now + FLUSH_PERIOD;
-            self.borders.meter.flush(&self.world.tables().counters);
-        }
     }
 
     fn carry_out(&mut self, command: Command) {
--- a/crates/mustardpin-node/src/launch.rs
+++ b/crates/mustardpin-node/src/launch.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
     sync::Arc,
     time::Duration,
 };
@@ -40,8 +41,8 @@
     pub seeds: Vec<SocketAddr>,
     /// How log lines are written.
     pub log: log::Options,
-    /// Where counters are sent, over UDP.
-    pub statsd: Option<SocketAddr>,
+    /// The file that the settings come from, to be read again when it changes.
+    pub settings_file: Option<PathBuf>,
     /// What the process may use.
     pub limits: Limits,
     /// Options of the node's decisions.
@@ -54,6 +55,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// The client to the platform's store.
     pub store: MakeStore,
+    /// The file that the settings come from, to be read again when it changes.
+    pub settings_file: Option<PathBuf>,
 }
 
 impl Launch {
@@ -70,7 +73,7 @@
             store: borders.store,
             seeds: settings.seeds,
             log: settings.log.into(),
-            statsd: settings.statsd,
+            settings_file: borders.settings_file,
             limits: settings.limits.into(),
             options: settings.options,
         }
--- a/crates/mustardpin-node/src/lib.rs
+++ b/crates/mustardpin-node/src/lib.rs
@@ -10,8 +10,10 @@
 pub mod control;
 pub mod launch;
 pub mod log;
-pub mod metric;
+pub mod metrics;
 mod node;
+mod reload;
+pub mod server;
 pub mod store;
 pub mod traffic;
 
--- a/crates/mustardpin-node/src/log.rs
+++ b/crates/mustardpin-node/src/log.rs
@@ -1,26 +1,41 @@
-//! Log lines, written by spdlog-rs.
+//! Log lines: bounded in number, written to standard output by a thread of their own.
+//!
+//! Whoever has a line to write never waits: lines beyond the budget, and lines for which the writer
+//! has no room, are left out and counted. The next line that is written says how many.
 
-use std::sync::Arc;
+mod budget;
+mod line;
+mod writer;
+
+use std::{io, time::Instant};
 
 use derive_more::{Display, Error, From};
 use mustardpin_settings::settings;
-use mustardpin_world::note::{self, Note};
-use spdlog::{
-    Level, LevelFilter, Logger,
-    formatter::{FullFormatter, JsonFormatter},
-    sink::StdStreamSink,
-};
+use mustardpin_world::note::{Level, Note};
+
+use self::{budget::Budget, writer::Writer};
+
+pub use self::writer::Output;
 
 /// Why no log can be written.
 #[derive(Debug)]
 #[derive(Display, Error, From)]
-#[display("cannot open the log")]
-pub struct Error(spdlog::Error);
+pub enum Error {
+    /// The stream or its formatter could not be set up.
+    #[display("cannot open the log")]
+    Open(spdlog::Error),
+    /// The writer's thread could not be had.
+    #[display("cannot start the thread that writes the log")]
+    Thread(io::Error),
+}
 
 /// Takes log lines.
 pub trait Journal: Send {
-    /// Writes a line.
+    /// Writes a line, or leaves it out. Never waits.
     fn write(&mut self, note: Note);
+
+    /// From now on, lines are chosen by these options. The format stays.
+    fn reload(&mut self, _options: Options) {}
 }
 
 /// What a line looks like.
@@ -40,11 +55,13 @@
     pub format: Format,
     /// Lines below this level are left out.
     pub level: Level,
+    /// Lines a second at most.
+    pub lines_per_second: u32,
 }
 
 impl Default for Options {
     fn default() -> Options {
-        Options { format: Format::Text, level: Level::Info }
+        Options { format: Format::Text, level: Level::Info, lines_per_second: 500 }
     }
 }
 
@@ -55,59 +72,67 @@
             settings::Format::Text => Format::Text,
         };
         let level = match log.level {
-            settings::Level::Debug => Level::Debug,
             settings::Level::Info => Level::Info,
             settings::Level::Warn => Level::Warn,
             settings::Level::Error => Level::Error,
         };
-        Options { format, level }
+        Options { format, level, lines_per_second: log.lines_per_second }
     }
 }
 
-/// A log on the standard output stream.
+/// The log of a process.
 pub struct Log {
-    logger: Arc<Logger>,
+    options: Options,
+    budget: Budget,
+    writer: Writer,
+    /// Lines left out since the last one that was written.
+    left_out: u64,
 }
 
 impl Log {
-    /// Opens the log.
+    /// Opens the log on an output.
     ///
     /// # Errors
     ///
-    /// If the stream cannot be used.
+    /// If the output cannot be used, or the machine gives no thread.
     ///
     /// ```
-    /// use mustardpin_node::log::{Journal as _, Log, Options};
+    /// use mustardpin_node::log::{Journal as _, Log, Options, Output};
     /// use mustardpin_world::note::{Level, Note};
     ///
-    /// let mut log = Log::open(Options::default())?;
+    /// let mut log = Log::open(Options::default(), Output::Standard)?;
     /// log.write(Note::new(Level::Info, "started"));
     /// # Ok::<(), mustardpin_node::log::Error>(())
     /// ```
-    pub fn open(options: Options) -> Result<Log, Error> {
-        let sink = StdStreamSink::builder().stdout();
-        let sink = match options.format {
-            Format::Text => sink.formatter(FullFormatter::new()).build_arc()?,
-            Format::Json => sink.formatter(JsonFormatter::new()).build_arc()?,
-        };
-        let logger = Logger::builder()
-            .name("mustardpin")
-            .sink(sink)
-            .level_filter(LevelFilter::MoreSevereEqual(options.level))
-            .flush_level_filter(LevelFilter::All)
-            .build_arc()?;
-        Ok(Log { logger })
+    pub fn open(options: Options, output: Output) -> Result<Log, Error> {
+        let writer = Writer::start(output, options.format)?;
+        let budget = Budget::new(options.lines_per_second, Instant::now());
+        Ok(Log { options, budget, writer, left_out: 0 })
     }
 }
 
 impl Journal for Log {
     fn write(&mut self, note: Note) {
-        let level = match note.level {
-            note::Level::Debug => Level::Debug,
-            note::Level::Info => Level::Info,
-            note::Level::Warn => Level::Warn,
-            note::Level::Error => Level::Error,
-        };
-        spdlog::log!(logger: self.logger, level, "{note}");
+        if note.level < self.options.level {
+            return;
+        }
+        if !self.budget.take(Instant::now(), note.request.is_some()) {
+            self.left_out += 1;
+            return;
+        }
+        if self.left_out > 0 {
+            let left_out = Note::new(Level::Warn, "lines_left_out").with("count", self.left_out);
+            if self.writer.send(left_out) {
+                self.left_out = 0;
+            }
+        }
+        if !self.writer.send(note) {
+            self.left_out += 1;
+        }
+    }
+
+    fn reload(&mut self, options: Options) {
+        self.options = Options { format: self.options.format, ..options };
+        self.budget.refill_at(options.lines_per_second);
     }
 }
--- /dev/null
+++ b/crates/mustardpin-node/src/log/line.rs
@@ -0,0 +1,62 @@
+//! What a line looks like.
+
+use std::{fmt::Write as _, time::SystemTime};
+
+use humantime::format_rfc3339_millis;
+use mustardpin_world::note::{Level, Note, Value};
+use serde::ser::{Serialize, SerializeMap as _, Serializer};
+
+use crate::log::Format;
+
+/// A line without its end.
+pub(super) fn write(format: Format, note: &Note, at: SystemTime) -> String {
+    match format {
+        Format::Json => {
+            // Texts and numbers always become JSON.
+            serde_json::to_string(&Json { note, at }).unwrap_or_default()
+        }
+        Format::Text => {
+            let mut line = String::new();
+            let time = format_rfc3339_millis(at);
+            // A string takes all text.
+            let _ = write!(line, "{time} {} {note}", name(note.level));
+            line
+        }
+    }
+}
+
+fn name(level: Level) -> &'static str {
+    match level {
+        Level::Info => "info",
+        Level::Warn => "warn",
+        Level::Error => "error",
+    }
+}
+
+/// A line as a JSON object.
+struct Json<'a> {
+    note: &'a Note,
+    at: SystemTime,
+}
+
+impl Serialize for Json<'_> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let Json { note, at } = self;
+        let mut map = serializer.serialize_map(None)?;
+        map.serialize_entry("time", &format_args!("{}", format_rfc3339_millis(*at)))?;
+        map.serialize_entry("level", name(note.level))?;
+        map.serialize_entry("event", note.event)?;
+        if let Some(request) = &note.request {
+            map.serialize_entry("request", request)?;
+        }
+        for (key, value) in &note.fields {
+            match value {
+                Value::Number(number) => map.serialize_entry(key, number)?,
+                Value::Flag(flag) => map.serialize_entry(key, flag)?,
+                Value::Name(name) => map.serialize_entry(key, name)?,
+                Value::Text(text) => map.serialize_entry(key, text)?,
+            }
+        }
+        map.end()
+    }
+}
--- /dev/null
+++ b/crates/mustardpin-node/src/log/writer.rs
@@ -0,0 +1,117 @@
+//! The thread that writes lines.
+
+use std::{
+    fs::File,
+    io::{self, BufWriter, Write},
+    os::fd::AsFd as _,
+    sync::{
+        Arc,
+        mpsc::{Receiver, SyncSender, sync_channel},
+    },
+    thread,
+    time::{Duration, SystemTime},
+};
+
+use mustardpin_world::note::{self, Note};
+use spdlog::{
+    Level, LevelFilter, Logger,
+    formatter::{PatternFormatter, pattern},
+    sink::WriteSink,
+};
+
+use crate::log::{Error, Format, line};
+
+/// Lines that wait for the writer at most.
+const ROOM: usize = 4_096;
+/// After a line has come, the writer waits this long for more, and writes them together.
+const GATHER: Duration = Duration::from_millis(100);
+/// When the log is closed, the lines that are left may take this long.
+const LAST_LINES: Duration = Duration::from_millis(500);
+/// The size of the thread's stack, in bytes.
+const STACK_BYTES: usize = 256 * 1024;
+
+/// Where lines go.
+pub enum Output {
+    /// The process's standard output.
+    Standard,
+    /// Somewhere else.
+    Other(Box<dyn Write + Send + Sync>),
+}
+
+impl Output {
+    fn open(self) -> io::Result<Box<dyn Write + Send + Sync>> {
+        match self {
+            // The handle of the standard library flushes after each line.
+            Output::Standard => {
+                let stream = io::stdout().as_fd().try_clone_to_owned()?;
+                Ok(Box::new(BufWriter::new(File::from(stream))))
+            }
+            Output::Other(output) => Ok(output),
+        }
+    }
+}
+
+/// A line to be written.
+struct Line {
+    note: Note,
+    at: SystemTime,
+}
+
+/// The thread that writes lines.
+pub(super) struct Writer {
+    lines: Option<SyncSender<Line>>,
+    /// Disconnected once the thread has written everything.
+    done: Receiver<()>,
+}
+
+impl Writer {
+    pub(super) fn start(output: Output, format: Format) -> Result<Writer, Error> {
+        let sink = WriteSink::builder()
+            .target(output.open()?)
+            .formatter(PatternFormatter::new(pattern!("{payload}{eol}")))
+            .build_arc()?;
+        let logger = Logger::builder()
+            .name("mustardpin")
+            .sink(sink)
+            .level_filter(LevelFilter::All)
+            .flush_level_filter(LevelFilter::Off)
+            .build_arc()?;
+        let (sender, lines) = sync_channel(ROOM);
+        let (writing, done) = sync_channel(0);
+        thread::Builder::new().name("log".into()).stack_size(STACK_BYTES).spawn(move || {
+            write(&logger, format, &lines);
+            drop(writing);
+        })?;
+        Ok(Writer { lines: Some(sender), done })
+    }
+
+    /// Hands a line to the thread. Returns false if there is no room for it.
+    pub(super) fn send(&self, note: Note) -> bool {
+        let line = Line { note, at: SystemTime::now() };
+        self.lines.as_ref().is_some_and(|lines| lines.try_send(line).is_ok())
+    }
+}
+
+impl Drop for Writer {
+    fn drop(&mut self) {
+        drop(self.lines.take());
+        // Ends with an error in any case: the thread is done, or takes too long.
+        let _ = self.done.recv_timeout(LAST_LINES);
+    }
+}
+
+fn write(logger: &Arc<Logger>, format: Format, lines: &Receiver<Line>) {
+    while let Ok(first) = lines.recv() {
+        thread::sleep(GATHER);
+        for Line { note, at } in std::iter::once(first).chain(lines.try_iter().take(ROOM)) {
+            let level = match note.level {
+                note::Level::Info => Level::Info,
+                note::Level::Warn => Level::Warn,
+                note::Level::Error => Level::Error,
+            };
+            let line = line::write(format, &note, at);
+            spdlog::log!(logger: logger, level, "{line}");
+        }
+        logger.flush();
+    }
+}
--- a/crates/mustardpin-node/src/node.rs
+++ b/crates/mustardpin-node/src/node.rs
@@ -24,7 +24,9 @@
     clock::Monotonic,
     control::{self, Borders, Handle},
     launch::{Addresses, Launch, Limits},
-    log, metric,
+    log, metrics,
+    reload::Watch,
+    server,
     traffic::{self, Board, Credentials, Dispatcher, Door, Setup, Stage},
 };
 
@@ -52,9 +54,6 @@
     /// The log could not be opened.
     #[display("cannot open the log")]
     Log(log::Error),
-    /// Counters cannot be sent.
-    #[display("cannot send counters")]
-    Metric(metric::Error),
 }
 
 /// A node that runs.
@@ -120,8 +119,7 @@
             clock: Arc::clone(&clock) as _,
             store: (launch.store)(control.clone()),
             traffic: Box::new(dispatcher),
-            journal: Box::new(log::Log::open(launch.log)?),
-            meter: metric::Meter::open(launch.statsd)?,
+            journal: Box::new(log::Log::open(launch.log, log::Output::Standard)?),
         };
         let identity = mustardpin_world::Identity { announcement: announcement.clone() };
         let world = World::new(identity, launch.options, rand::random());
@@ -133,9 +131,16 @@
         }
         let connections = TaskTracker::new();
         if let Some(listener) = listeners.admin.take() {
-            let bridge = admin::Bridge::new(control.clone(), clock);
+            let bridge = admin::Bridge::new(control.clone(), Arc::clone(&clock) as _);
             let desk = admin::Desk::new(launch.operator_credential, Arc::new(bridge));
-            handle.spawn(admin::serve(listener, Arc::new(desk), admin::Limits::default()));
+            handle.spawn(server::serve(listener, Arc::new(desk), server::Limits::default()));
+        }
+        if let Some(listener) = listeners.metrics.take() {
+            let page = metrics::Page::new(control.clone(), clock);
+            handle.spawn(server::serve(listener, Arc::new(page), server::Limits::default()));
+        }
+        if let Some(file) = launch.settings_file {
+            handle.spawn(Watch::new(file, control.clone()).run());
         }
         listeners.serve(&board, &connections);
         let (leaving, left) = mpsc::channel();
--- a/crates/mustardpin-node/src/admin/server.rs
+++ b/crates/mustardpin-node/src/server.rs
@@ -1,8 +1,12 @@
-//! The administration API on a listener.
+//! Small HTTP services on listeners of their own.
 
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
-use hyper::service::service_fn;
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::conn::auto,
@@ -12,12 +16,19 @@
     sync::Semaphore,
 };
 
-use crate::admin::Desk;
-
 /// How long to wait after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// What the administration API may use.
+/// Answers requests.
+pub trait Service: Send + Sync + 'static {
+    /// Answers one request.
+    fn answer(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> BoxFuture<'static, Response<Full<Bytes>>>;
+}
+
+/// What a service may use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
     /// Connections at once.
@@ -41,12 +52,12 @@
     }
 }
 
-/// Serves operators until the task is dropped.
+/// Serves until the task is dropped.
 ///
 /// ```
 /// use std::sync::Arc;
 ///
-/// use mustardpin_node::admin::{Control, Desk, Limits, serve};
+/// use mustardpin_node::{admin::{Control, Desk}, server::{Limits, serve}};
 /// use mustardpin_world::id::KeyDigest;
 ///
 /// async fn start(control: Arc<dyn Control>) -> std::io::Result<()> {
@@ -56,7 +67,7 @@
 ///     Ok(())
 /// }
 /// ```
-pub async fn serve(listener: TcpListener, desk: Arc<Desk>, limits: Limits) {
+pub async fn serve<S: Service>(listener: TcpListener, service: Arc<S>, limits: Limits) {
     let permits = Arc::new(Semaphore::new(limits.connections));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -65,19 +76,19 @@
         };
         // Above the limit, a connection is closed at once.
         let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else { continue };
-        let desk = Arc::clone(&desk);
+        let service = Arc::clone(&service);
         tokio::spawn(async move {
-            let connection = serve_connection(stream, desk, limits);
+            let connection = serve_connection(stream, service, limits);
             let _ended = tokio::time::timeout(limits.connection_timeout, connection).await;
             drop(permit);
         });
     }
 }
 
-async fn serve_connection(stream: TcpStream, desk: Arc<Desk>, limits: Limits) {
+async fn serve_connection<S: Service>(stream: TcpStream, service: Arc<S>, limits: Limits) {
     let service = service_fn(move |request| {
-        let desk = Arc::clone(&desk);
-        async move { Ok::<_, Infallible>(desk.answer(request).await) }
+        let service = Arc::clone(&service);
+        async move { Ok::<_, Infallible>(service.answer(request).await) }
     });
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
@@ -86,5 +97,5 @@
         .header_read_timeout(limits.header_timeout)
         .max_buf_size(limits.header_size);
     builder.http2().max_header_list_size(limits.header_size as u32);
-    let _broken_by_the_operator = builder.serve_connection(TokioIo::new(stream), service).await;
+    let _broken_by_the_client = builder.serve_connection(TokioIo::new(stream), service).await;
 }
--- a/crates/mustardpin-node/src/traffic/answer.rs
+++ b/crates/mustardpin-node/src/traffic/answer.rs
@@ -19,7 +19,11 @@
 
 impl Answer {
     /// The answer of a refusal. `left` is the time that the caller still waits.
-    pub(super) fn refusal(dialect: &dyn Dialect, refusal: &Refusal, left: Option<Millis>) -> Answer {
+    pub(super) fn refusal(
+        dialect: &dyn Dialect,
+        refusal: &Refusal,
+        left: Option<Millis>,
+    ) -> Answer {
         let mut fields = Vec::new();
         let body = dialect.write_refusal(refusal, left, &mut fields);
         Answer { status: refusal.status(), fields: fields.into(), body: Body::Whole(body) }
--- a/crates/mustardpin-node/src/traffic/board.rs
+++ b/crates/mustardpin-node/src/traffic/board.rs
@@ -176,7 +176,8 @@
 
     /// A run on the own target has ended, with a whole answer or without.
     pub(super) fn run_ended(&self, ticket: Ticket, end: RunEnd, answer: Option<Answer>) {
-        self.settle(ticket, answer);
+        let is_whole = matches!(end, RunEnd::Answered { .. });
+        self.settle(ticket, answer, is_whole);
         self.outbox.push(Event::RunEnded(ticket, end));
     }
 
@@ -188,7 +189,8 @@
         retries: u32,
         answer: Option<Answer>,
     ) {
-        self.settle(ticket, answer);
+        let is_whole = matches!(end, ForwardEnd::Answered { .. });
+        self.settle(ticket, answer, is_whole);
         self.outbox.push(Event::ForwardEnded { ticket, end, retries });
     }
 
@@ -204,12 +206,20 @@
     }
 
     /// Passes a whole answer on that needs no decision, or keeps it until there is one.
-    fn settle(&self, ticket: Ticket, answer: Option<Answer>) {
+    fn settle(&self, ticket: Ticket, answer: Option<Answer>, is_whole: bool) {
         let mut exchanges = self.exchanges();
         let key = key_of(ticket);
         let Some(exchange) = exchanges.get_mut(key) else { return };
         exchange.attempt = Attempt::None;
-        let Some(answer) = answer else { return };
+        let Some(answer) = answer else {
+            let has_begun = exchange.answer_to.is_none();
+            drop(exchanges);
+            if has_begun && !is_whole {
+                // Whoever waited has seen the answer break off, so nothing is to be tried again.
+                self.outbox.push(Event::CallerGone(ticket));
+            }
+            return;
+        };
         // The node that took the request from its caller decides on it.
         if !passes_unasked(answer.status) && !exchange.request.is_from_peer {
             exchange.held = Some(answer);
--- a/crates/mustardpin-node/src/traffic/caller.rs
+++ b/crates/mustardpin-node/src/traffic/caller.rs
@@ -65,7 +65,9 @@
     door: Door,
     stage: watch::Receiver<Stage>,
     turns: VecDeque<Turn>,
-    /// Whether no further request is read.
+    /// Whether the request that was read last is the last one.
+    is_last: bool,
+    /// Whether nothing more is read.
     is_closing: bool,
     /// Whether the caller may still be sending what nobody reads.
     is_cut_short: bool,
@@ -88,6 +90,7 @@
         door,
         stage,
         turns: VecDeque::new(),
+        is_last: false,
         is_closing: false,
         is_cut_short: false,
         idle_since: Instant::now(),
@@ -140,7 +143,9 @@
             }
             is_first &= buffer.is_empty();
             while !self.is_closing && self.turns.len() < MAX_PIPELINED {
-                if !reading.take(self, buffer, &mut writing) {
+                let has_ended = reading.take(self, buffer, &mut writing);
+                self.is_closing |= has_ended && self.is_last;
+                if !has_ended {
                     break;
                 }
             }
--- a/crates/mustardpin-node/src/traffic/caller/reading.rs
+++ b/crates/mustardpin-node/src/traffic/caller/reading.rs
@@ -7,7 +7,7 @@
     framing::Framing,
     head::Request,
 };
-use mustardpin_world::refusal::Reason;
+use mustardpin_world::refusal::{Reason, Refusal};
 use tokio::{sync::mpsc, time::Instant};
 
 use crate::traffic::{
@@ -24,6 +24,10 @@
     decoder: Decoder,
     kept: Vec<Bytes>,
     size: usize,
+    /// How long the body is, if that was said.
+    length: Option<u64>,
+    /// The fields that follow the body, as lines.
+    trailers: Bytes,
     /// How many bytes of the node's room for bodies it has.
     room: usize,
     /// How many bytes have come, also of a body that goes on as it comes.
@@ -32,7 +36,9 @@
 
 /// A body that goes on as it comes.
 struct Feeding {
+    head: Request,
     decoder: Decoder,
+    trailers: Bytes,
     writer: Writer,
     pending: Option<Piece>,
     read: u64,
@@ -102,6 +108,10 @@
         if matches!(framing, Framing::Length(length) if length > limit) {
             return refuse(connection, Reason::BodyTooLarge);
         }
+        let length = match framing {
+            Framing::Length(length) => Some(length),
+            _ => None,
+        };
         let decoder = Decoder::from(framing);
         if decoder.is_complete() {
             enter(connection, head, Body::Whole(Bytes::new()));
@@ -110,7 +120,16 @@
         if head.headers.has_token("expect", "100-continue") && buffer.is_empty() {
             writing.invite();
         }
-        let incoming = Incoming { head, decoder, kept: Vec::new(), size: 0, room: 0, read: 0 };
+        let incoming = Incoming {
+            head,
+            decoder,
+            kept: Vec::new(),
+            size: 0,
+            length,
+            trailers: Bytes::new(),
+            room: 0,
+            read: 0,
+        };
         self.heard = Some(Instant::now());
         self.take_body(connection, buffer, incoming)
     }
@@ -142,10 +161,15 @@
                         return self.begin_feeding(connection, buffer, incoming);
                     }
                 }
+                Ok(Decoded::Trailers(trailers)) => {
+                    incoming.trailers =
+                        intake::trailers(board, connection.port(), &incoming.head, &trailers);
+                }
                 Ok(Decoded::End) => {
                     board.release_bytes(incoming.room);
                     self.heard = None;
-                    enter(connection, incoming.head, Body::Whole(join(incoming.kept)));
+                    let body = Body::there(join(incoming.kept), incoming.trailers);
+                    enter(connection, incoming.head, body);
                     return true;
                 }
                 Ok(Decoded::Pending) => {
@@ -167,12 +191,11 @@
         buffer: &mut BytesMut,
         incoming: Incoming,
     ) -> bool {
-        let (writer, rest) = body::channel();
+        let (writer, rest) = body::channel(incoming.length);
         connection.board.release_bytes(incoming.room);
-        enter(connection, incoming.head, Body::Stream(rest));
-        let pending = Some(Piece::Data(join(incoming.kept)));
-        let feeding =
-            Feeding { decoder: incoming.decoder, writer, pending, read: incoming.read };
+        let Incoming { head, decoder, kept, trailers, read, .. } = incoming;
+        enter(connection, head.clone(), Body::Stream(rest.after(join(kept))));
+        let feeding = Feeding { head, decoder, trailers, writer, pending: None, read };
         self.feed(connection, buffer, feeding)
     }
 
@@ -186,7 +209,7 @@
         let limit = connection.board.callers().body_size;
         loop {
             if let Some(piece) = feeding.pending.take() {
-                let is_end = matches!(piece, Piece::End);
+                let is_end = matches!(piece, Piece::End(_));
                 match feeding.writer.try_send(piece) {
                     Ok(()) if is_end => {
                         self.heard = None;
@@ -209,13 +232,18 @@
                 Ok(Decoded::Data(bytes)) => {
                     feeding.read += bytes.len() as u64;
                     if feeding.read > limit {
-                        // Dropping the writer breaks the request off.
-                        connection.is_closing = true;
-                        return false;
+                        return break_off(connection, Reason::BodyTooLarge);
                     }
                     feeding.pending = Some(Piece::Data(bytes));
                 }
-                Ok(Decoded::End) => feeding.pending = Some(Piece::End),
+                Ok(Decoded::Trailers(trailers)) => {
+                    let board = &connection.board;
+                    feeding.trailers =
+                        intake::trailers(board, connection.port(), &feeding.head, &trailers);
+                }
+                Ok(Decoded::End) => {
+                    feeding.pending = Some(Piece::End(std::mem::take(&mut feeding.trailers)));
+                }
                 Ok(Decoded::Pending) => {
                     self.state = State::Feeding(Box::new(feeding));
                     return false;
@@ -291,6 +319,10 @@
 /// Answers with a refusal, after which nothing more is read.
 fn refuse(connection: &mut Connection, reason: Reason) -> bool {
     let answer = intake::refusal(&connection.board, reason, None);
+    refuse_with(connection, answer)
+}
+
+fn refuse_with(connection: &mut Connection, answer: Answer) -> bool {
     let terms = Terms { is_persistent: false, takes_chunks: true };
     connection.is_closing = true;
     connection.is_cut_short = true;
@@ -298,13 +330,21 @@
     false
 }
 
+/// Answers the request whose body was being passed on with a refusal, and gives it up. A target may
+/// have seen a part of it.
+fn break_off(connection: &mut Connection, reason: Reason) -> bool {
+    if let Some(Turn::Open { ticket, .. }) = connection.turns.pop_back() {
+        connection.board.caller_gone(ticket);
+    }
+    let answer = intake::answer(&connection.board, Refusal::unknown(reason), None);
+    refuse_with(connection, answer)
+}
+
 /// Takes a request in.
 fn enter(connection: &mut Connection, head: Request, body: Body) {
     let is_persistent = head.is_persistent();
     let terms = Terms { is_persistent, takes_chunks: head.is_version_11 };
-    if !is_persistent {
-        connection.is_closing = true;
-    }
+    connection.is_last |= !is_persistent;
     let turn = match answer_here(connection, &head, &body) {
         Some(answer) => Turn::Answered(answer, terms),
         None => match intake::open(&connection.board, connection.port(), &head, body) {
@@ -342,9 +382,7 @@
                     }
                     Some(Answer::plain(report.status, report.body))
                 }
-                None if connection.door == Door::Reports => {
-                    Some(Answer::plain(404, Bytes::new()))
-                }
+                None if connection.door == Door::Reports => Some(Answer::plain(404, Bytes::new())),
                 None => None,
             }
         }
--- a/crates/mustardpin-node/src/traffic/caller/writing.rs
+++ b/crates/mustardpin-node/src/traffic/caller/writing.rs
@@ -36,7 +36,8 @@
     /// Begins an answer. Returns whether the connection closes after it.
     pub(super) fn start(&mut self, answer: Answer, takes_chunks: bool, closes: bool) -> bool {
         let Answer { status, fields, body } = answer;
-        let has_no_end = matches!(body, Body::Stream(_)) && !takes_chunks;
+        let has_no_end =
+            matches!(&body, Body::Stream(rest) if rest.length.is_none()) && !takes_chunks;
         let closes = closes || has_no_end;
         write::status_line(&mut self.out, status);
         self.out.extend_from_slice(&fields);
@@ -55,11 +56,14 @@
                 }
             }
             Body::Stream(rest) => {
-                if takes_chunks {
+                let in_chunks = rest.length.is_none() && takes_chunks;
+                if let Some(length) = rest.length {
+                    write::number(&mut self.out, "content-length", length);
+                } else if in_chunks {
                     write::field(&mut self.out, "transfer-encoding", b"chunked");
                 }
                 self.out.extend_from_slice(b"\r\n");
-                self.coming = Some(Coming { rest, in_chunks: takes_chunks });
+                self.coming = Some(Coming { rest, in_chunks });
             }
         }
         closes
@@ -107,9 +111,9 @@
                 self.out.extend_from_slice(b"\r\n");
             }
             Some(Piece::Data(bytes)) => self.out.extend_from_slice(&bytes),
-            Some(Piece::End) => {
+            Some(Piece::End(trailers)) => {
                 if coming.in_chunks {
-                    self.out.extend_from_slice(write::LAST_CHUNK);
+                    write::last_chunk(&mut self.out, &trailers);
                 }
                 self.coming = None;
             }
--- a/crates/mustardpin-node/src/traffic/dispatch.rs
+++ b/crates/mustardpin-node/src/traffic/dispatch.rs
@@ -3,9 +3,7 @@
 use std::sync::Arc;
 
 use mustardpin_wire::dialect::Entry;
-use mustardpin_world::{
-    request::{Forward, ForwardEnd, Run, RunEnd, Verdict},
-};
+use mustardpin_world::request::{Forward, ForwardEnd, Run, RunEnd, Verdict};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::traffic::{
--- a/crates/mustardpin-node/src/traffic/http2.rs
+++ b/crates/mustardpin-node/src/traffic/http2.rs
@@ -10,7 +10,7 @@
 
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
-use http::{HeaderName, HeaderValue, Response, StatusCode, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header};
 use http_body::{Body as _, Frame};
 use http_body_util::BodyExt as _;
 use hyper::{body::Incoming, server::conn::http2, service::service_fn};
@@ -87,7 +87,7 @@
     let (parts, incoming) = request.into_parts();
     let head = head_of(&parts);
     let port = if door == Door::Local { Port::Local } else { Port::Callers };
-    let body = match read(&board, incoming).await {
+    let body = match read(&board, port, &head, incoming).await {
         Ok(body) => body,
         Err(reason) => return Ok(response(intake::refusal(&board, reason, None))),
     };
@@ -126,59 +126,92 @@
 }
 
 /// Reads a body until it is whole, or passes it on as it comes if it is too large to keep.
-async fn read(board: &Arc<Board>, mut incoming: Incoming) -> Result<Body, Reason> {
+async fn read(
+    board: &Arc<Board>,
+    port: Port,
+    head: &head::Request,
+    mut incoming: Incoming,
+) -> Result<Body, Reason> {
     let limit = board.callers().body_size;
+    let length = incoming.size_hint().exact();
     if incoming.size_hint().lower() > limit {
         return Err(Reason::BodyTooLarge);
     }
     let mut kept = BytesMut::new();
+    let mut trailers = Bytes::new();
     while kept.len() <= board.limits.replay_size {
         let frame = time::timeout(board.limits.body_timeout, incoming.frame()).await;
         match frame.map_err(|_| Reason::BodyTimeout)? {
-            None => return Ok(Body::Whole(kept.freeze())),
+            None => return Ok(Body::there(kept.freeze(), trailers)),
             Some(Err(_)) => return Err(Reason::RequestMalformed),
-            Some(Ok(frame)) => {
-                if let Some(data) = frame.data_ref() {
-                    kept.extend_from_slice(data);
-                }
-            }
+            Some(Ok(frame)) => match frame.into_data() {
+                Ok(data) => kept.extend_from_slice(&data),
+                Err(frame) => trailers = lines_of(board, port, head, &frame),
+            },
         }
     }
-    let (writer, rest) = body::channel();
-    tokio::spawn(feed(kept.freeze(), incoming, writer, limit));
-    Ok(Body::Stream(rest))
+    let (writer, rest) = body::channel(length);
+    let feeding = Feeding { board: Arc::clone(board), port, head: head.clone(), writer, limit };
+    let read = kept.len() as u64;
+    tokio::spawn(feeding.run(incoming, read));
+    Ok(Body::Stream(rest.after(kept.freeze())))
 }
 
-/// Passes a body on as it comes. Returning early breaks it.
-async fn feed(kept: Bytes, mut incoming: Incoming, writer: Writer, limit: u64) {
-    let mut read = kept.len() as u64;
-    if writer.send(Piece::Data(kept)).await.is_err() {
-        return;
-    }
-    while let Some(frame) = incoming.frame().await {
-        let Ok(frame) = frame else { return };
-        let Ok(data) = frame.into_data() else { continue };
-        read += data.len() as u64;
-        if read > limit || writer.send(Piece::Data(data)).await.is_err() {
-            return;
+/// The trailers of a request that go on, as lines.
+fn lines_of(board: &Board, port: Port, head: &head::Request, frame: &Frame<Bytes>) -> Bytes {
+    let fields = frame.trailers_ref().into_iter().flatten();
+    let fields = fields.map(|(name, value)| (name.as_str(), value.as_bytes()));
+    intake::trailers(board, port, head, &fields.collect())
+}
+
+/// A body that goes on as it comes.
+struct Feeding {
+    board: Arc<Board>,
+    port: Port,
+    head: head::Request,
+    writer: Writer,
+    limit: u64,
+}
+
+impl Feeding {
+    /// Passes the body on. Returning early breaks it.
+    async fn run(self, mut incoming: Incoming, mut read: u64) {
+        let mut trailers = Bytes::new();
+        while let Some(frame) = incoming.frame().await {
+            let Ok(frame) = frame else { return };
+            match frame.into_data() {
+                Ok(data) => {
+                    read += data.len() as u64;
+                    let is_sent = self.writer.send(Piece::Data(data)).await.is_ok();
+                    if read > self.limit || !is_sent {
+                        return;
+                    }
+                }
+                Err(frame) => trailers = lines_of(&self.board, self.port, &self.head, &frame),
+            }
         }
+        // Whoever does not wait any more has been told.
+        let _ = self.writer.send(Piece::End(trailers)).await;
     }
-    // Whoever does not wait any more has been told.
-    let _ = writer.send(Piece::End).await;
 }
 
 fn response(answer: Answer) -> Response<Outgoing> {
     let mut response = Response::new(Outgoing::new(answer.body));
     *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    for line in answer.fields.split(|&byte| byte == b'\n') {
+    append(response.headers_mut(), &answer.fields);
+    response
+}
+
+/// Appends fields that stand as lines.
+fn append(headers: &mut HeaderMap, lines: &[u8]) {
+    for line in lines.split(|&byte| byte == b'\n') {
         let Some(colon) = line.iter().position(|&byte| byte == b':') else { continue };
         let (name, value) = (&line[..colon], line[colon + 1..].trim_ascii());
         let name = HeaderName::from_bytes(name);
         if let (Ok(name), Ok(value)) = (name, HeaderValue::from_bytes(value)) {
-            response.headers_mut().append(name, value);
+            headers.append(name, value);
         }
     }
-    response
 }
 
 /// The body of an answer as hyper takes it.
@@ -226,9 +259,11 @@
                 *self = Outgoing::Coming(next(rest));
                 Some(Ok(Frame::data(bytes)))
             }
-            Some(Piece::End) => {
+            Some(Piece::End(trailers)) => {
                 *self = Outgoing::Ended;
-                None
+                let mut fields = HeaderMap::new();
+                append(&mut fields, &trailers);
+                (!fields.is_empty()).then(|| Ok(Frame::trailers(fields)))
             }
             None => {
                 *self = Outgoing::Ended;
--- a/crates/mustardpin-node/src/traffic/intake.rs
+++ b/crates/mustardpin-node/src/traffic/intake.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use mustardpin_http::head;
+use mustardpin_http::{Headers, head};
 use mustardpin_wire::{
     dialect::{Asked, Port},
     fingerprint, scrub,
@@ -71,16 +71,31 @@
     }
 }
 
+/// The trailers of a request that go on, as lines.
+pub(super) fn trailers(
+    board: &Board,
+    port: Port,
+    head: &head::Request,
+    trailers: &Headers,
+) -> Bytes {
+    // A request whose head cannot be read goes nowhere.
+    let Ok(asked) = board.dialect.read_request(port, head) else { return Bytes::new() };
+    let mut lines = Vec::new();
+    scrub::copy(trailers, |name, value| board.dialect.passes(&asked, name, value), &mut lines);
+    lines.into()
+}
+
 /// The request as it goes on.
 fn outbound(board: &Board, head: &head::Request, asked: &Asked, body: Body) -> Outbound {
     let mut fields = Vec::with_capacity(256);
     let passes = |name: &str, value: &[u8]| board.dialect.passes(asked, name, value);
     scrub::copy(&head.headers, passes, &mut fields);
-    let whole = match &body {
-        Body::Whole(bytes) => bytes.clone(),
-        Body::Empty | Body::Stream(_) => Bytes::new(),
+    let begin = match &body {
+        Body::Whole(bytes) => bytes,
+        Body::Stream(rest) => rest.first(),
+        Body::Empty => &[],
     };
-    let fingerprint = fingerprint::of(&board.service, head.method(), head.target(), &whole);
+    let fingerprint = fingerprint::of(&board.service, head.method(), head.target(), begin);
     let head = OutboundHead {
         id: asked.id.clone().unwrap_or_else(random_id),
         method: head.method().into(),
@@ -98,10 +113,15 @@
 
 /// The answer of a refusal that the world has no part in.
 pub(super) fn refusal(board: &Board, reason: Reason, left: Option<Millis>) -> Answer {
-    board.outbox.push(Event::Refused(reason));
     let refusal = match reason {
         Reason::InProgressLimit => Refusal::not_run(reason).after(RETRY_AFTER),
         _ => Refusal::not_run(reason),
     };
+    answer(board, refusal, left)
+}
+
+/// The answer of a refusal, which is counted.
+pub(super) fn answer(board: &Board, refusal: Refusal, left: Option<Millis>) -> Answer {
+    board.outbox.push(Event::Refused(refusal.reason));
     Answer::refusal(&*board.dialect, &refusal, left)
 }
--- a/crates/mustardpin-node/src/traffic/link/incoming.rs
+++ b/crates/mustardpin-node/src/traffic/link/incoming.rs
@@ -64,12 +64,12 @@
         return Err(Error::Credential);
     }
     let own = credentials.announcement.node;
-    if hello.to != 0 && hello.to != own.0 {
-        return Err(Error::Destination);
-    }
     let peer: Result<Announcement, _> = hello.announcement.try_into();
     let peer = peer.map_err(|_| Error::Unexpected)?;
     wire.greet(credentials.hello(Some(peer.node), Revision(board.load().revision))).await?;
+    if hello.to != 0 && hello.to != own.0 {
+        return Err(Error::Destination);
+    }
     Ok(peer)
 }
 
@@ -111,7 +111,7 @@
             // A body that nobody takes any more belongs to a request that has ended.
             let _ = match last {
                 false => writer.send(Piece::Data(payload)).await,
-                true => writer.send(Piece::End).await,
+                true => writer.send(Piece::End(payload)).await,
             };
             if last {
                 bodies.remove(&stream);
@@ -146,8 +146,8 @@
     let (fields, whole) = frame::split(payload, head.fields)?;
     let body = match head.body {
         frame::Body::Whole | frame::Body::Empty => Body::Whole(whole),
-        frame::Body::Chunks => {
-            let (writer, rest) = body::from_peer(Arc::clone(sender), stream);
+        frame::Body::Chunks { length } => {
+            let (writer, rest) = body::from_peer(Arc::clone(sender), stream, length);
             bodies.insert(stream, writer);
             Body::Stream(rest)
         }
--- a/crates/mustardpin-node/src/traffic/link/outgoing.rs
+++ b/crates/mustardpin-node/src/traffic/link/outgoing.rs
@@ -115,7 +115,10 @@
         let Some(sender) = self.sender() else { return Passed::NotSent };
         let (whole, rest, kind) = match request.payload() {
             Payload::Whole(bytes) => (bytes, None, frame::Body::Whole),
-            Payload::Stream(rest) => (Bytes::new(), Some(rest), frame::Body::Chunks),
+            Payload::Stream(rest) => {
+                let kind = frame::Body::Chunks { length: rest.length };
+                (Bytes::new(), Some(rest), kind)
+            }
             Payload::Gone => return Passed::Gone,
         };
         let length = (request.fields.len() + entry.len()) as u32;
@@ -250,7 +253,12 @@
     if hello.credential() != credentials.fleet || hello.version != frame::VERSION {
         return Err(Error::Credential);
     }
-    Ok((wire, Revision(hello.revision)))
+    let revision = Revision(hello.revision);
+    let peer: Result<Announcement, _> = hello.announcement.try_into();
+    if peer.map_err(|_| Error::Unexpected)?.node != link.announcement.node {
+        return Err(Error::Destination);
+    }
+    Ok((wire, revision))
 }
 
 /// Carries frames until the connection ends. Returns why it did.
@@ -389,9 +397,9 @@
     let body = match head.body {
         frame::Body::Whole => Body::Whole(whole),
         frame::Body::Empty => Body::Empty,
-        frame::Body::Chunks => {
+        frame::Body::Chunks { length } => {
             let Some(sender) = link.sender() else { return Ok(()) };
-            let (writer, rest) = body::from_peer(sender, head.stream);
+            let (writer, rest) = body::from_peer(sender, head.stream, length);
             stream.answer = Some((writer, status));
             drop(streams);
             board.pass_on(ticket, Answer { status, fields, body: Body::Stream(rest) });
@@ -421,7 +429,7 @@
     }
     link.streams().remove(&name);
     // Whoever does not wait any more has been reported.
-    let _ = writer.send(Piece::End).await;
+    let _ = writer.send(Piece::End(bytes)).await;
     board.forward_ended(ticket, ForwardEnd::Answered { status }, 0, None);
 }
 
--- a/crates/mustardpin-node/src/traffic/sender.rs
+++ b/crates/mustardpin-node/src/traffic/sender.rs
@@ -88,7 +88,10 @@
         let (whole, rest, kind) = match body {
             Body::Empty => (Bytes::new(), None, frame::Body::Empty),
             Body::Whole(bytes) => (bytes, None, frame::Body::Whole),
-            Body::Stream(rest) => (Bytes::new(), Some(rest), frame::Body::Chunks),
+            Body::Stream(rest) => {
+                let kind = frame::Body::Chunks { length: rest.length };
+                (Bytes::new(), Some(rest), kind)
+            }
         };
         let length = fields.len() as u32;
         let head = frame::Answer { stream, status, retries, load, fields: length, body: kind };
@@ -109,8 +112,8 @@
                     credit.forget();
                     self.send(&Head::Chunk { stream, last: false }, &[&bytes]);
                 }
-                Some(Piece::End) => {
-                    self.send(&Head::Chunk { stream, last: true }, &[]);
+                Some(Piece::End(trailers)) => {
+                    self.send(&Head::Chunk { stream, last: true }, &[&trailers]);
                     break;
                 }
                 None => {
--- a/crates/mustardpin-node/src/traffic/target/run.rs
+++ b/crates/mustardpin-node/src/traffic/target/run.rs
@@ -99,8 +99,14 @@
         Payload::Stream(rest) => (Bytes::new(), Some(rest)),
         Payload::Gone => return RunEnd::Broken.into(),
     };
-    let out = encode(board, run, request, &place, &whole, rest.is_some());
-    while let Some(connection) = board.target.take_idle(place.generation, run.repeatable) {
+    let kind = match &rest {
+        None => Kind::Whole(&whole),
+        Some(rest) => rest.length.map_or(Kind::Chunks, Kind::Length),
+    };
+    let out = encode(board, run, request, &place, kind);
+    while board.clock.now() < run.start_by
+        && let Some(connection) = board.target.take_idle(place.generation, run.repeatable)
+    {
         let mut exchange = Exchange::new(board, run, request, connection);
         let end = exchange.carry(&out, &mut rest).await;
         match end {
@@ -117,16 +123,20 @@
     exchange.conclude(end)
 }
 
+/// How the body of a request goes to the target.
+#[derive(Clone, Copy)]
+enum Kind<'a> {
+    /// With the head.
+    Whole(&'a [u8]),
+    /// In pieces, so many bytes together.
+    Length(u64),
+    /// In chunks.
+    Chunks,
+}
+
 /// The request as it goes to the target; without its body if that is still coming.
-fn encode(
-    board: &Board,
-    run: &Run,
-    request: &Outbound,
-    place: &Place,
-    whole: &[u8],
-    is_streamed: bool,
-) -> Vec<u8> {
-    let mut out = Vec::with_capacity(512 + request.fields.len() + whole.len());
+fn encode(board: &Board, run: &Run, request: &Outbound, place: &Place, body: Kind<'_>) -> Vec<u8> {
+    let mut out = Vec::with_capacity(512 + request.fields.len());
     write::request_line(&mut out, &request.method, &request.target);
     out.extend_from_slice(&request.fields);
     if !request.is_from_peer {
@@ -136,13 +146,16 @@
     let left = run.deadline - board.clock.now();
     let delivery = Delivery { instance: &place.instance, token: run.token, left };
     board.dialect.write_delivery(delivery, &mut out);
-    if is_streamed {
-        write::field(&mut out, "transfer-encoding", b"chunked");
-    } else if !whole.is_empty() || !matches!(&*request.method, "GET" | "HEAD" | "DELETE") {
-        write::number(&mut out, "content-length", whole.len() as u64);
+    match body {
+        Kind::Chunks => write::field(&mut out, "transfer-encoding", b"chunked"),
+        Kind::Length(length) => write::number(&mut out, "content-length", length),
+        Kind::Whole([]) if matches!(&*request.method, "GET" | "HEAD" | "DELETE") => {}
+        Kind::Whole(bytes) => write::number(&mut out, "content-length", bytes.len() as u64),
     }
     out.extend_from_slice(b"\r\n");
-    out.extend_from_slice(whole);
+    if let Kind::Whole(bytes) = body {
+        out.extend_from_slice(bytes);
+    }
     out
 }
 
@@ -210,7 +223,9 @@
 
     /// Sends the request and reads the answer.
     async fn carry(&mut self, out: &[u8], rest: &mut Option<Stream>) -> Result<Outcome, Failure> {
-        let mut sending = Sending { chunk: Vec::new(), sent: 0, is_done: rest.is_none() };
+        let in_chunks = rest.as_ref().is_some_and(|rest| rest.length.is_none());
+        let is_done = rest.is_none();
+        let mut sending = Sending { chunk: Vec::new(), sent: 0, in_chunks, is_done };
         loop {
             let head = Response::take(&mut self.connection.buffer, MAX_HEAD_BYTES)?;
             if let Some(head) = head {
@@ -295,8 +310,8 @@
         let mut decoder = Decoder::from(framing);
         loop {
             match self.piece(&mut decoder).await {
-                Ok(Some(_)) => {}
-                Ok(None) => return self.connection.buffer.is_empty(),
+                Ok(Piece::Data(_)) => {}
+                Ok(Piece::End(_)) => return self.connection.buffer.is_empty(),
                 Err(_) => return false,
             }
         }
@@ -315,14 +330,19 @@
         let is_large = matches!(framing, Framing::Length(length) if length > HELD_BYTES as u64);
         while !is_large && held.size <= HELD_BYTES {
             match self.piece(&mut decoder).await? {
-                Some(bytes) => held.push(bytes),
-                None => {
-                    let answer = Answer { status, fields, body: Body::Whole(held.join()) };
+                Piece::Data(bytes) => held.push(bytes),
+                Piece::End(trailers) => {
+                    let body = Body::there(held.join(), trailers);
+                    let answer = Answer { status, fields, body };
                     return Ok(Outcome { end, answer: Some(answer) });
                 }
             }
         }
-        let (writer, rest) = body::channel();
+        let length = match framing {
+            Framing::Length(length) => Some(length),
+            _ => None,
+        };
+        let (writer, rest) = body::channel(length);
         let answer = Answer { status, fields, body: Body::Stream(rest) };
         self.board.pass_on(self.run.ticket, answer);
         self.pass_on(&writer, held, &mut decoder).await?;
@@ -339,25 +359,35 @@
         for bytes in held.pieces {
             writer.send(Piece::Data(bytes)).await.map_err(abandoned)?;
         }
-        while let Some(bytes) = self.piece(decoder).await? {
-            writer.send(Piece::Data(bytes)).await.map_err(abandoned)?;
+        loop {
+            let piece = self.piece(decoder).await?;
+            let is_end = matches!(piece, Piece::End(_));
+            writer.send(piece).await.map_err(abandoned)?;
+            if is_end {
+                return Ok(());
+            }
         }
-        writer.send(Piece::End).await.map_err(abandoned)
     }
 
-    /// The next piece of the body; `None` at its end.
-    async fn piece(&mut self, decoder: &mut Decoder) -> Result<Option<Bytes>, Failure> {
+    /// The next piece of the body.
+    async fn piece(&mut self, decoder: &mut Decoder) -> Result<Piece, Failure> {
+        let dialect = &self.board.dialect;
         let Connection { stream, buffer, .. } = &mut self.connection;
         loop {
             match decoder.take(buffer)? {
-                Decoded::Data(bytes) => return Ok(Some(bytes)),
-                Decoded::End => return Ok(None),
+                Decoded::Data(bytes) => return Ok(Piece::Data(bytes)),
+                Decoded::Trailers(trailers) => {
+                    let mut lines = Vec::new();
+                    scrub::copy(&trailers, |name, _| dialect.answer_passes(name), &mut lines);
+                    return Ok(Piece::End(lines.into()));
+                }
+                Decoded::End => return Ok(Piece::End(Bytes::new())),
                 Decoded::Pending => {}
             }
             buffer.reserve(READ_BYTES);
             if stream.read_buf(buffer).await? == 0 {
                 decoder.end_of_stream()?;
-                return Ok(None);
+                return Ok(Piece::End(Bytes::new()));
             }
         }
     }
@@ -367,6 +397,7 @@
 struct Sending {
     chunk: Vec<u8>,
     sent: usize,
+    in_chunks: bool,
     is_done: bool,
 }
 
@@ -375,13 +406,16 @@
         self.chunk.clear();
         self.sent = 0;
         match piece {
+            Piece::Data(bytes) if !self.in_chunks => self.chunk.extend_from_slice(&bytes),
             Piece::Data(bytes) => {
                 write::chunk_size(&mut self.chunk, bytes.len());
                 self.chunk.extend_from_slice(&bytes);
                 self.chunk.extend_from_slice(b"\r\n");
             }
-            Piece::End => {
-                self.chunk.extend_from_slice(write::LAST_CHUNK);
+            Piece::End(trailers) => {
+                if self.in_chunks {
+                    write::last_chunk(&mut self.chunk, &trailers);
+                }
                 self.is_done = true;
             }
         }
--- a/crates/mustardpin-settings/src/settings.rs
+++ b/crates/mustardpin-settings/src/settings.rs
@@ -37,8 +37,6 @@
     pub seeds: Vec<SocketAddr>,
     /// How log lines are written.
     pub log: Log,
-    /// Where counters are sent, in the statsd protocol over UDP.
-    pub statsd: Option<SocketAddr>,
     /// What one process may use.
     pub limits: Limits,
     /// Options of the node's decisions.
@@ -127,14 +125,14 @@
     pub level: Level,
     /// What a line looks like.
     pub format: Format,
+    /// Lines a second at most. Those beyond are left out and counted.
+    pub lines_per_second: u32,
 }
 
 /// How severe a log line has to be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Level {
-    /// Everything.
-    Debug,
-    /// Changes of state and worse.
+    /// Decisions on requests, changes of state and worse.
     Info,
     /// What an operator should look at, and worse.
     Warn,
@@ -249,7 +247,6 @@
             },
             seeds: reader.addresses("seeds"),
             log: read_log(reader),
-            statsd: reader.optional_address("statsd.address"),
             limits: read_limits(reader),
             options: read_options(reader),
         }
@@ -290,16 +287,12 @@
 }
 
 fn read_log(reader: &mut Reader) -> Log {
-    let levels = [
-        ("info", Level::Info),
-        ("debug", Level::Debug),
-        ("warn", Level::Warn),
-        ("error", Level::Error),
-    ];
+    let levels = [("info", Level::Info), ("warn", Level::Warn), ("error", Level::Error)];
     let formats = [("json", Format::Json), ("text", Format::Text)];
     Log {
         level: reader.choice("log.level", &levels),
         format: reader.choice("log.format", &formats),
+        lines_per_second: reader.count("log.lines-per-second", 500, 10..=1_000_000) as u32,
     }
 }
 
@@ -377,9 +370,8 @@
 }
 
 fn read_work(reader: &mut Reader, options: &mut Options) {
-    let Options { limit, queueing, rating, routing, quarantine, notes, .. } = options;
-    let algorithms =
-        [("adaptive", LimitAlgorithm::Adaptive), ("slots", LimitAlgorithm::Slots)];
+    let Options { limit, queueing, pressure, rating, routing, quarantine, notes, .. } = options;
+    let algorithms = [("adaptive", LimitAlgorithm::Adaptive), ("slots", LimitAlgorithm::Slots)];
     limit.algorithm = reader.choice("limit.algorithm", &algorithms);
     let mut count = |key, value: &mut u32, least, most| {
         *value = reader.count(key, (*value).into(), least..=most) as u32;
@@ -388,9 +380,11 @@
     count("limit.least", &mut limit.least, 1, 10_000);
     count("limit.most", &mut limit.most, 1, 100_000);
     count("limit.slots-percent", &mut limit.slots_percent, 1, 200);
+    count("pressure.floor-percent", &mut pressure.floor_percent, 0, 100);
     count("quarantine.crashes", &mut quarantine.crashes, 1, 100);
     count("routing.local-preference", &mut routing.local_preference, 0, 10_000);
     count("log.one-in", &mut notes.one_in, 0, 1_000_000);
+    queueing.is_wait_strict = reader.flag("queueing.strict-wait", queueing.is_wait_strict);
     queueing.capacity =
         reader.count("queueing.capacity", queueing.capacity as u64, 0..=65_536) as usize;
     routing.max_hops = reader.count("routing.max-hops", routing.max_hops.into(), 1..=8) as u8;
@@ -410,10 +404,8 @@
     retry.limit_resends = reader.flag("retry.limit-resends", retry.limit_resends);
     let ratio = reader.optional_fraction("retry.fleet-ratio", 0.0..=1.0);
     let slack = reader.count("retry.fleet-slack", 0, 0..=1_000_000) as u32;
-    retry.fleet = ratio.map(|ratio| options::FleetRetries {
-        permille: (ratio * 1_000.0).round() as u32,
-        slack,
-    });
+    retry.fleet = ratio
+        .map(|ratio| options::FleetRetries { permille: (ratio * 1_000.0).round() as u32, slack });
     let mut count = |key, value: &mut u32, least, most| {
         *value = reader.count(key, (*value).into(), least..=most) as u32;
     };
--- a/crates/mustardpin-virtual/src/platform.rs
+++ b/crates/mustardpin-virtual/src/platform.rs
@@ -107,7 +107,9 @@
     /// Writes rows of the configuration without any condition.
     pub fn put_configuration(&mut self, rows: Vec<config::Row>) -> Position {
         let rows = rows.into_iter();
-        self.put(rows.map(|row| (Name::Configuration(row.path()), Value::Configuration(row))).collect())
+        self.put(
+            rows.map(|row| (Name::Configuration(row.path()), Value::Configuration(row))).collect(),
+        )
     }
 
     /// The position of the last transaction.
@@ -159,7 +161,13 @@
     }
 
     fn reply(&self, area: Area, whole: bool, rows: Vec<Row>) -> Reply {
-        Reply::News { area, whole, upto: self.position, clock: Some(self.clock), news: News::Rows(rows) }
+        Reply::News {
+            area,
+            whole,
+            upto: self.position,
+            clock: Some(self.clock),
+            news: News::Rows(rows),
+        }
     }
 
     fn read(&self, area: Area) -> Reply {
--- a/crates/mustardpin-wire/src/admin/validation.rs
+++ b/crates/mustardpin-wire/src/admin/validation.rs
@@ -71,7 +71,9 @@
     }
     let parts = route.parts.iter();
     parts
-        .map(|part| name("service", &part.service).or_else(|| within("weight", part.weight, WEIGHTS)))
+        .map(|part| {
+            name("service", &part.service).or_else(|| within("weight", part.weight, WEIGHTS))
+        })
         .find_map(|problem| problem)
         .or_else(|| route.teams.iter().find_map(|team| name("teams", team)))
         .or_else(|| within("timeout", route.timeout, TIMEOUTS))
--- a/crates/mustardpin-wire/src/config.rs
+++ b/crates/mustardpin-wire/src/config.rs
@@ -40,7 +40,8 @@
 impl<'de> Deserialize<'de> for Importance {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Importance, D::Error> {
         if !deserializer.is_human_readable() {
-            return u8::deserialize(deserializer).map(|level| Importance(config::Importance(level)));
+            return u8::deserialize(deserializer)
+                .map(|level| Importance(config::Importance(level)));
         }
         let text = CompactString::deserialize(deserializer)?;
         Importance::try_from(text.as_str()).map_err(serde::de::Error::custom)
@@ -344,13 +345,11 @@
 
     fn try_from(row: Row) -> Result<config::Row, Error> {
         Ok(match row {
-            Row::Fleet { cut_off, retry_allowance, callers } => {
-                config::Row::Fleet(config::Fleet {
-                    cut_off: cut_off.into(),
-                    retry_allowance,
-                    callers: callers.map(config::Callers::from),
-                })
-            }
+            Row::Fleet { cut_off, retry_allowance, callers } => config::Row::Fleet(config::Fleet {
+                cut_off: cut_off.into(),
+                retry_allowance,
+                callers: callers.map(config::Callers::from),
+            }),
             Row::Team { name, rate, burst, weight, importance } => {
                 config::Row::Team(config::Team {
                     name,
--- a/crates/mustardpin-wire/src/frame.rs
+++ b/crates/mustardpin-wire/src/frame.rs
@@ -50,7 +50,10 @@
     /// It is the rest of the payload.
     Whole,
     /// It comes in [`Head::Chunk`] frames.
-    Chunks,
+    Chunks {
+        /// How many bytes it has, if that was said.
+        length: Option<u64>,
+    },
     /// There is none, and the message may not say how long it is.
     Empty,
 }
@@ -286,7 +289,7 @@
     Refused(Refused),
     /// The sender does not want the answer any more.
     Cancel(Stream),
-    /// A part of a body.
+    /// A part of a body. The payload of the last one are the fields that follow the body, as lines.
     Chunk {
         /// The request.
         stream: Stream,
--- a/crates/mustardpin-wire/src/scrub.rs
+++ b/crates/mustardpin-wire/src/scrub.rs
@@ -36,7 +36,9 @@
     pub fn is_in(&self, text: &[u8]) -> bool {
         let Some(secret) = &self.0 else { return false };
         text.len() >= secret.len()
-            && text.windows(secret.len()).any(|window| window.eq_ignore_ascii_case(secret.as_bytes()))
+            && text
+                .windows(secret.len())
+                .any(|window| window.eq_ignore_ascii_case(secret.as_bytes()))
     }
 
     /// Whether a request target contains the secret, as it stands or percent-encoded.
--- a/crates/mustardpin-wire/src/store.rs
+++ b/crates/mustardpin-wire/src/store.rs
@@ -64,7 +64,9 @@
 impl TryFrom<Announcement> for store::Announcement {
     type Error = std::num::ParseIntError;
 
-    fn try_from(announcement: Announcement) -> Result<store::Announcement, std::num::ParseIntError> {
+    fn try_from(
+        announcement: Announcement,
+    ) -> Result<store::Announcement, std::num::ParseIntError> {
         Ok(store::Announcement {
             node: NodeId(u64::from_str_radix(&announcement.node, 16)?),
             name: announcement.name,
@@ -130,9 +132,8 @@
         Value::Node(announcement) => serde_json::to_vec(&Announcement::from(announcement.clone()))?,
         Value::Roster(roster) => {
             let members = roster.members.iter();
-            let members = members
-                .map(|member| (member.data_centre.clone(), member.name.clone()))
-                .collect();
+            let members =
+                members.map(|member| (member.data_centre.clone(), member.name.clone())).collect();
             serde_json::to_vec(&Members { members })?
         }
         Value::Head(recent) => serde_json::to_vec(recent)?,
--- /dev/null
+++ b/crates/mustardpin-wire/tests/testsuite/message.rs
@@ -0,0 +1,72 @@
+//! Messages between worlds come back as they were sent.
+
+use mustardpin_wire::message::Message;
+use mustardpin_world::{
+    Millis,
+    id::{NodeId, Position, Revision},
+    message::{self, configuration, fleet, freshness, pressure, quarantine, share},
+    request::Fingerprint,
+    store::Announcement,
+};
+
+use crate::store::configuration;
+
+fn messages() -> Vec<message::Message> {
+    let announcement = Announcement {
+        node: NodeId(1),
+        name: "north-1".into(),
+        data_centre: "north".into(),
+        service: "ledger".into(),
+        address: "127.0.0.1:7101".into(),
+    };
+    let draw = share::Draw { team: "garages".into(), shard: share::Shard(3), wanted: 7 };
+    let cost = pressure::Cost {
+        route: "book".into(),
+        hold: Millis(90),
+        calls: vec![("look".into(), 1.5)],
+    };
+    vec![
+        fleet::Message::Known(vec![announcement]).into(),
+        configuration::Message::Want { after: Revision(4) }.into(),
+        configuration::Message::Have { revision: Revision(5), rows: configuration() }.into(),
+        freshness::Message::Ask { number: 6 }.into(),
+        freshness::Message::Tell {
+            number: 6,
+            age: Millis(800),
+            revision: Revision(5),
+            fleet_age: Millis(900),
+            roster: Position(3),
+        }
+        .into(),
+        share::Message::Draw { number: 8, draws: vec![draw] }.into(),
+        share::Message::Grant {
+            number: 8,
+            grants: vec![share::Grant { tokens: 5, next_in: Millis(20) }],
+        }
+        .into(),
+        share::Message::Handover {
+            roster: Position(3),
+            team: "garages".into(),
+            shard: share::Shard(1),
+            level: 1_500_000,
+        }
+        .into(),
+        pressure::Message::Costs(vec![cost]).into(),
+        quarantine::Message::Crashed {
+            crash: 9,
+            requests: vec![Fingerprint(1), Fingerprint(2)],
+            tried: Some(Fingerprint(2)),
+        }
+        .into(),
+        quarantine::Message::Cleared(Fingerprint(1)).into(),
+    ]
+}
+
+#[test]
+fn messages_come_back_as_they_were_sent() {
+    for sent in messages() {
+        let bytes = postcard::to_allocvec(&Message::from(sent.clone())).expect("it can be written");
+        let read: Message = postcard::from_bytes(&bytes).expect("it can be read");
+        assert_eq!(message::Message::try_from(read).as_ref(), Ok(&sent));
+    }
+}
--- /dev/null
+++ b/crates/mustardpin-wire/tests/testsuite/store.rs
@@ -0,0 +1,125 @@
+//! Rows of the store.
+
+use std::fmt::Write as _;
+
+use mustardpin_wire::store;
+use mustardpin_world::{
+    Millis,
+    config::{self, Importance},
+    id::{KeyDigest, NodeId},
+    store::{Announcement, Member, Name, Roster, Value},
+};
+use proptest::prelude::*;
+
+/// A row of the configuration of each kind.
+pub fn configuration() -> Vec<config::Row> {
+    let route = config::Route::new("book", "/bookings", "ledger", Millis(2_000));
+    vec![
+        config::Row::Fleet(config::Fleet::default()),
+        config::Row::Team(config::Team {
+            name: "garages".into(),
+            rate: 100,
+            burst: 20,
+            weight: 1,
+            importance: Importance::HIGH,
+        }),
+        config::Row::Route(config::Route {
+            method: Some("POST".into()),
+            host: Some("fleet.example".into()),
+            importance: Importance::CRITICAL,
+            objective: Some(Millis(800)),
+            attempts: Some(2),
+            teams: vec!["garages".into()],
+            parts: vec![
+                config::Part { service: "ledger".into(), weight: 3 },
+                config::Part { service: "archive".into(), weight: 1 },
+            ],
+            ..route
+        }),
+        config::Row::Key(config::Key {
+            id: "garage-1".into(),
+            team: "garages".into(),
+            digest: KeyDigest::of("garage-1.s3cret"),
+            withdrawn: false,
+        }),
+        config::Row::Exception(config::Exception {
+            name: "easter".into(),
+            change: config::Change::TeamRate { team: "garages".into(), rate: 200, burst: 40 },
+            reason: "Easter rush".into(),
+        }),
+    ]
+}
+
+fn rows() -> Vec<(Name, Value)> {
+    let rows = configuration().into_iter();
+    let mut rows: Vec<(Name, Value)> =
+        rows.map(|row| (Name::Configuration(row.path()), Value::Configuration(row))).collect();
+    rows.push((Name::Head, Value::Head(vec!["change-1".into()])));
+    let member = Member { name: "north-1".into(), data_centre: "north".into() };
+    rows.push((Name::Roster, Value::Roster(Roster { members: vec![member] })));
+    let announcement = Announcement {
+        node: NodeId(1),
+        name: "north-1".into(),
+        data_centre: "north".into(),
+        service: "ledger".into(),
+        address: "127.0.0.1:7101".into(),
+    };
+    rows.push((Name::Node("north-1".into()), Value::Node(announcement)));
+    rows
+}
+
+#[test]
+fn rows_as_they_stand_in_the_store() {
+    let mut text = String::new();
+    for (name, value) in rows() {
+        let value = store::encode_value(&value).expect("it can be written");
+        writeln!(text, "{} {}", store::encode_name(&name), String::from_utf8_lossy(&value))
+            .unwrap();
+    }
+    insta::assert_snapshot!(text);
+}
+
+#[test]
+fn rows_come_back_as_they_were_written() {
+    for (name, value) in rows() {
+        let key = store::encode_name(&name);
+        let bytes = store::encode_value(&value).expect("it can be written");
+        assert_eq!(store::decode_name(&key).expect("it can be read"), name);
+        assert_eq!(store::decode_value(&name, &bytes).expect("it can be read"), value);
+    }
+}
+
+#[test]
+fn other_keys_and_wrong_values_are_errors() {
+    let read = |key: &str, value: &str| {
+        let read =
+            store::decode_name(key).and_then(|name| store::decode_value(&name, value.as_bytes()));
+        match read {
+            Ok(value) => format!("{value:?}"),
+            Err(error) => error.to_string(),
+        }
+    };
+    let node = r#"{"node":"zz","name":"a","data_centre":"b","service":"c","address":"d"}"#;
+    insta::assert_debug_snapshot!([
+        read("weather", "1"),
+        read("node/north-1", "1"),
+        read("node/north-1", node),
+        read("row/colour/red", "null"),
+        read("row/team/garages", r#"{"team": 1}"#),
+        read("head", r#""x""#),
+        read("roster", "[]"),
+    ]);
+}
+
+proptest! {
+    #[test]
+    fn any_row_is_read_or_an_error(
+        key in "(row/(team|route|key|fleet|exception|x)/[a-z]{0,5}|node/.{0,17}|head|roster|x)",
+        json in "(null|1|\"x\"|\\[\"x\"\\]|\\{\"(team|route|key|fleet|exception|node)\":(1|null|\\{\\})\\})",
+    ) {
+        if let Ok(name) = store::decode_name(&key) {
+            prop_assert_eq!(store::encode_name(&name), key.as_str());
+            let _ = store::decode_value(&name, json.as_bytes());
+        }
+    }
+}
--- a/crates/mustardpin-world/src/note.rs
+++ b/crates/mustardpin-world/src/note.rs
@@ -9,9 +9,7 @@
 /// How much a line matters, when not all can be written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Level {
-    /// An ordinary decision on a request.
-    Debug,
-    /// A change of what the node believes or does.
+    /// An ordinary decision on a request, or a change of what the node believes or does.
     Info,
     /// A request that was refused or failed, or a dependency that was lost.
     Warn,
--- a/crates/mustardpin-world/src/options.rs
+++ b/crates/mustardpin-world/src/options.rs
@@ -144,7 +144,13 @@
 
 impl Default for Limit {
     fn default() -> Limit {
-        Limit { algorithm: LimitAlgorithm::Adaptive, initial: 8, least: 2, most: 10_000, slots_percent: 95 }
+        Limit {
+            algorithm: LimitAlgorithm::Adaptive,
+            initial: 8,
+            least: 2,
+            most: 10_000,
+            slots_percent: 95,
+        }
     }
 }
 
@@ -190,6 +196,9 @@
     /// The same for calls that targets make in the course of other requests, whose work is lost if
     /// they are refused.
     pub nested_wait: Millis,
+    /// Whether requests that have waited for longer than that leave the queue unrun, so that their
+    /// callers hear of it early.
+    pub is_wait_strict: bool,
     /// Whether requests that cannot finish by their deadline leave the queue unrun.
     pub drop_late: bool,
 }
@@ -201,6 +210,7 @@
             capacity: 1_024,
             wait: Millis(250),
             nested_wait: Millis(250),
+            is_wait_strict: false,
             drop_late: true,
         }
     }
--- a/crates/mustardpin-world/src/system.rs
+++ b/crates/mustardpin-world/src/system.rs
@@ -169,10 +169,19 @@
     }
 }
 
+/// Puts other options in force. What was learned about the target goes on, unless its limit is
+/// found in another way.
+fn reload(world: &mut World, options: Options) {
+    if options.limit != world.options.limit {
+        world.systems.limit = limit::State::new(&options.limit);
+    }
+    world.options = options;
+}
+
 /// Runs every system once. Knowledge comes first, then what has ended, then what has arrived.
 pub(crate) fn run(world: &mut World, tick: &mut Tick) {
     if let Some(options) = tick.inbox.options.take() {
-        world.options = options;
+        reload(world, options);
     }
     stop::run(world, tick);
     target::run(world, tick);
--- a/crates/mustardpin-world/src/system/configuration.rs
+++ b/crates/mustardpin-world/src/system/configuration.rs
@@ -129,7 +129,9 @@
     let records = world.tables.configuration.records.values();
     let absent: Vec<Record> = records
         .filter(|record| record.row.is_some())
-        .filter(|record| !rows.iter().any(|row| row.name == Name::Configuration(record.path.clone())))
+        .filter(|record| {
+            !rows.iter().any(|row| row.name == Name::Configuration(record.path.clone()))
+        })
         .map(|record| Record { path: record.path.clone(), revision, row: None })
         .collect();
     for record in absent {
--- a/crates/mustardpin-world/src/system/finish.rs
+++ b/crates/mustardpin-world/src/system/finish.rs
@@ -11,6 +11,7 @@
         Tables,
         call::{Call, Stage},
         counter::Work,
+        latency::{End, Source},
     },
     world::{Tick, World},
 };
@@ -26,7 +27,7 @@
             tick.log(refused_note(world, tick, &call, *refusal));
         }
     }
-    settle(world, tick, key, &call, &verdict);
+    settle(world, tick, key, &call, verdict);
     let (ticket, retries) = (call.ticket, call.retry_allowance);
     tick.commands.push(Command::Finish { ticket, verdict, retries });
 }
@@ -35,7 +36,7 @@
 pub(super) fn passed(world: &mut World, tick: &mut Tick, key: CallKey) {
     let Some(call) = close(world, key) else { return };
     world.tables.counters.work(Work::Answered);
-    settle(world, tick, key, &call, &Verdict::Pass);
+    settle(world, tick, key, &call, Verdict::Pass);
 }
 
 fn close(world: &mut World, key: CallKey) -> Option<Call> {
@@ -44,15 +45,34 @@
     Some(call)
 }
 
-fn settle(world: &mut World, tick: &mut Tick, key: CallKey, call: &Call, verdict: &Verdict) {
+fn settle(world: &mut World, tick: &mut Tick, key: CallKey, call: &Call, verdict: Verdict) {
+    let took = tick.now - call.arrived;
+    world.tables.latencies.request(source_of(call), end_of(call, verdict), took);
     if let Some(parent) = call.parent.and_then(|parent| world.tables.calls.get_mut(parent)) {
         parent.retry_allowance += call.retry_allowance;
         parent.lineage.children.retain(|child| *child != key);
     }
-    resend::finished(world, tick.now, call, verdict);
+    resend::finished(world, tick.now, call, &verdict);
     abandon_children(world, tick, call);
 }
 
+fn source_of(call: &Call) -> Source {
+    match call.from {
+        Some(_) => Source::Peer,
+        None if call.nesting.is_nested() => Source::Target,
+        None => Source::Caller,
+    }
+}
+
+fn end_of(call: &Call, verdict: Verdict) -> End {
+    match verdict {
+        Verdict::Pass if call.lineage.failed => End::Failed,
+        Verdict::Pass => End::Served,
+        Verdict::Refuse(refusal) if refusal.outcome == Outcome::NotRun => End::Refused,
+        Verdict::Refuse(_) => End::Failed,
+    }
+}
+
 /// A call that a target may have seen is not refused as one that has not run.
 fn honest(call: &Call, verdict: Verdict) -> Verdict {
     let Verdict::Refuse(refusal) = verdict else { return verdict };
--- a/crates/mustardpin-world/src/system/freshness.rs
+++ b/crates/mustardpin-world/src/system/freshness.rs
@@ -13,6 +13,7 @@
     id::Position,
     note::{Level, Note},
     store::{Area, Operation, Refused, Reply, Ticket},
+    table::latency::Step,
     world::{Tick, World},
 };
 
@@ -101,6 +102,7 @@
             let (upto, clock) = (*upto, *clock);
             let as_of = world.systems.freshness.pace.answered(clock, sent, tick.now);
             world.systems.freshness.delay = tick.now - as_of;
+            world.tables.latencies.step(Step::Store, tick.now - as_of);
             learned(world, tick, area, upto, as_of);
             let state = &mut world.systems.freshness;
             let watch = watch_at(state, place);
--- a/crates/mustardpin-world/src/system/pressure/admission.rs
+++ b/crates/mustardpin-world/src/system/pressure/admission.rs
@@ -89,8 +89,11 @@
 }
 
 fn shedding_note(world: &World, is_holding: bool) -> Note {
-    let tightest =
-        world.tables.services.iter().min_by(|one, other| one.1.admitted.total_cmp(&other.1.admitted));
+    let tightest = world
+        .tables
+        .services
+        .iter()
+        .min_by(|one, other| one.1.admitted.total_cmp(&other.1.admitted));
     let note = Note::new(Level::Info, "shedding").with("on", is_holding);
     let Some((_, service)) = tightest else { return note };
     note.with("service", service.name.clone())
--- a/crates/mustardpin-world/src/system/rating/drawing.rs
+++ b/crates/mustardpin-world/src/system/rating/drawing.rs
@@ -308,9 +308,8 @@
     wanted: u32,
 ) -> bool {
     let keeper = world.tables.peers.by_name(place);
-    let keeper = keeper.filter(|&keeper| {
-        world.tables.peers.get(keeper).is_some_and(|peer| peer.link == Link::Up)
-    });
+    let keeper = keeper
+        .filter(|&keeper| world.tables.peers.get(keeper).is_some_and(|peer| peer.link == Link::Up));
     let name = world.tables.teams.get(team).map(|team| team.name.clone());
     let (Some(keeper), Some(name)) = (keeper, name) else {
         if let Some(stock) = world.tables.shares.stocks.get_mut(team) {
--- a/crates/mustardpin-world/src/system/target.rs
+++ b/crates/mustardpin-world/src/system/target.rs
@@ -59,8 +59,7 @@
     }
     let is_new = is_another(target, &report);
     let is_change = is_new || !target.present || target.report.draining != report.draining;
-    let place =
-        TargetPlace { address: report.address.clone(), instance: report.instance.clone() };
+    let place = TargetPlace { address: report.address.clone(), instance: report.instance.clone() };
     let moved = is_new || !target.present || target.report.address != report.address;
     target.present = true;
     target.reported = tick.now;
--- a/crates/mustardpin-world/src/table.rs
+++ b/crates/mustardpin-world/src/table.rs
@@ -6,6 +6,7 @@
 pub mod demand;
 pub mod exception;
 pub mod health;
+pub mod latency;
 pub mod peer;
 pub mod registry;
 pub mod resend;
@@ -31,6 +32,8 @@
     pub exceptions: exception::Exceptions,
     /// What runs of each route cost, and what is asked for.
     pub demand: demand::Demand,
+    /// How long things took.
+    pub latencies: latency::Latencies,
     /// Other nodes.
     pub peers: peer::Peers,
     /// Root requests that failed a short time ago.
--- a/src/cmd/defaults.rs
+++ b/src/cmd/defaults.rs
@@ -103,9 +103,7 @@
         repeatable: values.value("repeatable", known.is_some_and(|route| route.repeatable))?,
         open: values.value("open", known.is_some_and(|route| route.open))?,
         timeout: values.value("timeout", known.map_or(ROUTE_TIMEOUT, |route| route.timeout))?,
-        objective: values
-            .value("objective", NoneOr(known.and_then(|route| route.objective)))?
-            .0,
+        objective: values.value("objective", NoneOr(known.and_then(|route| route.objective)))?.0,
         attempts: values.value("attempts", NoneOr(known.and_then(|route| route.attempts)))?.0,
         teams: values
             .value("teams", Names(known.map(|route| route.teams.clone()).unwrap_or_default()))?
--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -28,6 +28,7 @@
         store: Box::new(move |control| {
             Box::new(Client::new(platform.address, platform.timeout, WhoWrites::Nodes, control))
         }),
+        settings_file: Some(file),
     };
     mustardpin_node::run(Launch::new(settings, borders))?;
     Ok(())
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -70,15 +70,7 @@
         format!("{} ms", target.latency_ms),
         status.calls.to_string(),
     ]];
-    let titles = [
-        "target",
-        "slots it reports",
-        "limit",
-        "running",
-        "queued",
-        "latency",
-        "calls",
-    ];
+    let titles = ["target", "slots it reports", "limit", "running", "queued", "latency", "calls"];
     table::print(titles, &rows);
     println!();
 }
