Take only what is read from a peer as its sign of life, found by a soak of real processes

Cause: the watch over a link counted every turn of the connection as a sign of life, also those in which this node had queued something itself. A link that carried messages and then fell silent for good, without a reset, was never given up; its own ping reset the watch.

Change: advance says whether anything was read; only that counts. A test with a relay that swallows bytes failed before and passes now.

Load runs all the while; the load generator now also checks that what was refused as not run did not run. addresses.announced lets a relay stand before a node.

--- a/crates/mustardpin-node/src/launch.rs
+++ b/crates/mustardpin-node/src/launch.rs
@@ -82,9 +82,17 @@
 
 impl From<settings::Addresses> for Addresses {
     fn from(addresses: settings::Addresses) -> Addresses {
-        let settings::Addresses { callers, local, reports, readiness, peers, admin, metrics } =
-            addresses;
-        Addresses { callers, local, reports, readiness, peers, admin, metrics }
+        let settings::Addresses {
+            callers,
+            local,
+            reports,
+            readiness,
+            peers,
+            announced,
+            admin,
+            metrics,
+        } = addresses;
+        Addresses { callers, local, reports, readiness, peers, announced, admin, metrics }
     }
 }
 
@@ -121,6 +129,8 @@
     pub readiness: Option<SocketAddr>,
     /// Requests and messages from peers.
     pub peers: SocketAddr,
+    /// Where other nodes reach `peers`, if that is another address.
+    pub announced: Option<SocketAddr>,
     /// The administration API.
     pub admin: Option<SocketAddr>,
     /// Counters and histograms, for whoever collects them.
@@ -141,6 +151,7 @@
             reports: None,
             readiness: Some(any),
             peers: any,
+            announced: None,
             admin: Some(any),
             metrics: Some(any),
         }
--- a/crates/mustardpin-node/src/node.rs
+++ b/crates/mustardpin-node/src/node.rs
@@ -98,7 +98,7 @@
             name: launch.name.clone(),
             data_centre: launch.data_centre.clone(),
             service: launch.service.clone(),
-            address: addresses.peers.to_compact_string(),
+            address: addresses.announced.unwrap_or(addresses.peers).to_compact_string(),
         };
         let clock = Arc::new(Monotonic::start());
         let (control, inputs) = Handle::channel();
@@ -258,6 +258,7 @@
     reports: Option<TcpListener>,
     readiness: Option<TcpListener>,
     peers: TcpListener,
+    announced: Option<SocketAddr>,
     admin: Option<TcpListener>,
     metrics: Option<TcpListener>,
 }
@@ -270,6 +271,7 @@
             reports: listen_if("reports of the own target", addresses.reports).await?,
             readiness: listen_if("readiness checks", addresses.readiness).await?,
             peers: listen("peers", addresses.peers).await?,
+            announced: addresses.announced,
             admin: listen_if("operators", addresses.admin).await?,
             metrics: listen_if("metrics", addresses.metrics).await?,
         })
@@ -285,6 +287,7 @@
             reports: address(&self.reports)?,
             readiness: address(&self.readiness)?,
             peers: self.peers.local_addr()?,
+            announced: self.announced,
             admin: address(&self.admin)?,
             metrics: address(&self.metrics)?,
         })
--- a/crates/mustardpin-node/src/traffic/link/outgoing.rs
+++ b/crates/mustardpin-node/src/traffic/link/outgoing.rs
@@ -280,7 +280,9 @@
         }
         tokio::select! {
             advanced = wire.advance(sender) => match advanced {
-                Ok(()) => watch.heard(board, link),
+                Ok(true) => watch.heard(board, link),
+                // What this node writes is no sign of life of its peer.
+                Ok(false) => {}
                 Err(error) => return error,
             },
             _ = period.tick() => {
@@ -305,7 +307,7 @@
         Watch { heard: now, asked: None, is_silent: false }
     }
 
-    /// Something has come, or could be written.
+    /// Something has come.
     fn heard(&mut self, board: &Board, link: &Outgoing) {
         self.heard = board.clock.now();
         self.asked = None;
--- a/crates/mustardpin-node/src/traffic/link/wire.rs
+++ b/crates/mustardpin-node/src/traffic/link/wire.rs
@@ -112,8 +112,9 @@
         }
     }
 
-    /// Reads more or writes what a sender has queued, whichever is possible first.
-    pub(super) async fn advance(&mut self, sender: &Sender) -> Result<(), Error> {
+    /// Reads more or writes what a sender has queued, whichever is possible first. Returns whether
+    /// anything was read.
+    pub(super) async fn advance(&mut self, sender: &Sender) -> Result<bool, Error> {
         self.write(sender)?;
         let is_stuck = self.written < self.out.len();
         self.buffer.reserve(READ_BYTES);
@@ -121,10 +122,10 @@
         tokio::select! {
             read = reader.read_buf(&mut self.buffer) => match read? {
                 0 => Err(Error::Io(io::ErrorKind::UnexpectedEof.into())),
-                _ => Ok(()),
+                _ => Ok(true),
             },
-            () = sender.queued(), if !is_stuck => Ok(()),
-            ready = writer.writable(), if is_stuck => Ok(ready?),
+            () = sender.queued(), if !is_stuck => Ok(false),
+            ready = writer.writable(), if is_stuck => Ok(ready.map(|()| false)?),
         }
     }
 
--- a/crates/mustardpin-node/tests/testsuite/fake/side.rs
+++ b/crates/mustardpin-node/tests/testsuite/fake/side.rs
@@ -151,8 +151,14 @@
 
     /// Whether no event has come that was not taken.
     pub fn is_quiet(&self) -> bool {
-        let waiting = self.waiting.lock().expect("no panic holds the lock");
-        waiting.is_empty() && self.inputs.try_recv().is_err()
+        let mut waiting = self.waiting.lock().expect("no panic holds the lock");
+        while let Ok(input) = self.inputs.try_recv() {
+            match input {
+                Input::Events(events) => waiting.extend(events),
+                _ => return false,
+            }
+        }
+        waiting.is_empty()
     }
 }
 
--- a/crates/mustardpin-node/tests/testsuite/link.rs
+++ b/crates/mustardpin-node/tests/testsuite/link.rs
@@ -1,7 +1,12 @@
 //! Connections between nodes.
 
 use std::{
-    net::{SocketAddr, TcpListener},
+    io::{Read as _, Write as _},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -126,6 +131,69 @@
     assert!(begin.elapsed() < Duration::from_secs(3), "{:?}", begin.elapsed());
 }
 
+/// What a node sends itself is no sign of life of its peer.
+#[test]
+fn a_connection_that_falls_silent_is_given_up_though_messages_go_out() {
+    const STEP: Millis = Millis(100);
+    let (one, two) = (node(1, "fleet"), node(2, "fleet"));
+    let relay = Relay::start(&one.announcement.address);
+    two.order(Order::Link(Announcement {
+        address: relay.address.to_string().into(),
+        ..one.announcement.clone()
+    }));
+    next(&two, is_link_up);
+    relay.is_silent.store(true, Ordering::SeqCst);
+    let mut now = Millis::ZERO;
+    let mut seen = Vec::new();
+    while !matches!(seen.last(), Some(Event::LinkDown { .. })) {
+        assert!(now < Millis::from_secs(4), "{seen:?}");
+        now = now + STEP;
+        two.set_time(now);
+        two.order(Order::Send { to: NodeId(1), message: message(1) });
+        thread::sleep(Duration::from_millis(STEP.0));
+        while !two.is_quiet() {
+            seen.push(two.event());
+        }
+    }
+    let silent = Event::LinkSilent { peer: NodeId(1), silent: true };
+    seen.retain(|event| !matches!(event, Event::Load { .. }));
+    assert_eq!(seen, [silent, Event::LinkDown { peer: NodeId(1), refused: false }]);
+}
+
+/// Passes bytes between two nodes, until it is silent.
+struct Relay {
+    address: SocketAddr,
+    is_silent: Arc<AtomicBool>,
+}
+
+impl Relay {
+    fn start(to: &str) -> Relay {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        let is_silent = Arc::new(AtomicBool::new(false));
+        let (to, flag) = (to.to_owned(), Arc::clone(&is_silent));
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let other = TcpStream::connect(&to).expect("the node listens");
+                let clone = |stream: &TcpStream| stream.try_clone().expect("a second handle");
+                let ways = [(clone(&stream), clone(&other)), (other, stream)];
+                for (mut from, mut to) in ways {
+                    let is_silent = Arc::clone(&flag);
+                    thread::spawn(move || {
+                        let mut bytes = [0; 4096];
+                        while let Ok(length @ 1..) = from.read(&mut bytes) {
+                            if !is_silent.load(Ordering::SeqCst) {
+                                to.write_all(&bytes[..length]).expect("the other side reads");
+                            }
+                        }
+                    });
+                }
+            }
+        });
+        Relay { address, is_silent }
+    }
+}
+
 fn forward(ticket: Ticket) -> Forward {
     Forward {
         ticket,
--- a/crates/mustardpin-settings/src/settings.rs
+++ b/crates/mustardpin-settings/src/settings.rs
@@ -56,6 +56,8 @@
     pub readiness: Option<SocketAddr>,
     /// Requests and messages from peers.
     pub peers: SocketAddr,
+    /// Where other nodes reach `peers`, if that is another address.
+    pub announced: Option<SocketAddr>,
     /// The administration API.
     pub admin: Option<SocketAddr>,
     /// Counters and histograms, for whoever collects them.
@@ -63,7 +65,7 @@
 }
 
 impl Addresses {
-    /// Every address with its dotted key.
+    /// Every address that the node listens on, with its dotted key.
     ///
     /// ```
     /// use mustardpin_settings::settings::Addresses;
@@ -75,6 +77,7 @@
     ///     reports: None,
     ///     readiness: None,
     ///     peers: any,
+    ///     announced: None,
     ///     admin: None,
     ///     metrics: None,
     /// };
@@ -222,6 +225,7 @@
             reports: reader.optional_address("addresses.reports"),
             readiness: reader.optional_address("addresses.readiness"),
             peers: reader.address("addresses.peers"),
+            announced: reader.optional_address("addresses.announced"),
             admin: reader.optional_address("addresses.admin"),
             metrics: reader.optional_address("addresses.metrics"),
         };
--- a/crates/mustardpin-standin/src/load.rs
+++ b/crates/mustardpin-standin/src/load.rs
@@ -54,7 +54,7 @@
     drop((sender, handle));
     let tally = tokio::task::spawn_blocking(move || thread.join()).await;
     let tally = tally.ok().and_then(Result::ok).unwrap_or_else(|| Tally::new(&arguments));
-    let inspection = inspect::inspect(&arguments).await;
+    let inspection = inspect::inspect(&arguments, &tally.not_run).await;
     Report::new(&arguments, tally, inspection, elapsed)
 }
 
--- a/crates/mustardpin-standin/src/load/arguments.rs
+++ b/crates/mustardpin-standin/src/load/arguments.rs
@@ -29,8 +29,8 @@
 
 Exit codes: 0 no promise was broken; 1 a promise was broken; 2 wrong arguments.
 A promise is broken by an answer that is not whole or belongs to another request, by a key that a
-target saw, by a non-repeatable request that ran twice, and by a request that was sent more than
-3 s after its key was withdrawn and ran all the same.";
+target saw, by a non-repeatable request that ran twice, or ran though it was refused as not run,
+and by a request that was sent more than 3 s after its key was withdrawn and ran all the same.";
 
 /// A team that sends requests.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/mustardpin-standin/src/load/inspect.rs
+++ b/crates/mustardpin-standin/src/load/inspect.rs
@@ -1,6 +1,9 @@
 //! Asks target stand-ins what they ran and checks it against the promises.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, HashSet},
+    net::SocketAddr,
+};
 
 use compact_str::CompactString;
 
@@ -23,12 +26,15 @@
     pub keys_seen: usize,
     /// Non-repeatable requests that ran more than once.
     pub run_twice: Vec<CompactString>,
+    /// Non-repeatable requests that ran in spite of refusals that said otherwise.
+    pub run_though_refused: usize,
     /// Targets that did not answer.
     pub silent: Vec<SocketAddr>,
 }
 
-/// Asks all targets named in the arguments.
-pub async fn inspect(arguments: &Arguments) -> Inspection {
+/// Asks all targets named in the arguments. `not_run` are the idempotency keys of requests that
+/// were refused as not run.
+pub async fn inspect(arguments: &Arguments, not_run: &[CompactString]) -> Inspection {
     let caller = http::caller(false);
     let mut inspection = Inspection::default();
     let mut runs = Vec::new();
@@ -46,6 +52,7 @@
     inspection.ran = runs.len();
     inspection.keys_seen = keys_seen(&runs, &keys);
     inspection.run_twice = run_twice(&runs);
+    inspection.run_though_refused = count_runs(&runs, not_run);
     inspection
 }
 
@@ -66,6 +73,17 @@
     headers.filter(|header| secrets.iter().any(|secret| header.value.contains(secret))).count()
 }
 
+/// How many of the idempotency keys ran.
+///
+/// ```
+/// assert_eq!(mustardpin_standin::load::inspect::count_runs(&[], &["booking-1".into()]), 0);
+/// ```
+pub fn count_runs(runs: &[Run], keys: &[CompactString]) -> usize {
+    let ran: HashSet<&CompactString> =
+        runs.iter().filter_map(|run| run.idempotency_key.as_ref()).collect();
+    keys.iter().filter(|key| ran.contains(key)).count()
+}
+
 /// The idempotency keys that ran more than once on the same path.
 ///
 /// ```
--- a/crates/mustardpin-standin/src/load/report.rs
+++ b/crates/mustardpin-standin/src/load/report.rs
@@ -60,6 +60,10 @@
     }
     judge(inspection.keys_seen as u64, "headers showed a target a tenant key");
     judge(inspection.run_twice.len() as u64, "non-repeatable requests ran more than once");
+    judge(
+        inspection.run_though_refused as u64,
+        "non-repeatable requests ran though they were refused as not run",
+    );
     judge(inspection.silent.len() as u64, "targets did not say what they ran");
     broken
 }
--- a/crates/mustardpin-standin/src/load/sender.rs
+++ b/crates/mustardpin-standin/src/load/sender.rs
@@ -80,8 +80,15 @@
             }
             end => end,
         };
-        let sample =
-            Sample { team: job.team, route: job.route, end, attempts, latency: job.due.elapsed() };
+        let is_once = self.arguments.routes[job.route.0].once;
+        let sample = Sample {
+            team: job.team,
+            route: job.route,
+            attempts,
+            latency: job.due.elapsed(),
+            not_run: (is_once && end.is_not_run()).then(|| self.name(job)),
+            end,
+        };
         self.control.send(Event::Answered(sample));
     }
 
--- a/crates/mustardpin-standin/src/load/tally.rs
+++ b/crates/mustardpin-standin/src/load/tally.rs
@@ -92,6 +92,8 @@
     pub attempts: u32,
     /// The time from when it was due to its end.
     pub latency: Duration,
+    /// The idempotency key of a request that surely did not run in any attempt.
+    pub not_run: Option<CompactString>,
 }
 
 /// What the traffic side tells the tables.
@@ -160,6 +162,8 @@
     pub attempts: u64,
     /// Requests that were due and not sent.
     pub unsent: u64,
+    /// The idempotency keys of requests that surely did not run.
+    pub not_run: Vec<CompactString>,
 }
 
 impl Tally {
@@ -185,6 +189,7 @@
             failures: BTreeMap::new(),
             attempts: 0,
             unsent: 0,
+            not_run: Vec::new(),
         }
     }
 
@@ -200,6 +205,7 @@
 
     fn add(&mut self, sample: &Sample) {
         self.attempts += u64::from(sample.attempts);
+        self.not_run.extend(sample.not_run.clone());
         self.teams[sample.team.0].add(sample);
         self.routes[sample.route.0].add(sample);
         let kind: CompactString = match &sample.end {
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -20,7 +20,10 @@
 use mustardpin_wire::admin::status::Status;
 use serde_json::{Value, json};
 
-use crate::process::{Process, free_address, output, program};
+use crate::{
+    process::{Process, free_address, output, program},
+    relay::Relay,
+};
 
 /// The operator credential of every test fleet.
 const CREDENTIAL: &str = "test-operator-credential";
@@ -42,8 +45,20 @@
     pub target: SocketAddr,
     /// The node process.
     pub node: Process,
+    /// The target process.
+    pub target_process: Process,
+    /// Relays on the ways to and from the node, if the plan wants them.
+    pub relays: Option<Relays>,
     settings: PathBuf,
-    _target: Process,
+}
+
+/// Relays on the ways to and from a node.
+#[derive(Debug)]
+pub struct Relays {
+    /// From the node to the platform's stand-in.
+    pub store: Relay,
+    /// From peers to the node.
+    pub peers: Relay,
 }
 
 /// What a test wants of a slot.
@@ -57,11 +72,14 @@
     pub target: Vec<String>,
     /// More lines of the node's settings.
     pub settings: String,
+    /// Whether relays stand on the ways to and from the node.
+    pub is_relayed: bool,
 }
 
 /// A slot with nothing special.
 pub fn slot(data_centre: &'static str, service: &'static str) -> Plan {
-    Plan { data_centre, service, target: Vec::new(), settings: String::new() }
+    let settings = String::new();
+    Plan { data_centre, service, target: Vec::new(), settings, is_relayed: false }
 }
 
 impl Plan {
@@ -70,6 +88,12 @@
         self.target.extend(arguments.iter().map(|text| (*text).to_owned()));
         self
     }
+
+    /// The same slot with relays on the ways to and from its node.
+    pub fn relayed(mut self) -> Plan {
+        self.is_relayed = true;
+        self
+    }
 }
 
 /// A running fleet.
@@ -81,6 +105,7 @@
     pub platform: SocketAddr,
     platform_process: Process,
     directory: PathBuf,
+    keeps_directory: bool,
     caller: Caller,
 }
 
@@ -119,10 +144,11 @@
             platform,
             platform_process,
             directory,
+            keeps_directory: false,
             caller: http::caller(false),
         };
         for plan in plans {
-            let slot = fleet.start_slot(plan, seen);
+            let slot = fleet.start_slot(plan, seen).await;
             fleet.slots.push(slot);
         }
         fleet.wait_until_ready().await;
@@ -131,14 +157,24 @@
         fleet
     }
 
-    fn start_slot(&self, plan: &Plan, platform: SocketAddr) -> Slot {
+    async fn start_slot(&self, plan: &Plan, platform: SocketAddr) -> Slot {
         let name = format!("{}-{}-{}", plan.data_centre, plan.service, self.slots.len());
         let [callers, local, peers, admin, target] = std::array::from_fn(|_| free_address());
+        let relays = match plan.is_relayed {
+            true => Some(Relays {
+                store: Relay::start(platform).await,
+                peers: Relay::start(peers).await,
+            }),
+            false => None,
+        };
+        let platform = relays.as_ref().map_or(platform, |relays| relays.store.address());
+        let announced = relays.as_ref().map_or(peers, |relays| relays.peers.address());
         let settings = self.directory.join(format!("{name}.yaml"));
         let seeds: Vec<_> = self.slots.iter().map(|slot| slot.peers_of()).collect();
         let yaml = format!(
             "name: {name}\ndata-centre: {}\nservice: {}\naddresses:\n  callers: {callers}\n  \
-             local: {local}\n  peers: {peers}\n  admin: {admin}\n\
+             local: {local}\n  peers: {peers}\n  \
+             announced: {announced}\n  admin: {admin}\n\
              fleet-credential: test-fleet-credential\noperator-credential: {CREDENTIAL}\n\
              platform:\n  address: {platform}\n  timeout: 1s\nseeds: [{}]\n{PATIENT}{}",
             plan.data_centre,
@@ -155,17 +191,22 @@
             .args(&plan.target);
         let target_process =
             Process::start(&mut command, &self.directory, &format!("{name}-target"));
-        Slot { callers, admin, target, node, settings, _target: target_process }
+        Slot { callers, admin, target, node, target_process, relays, settings }
     }
 
     /// Runs the command with access to the nodes of these slots.
     pub fn command(&self, slots: &[usize], arguments: &[&str]) -> Output {
+        output(&mut self.prepare(slots, arguments))
+    }
+
+    /// The command with access to the nodes of these slots, not run yet.
+    pub fn prepare(&self, slots: &[usize], arguments: &[&str]) -> Command {
         let mut command = Command::new(program("mustardpin"));
         command.args(arguments).env("MUSTARDPIN_OPERATOR_CREDENTIAL", CREDENTIAL);
         for &slot in slots {
             command.args(["--admin", &self.slots[slot].admin.to_string()]);
         }
-        output(&mut command)
+        command
     }
 
     /// Runs the command, which has to succeed, and gives what it printed.
@@ -193,6 +234,25 @@
         set.expect("the platform's stand-in runs");
     }
 
+    /// Lets the platform's stand-in forget its history.
+    pub async fn compact_platform(&self) {
+        let path = "/standin/compact";
+        let request = Request::post(format!("http://{}{path}", self.platform));
+        let request = request.body(Full::default()).expect("a well-formed request");
+        self.caller.request(request).await.expect("the platform's stand-in runs");
+    }
+
+    /// Keeps the logs of all processes after the test, and tells where they are.
+    pub fn keep_directory(&mut self) -> &std::path::Path {
+        self.keeps_directory = true;
+        &self.directory
+    }
+
+    /// Where the processes' logs and settings are, and what a test puts there.
+    pub fn directory(&self) -> &std::path::Path {
+        &self.directory
+    }
+
     /// Everything that the targets ran.
     pub async fn ran(&self) -> Vec<Run> {
         let mut runs = Vec::new();
@@ -294,14 +354,16 @@
         if std::thread::panicking() {
             eprintln!("{}", self.logs());
         }
-        let _left_behind = fs::remove_dir_all(&self.directory);
+        if !self.keeps_directory {
+            let _left_behind = fs::remove_dir_all(&self.directory);
+        }
     }
 }
 
 impl Slot {
     fn peers_of(&self) -> String {
         let settings = fs::read_to_string(&self.settings).expect("the settings are there");
-        let line = settings.lines().find_map(|line| line.trim().strip_prefix("peers: "));
+        let line = settings.lines().find_map(|line| line.trim().strip_prefix("announced: "));
         line.expect("the settings name it").to_owned()
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,4 +10,5 @@
 mod platform;
 mod process;
 mod relay;
+mod soak;
 mod stop;
--- a/tests/testsuite/platform.rs
+++ b/tests/testsuite/platform.rs
@@ -8,7 +8,7 @@
 use crate::{
     fleet::{Ask, Fleet, slot},
     process::free_address,
-    relay::Relay,
+    relay::{Mode, Relay},
 };
 
 /// Longer than the largest window of freshness.
@@ -97,7 +97,7 @@
     let caller = http::caller(false);
     assert_eq!(Ask::get("/ledger", &key).send(&caller, address).await.status, 200);
 
-    relay.cut();
+    relay.set(Mode::Cut);
     fleet.slots[1].node.signal("STOP");
     fleet.wait_for(0, "the node is cut off", |status| !status.view.fresh).await;
     let reply = Ask::get("/ledger", &key).send(&caller, address).await;
@@ -106,7 +106,7 @@
     let open = Ask { method: "GET", path: "/help", key: None, idempotency_key: None };
     assert_eq!(open.send(&caller, address).await.status, 200);
 
-    relay.mend();
+    relay.set(Mode::Whole);
     fleet.wait_for(0, "the node has news again", |status| status.view.fresh).await;
     assert_eq!(Ask::get("/ledger", &key).send(&caller, address).await.status, 200);
 }
--- a/tests/testsuite/process.rs
+++ b/tests/testsuite/process.rs
@@ -107,6 +107,11 @@
         }
     }
 
+    /// Whether it has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().expect("the process is ours").is_some()
+    }
+
     /// Ends it at once.
     pub fn kill(&mut self) {
         // It may have ended by itself.
