Write lines through the process's own standard output, and count those that fail

Cause: the writer wrote to a copy of the descriptor.

Change: the lines go to the handle itself, through a buffer; a line that cannot be written is counted and told with lines_left_out. A test with an output that fails at first shows it.

--- a/crates/mustardpin-node/src/log.rs
+++ b/crates/mustardpin-node/src/log.rs
@@ -120,6 +120,7 @@
             self.left_out += 1;
             return;
         }
+        self.left_out += self.writer.take_failed();
         if self.left_out > 0 {
             let left_out = Note::new(Level::Warn, "lines_left_out").with("count", self.left_out);
             if self.writer.send(left_out) {
--- a/crates/mustardpin-node/src/log/writer.rs
+++ b/crates/mustardpin-node/src/log/writer.rs
@@ -1,11 +1,10 @@
 //! The thread that writes lines.
 
 use std::{
-    fs::File,
     io::{self, BufWriter, Write},
-    os::fd::AsFd as _,
     sync::{
         Arc,
+        atomic::{AtomicU64, Ordering},
         mpsc::{Receiver, SyncSender, sync_channel},
     },
     thread,
@@ -27,6 +26,8 @@
 const GATHER: Duration = Duration::from_millis(100);
 /// When the log is closed, the lines that are left may take this long.
 const LAST_LINES: Duration = Duration::from_millis(500);
+/// Lines that are written at once, in bytes.
+const BUFFER_BYTES: usize = 64 * 1024;
 /// The size of the thread's stack, in bytes.
 const STACK_BYTES: usize = 256 * 1024;
 
@@ -39,14 +40,11 @@
 }
 
 impl Output {
-    fn open(self) -> io::Result<Box<dyn Write + Send + Sync>> {
+    fn open(self) -> Box<dyn Write + Send + Sync> {
         match self {
-            // The handle of the standard library flushes after each line.
-            Output::Standard => {
-                let stream = io::stdout().as_fd().try_clone_to_owned()?;
-                Ok(Box::new(BufWriter::new(File::from(stream))))
-            }
-            Output::Other(output) => Ok(output),
+            // The buffer hands many lines at once to a handle that would write each by itself.
+            Output::Standard => Box::new(BufWriter::with_capacity(BUFFER_BYTES, io::stdout())),
+            Output::Other(output) => output,
         }
     }
 }
@@ -60,6 +58,8 @@
 /// The thread that writes lines.
 pub(super) struct Writer {
     lines: Option<SyncSender<Line>>,
+    /// Lines that could not be written.
+    failed: Arc<AtomicU64>,
     /// Disconnected once the thread has written everything.
     done: Receiver<()>,
 }
@@ -67,14 +67,20 @@
 impl Writer {
     pub(super) fn start(output: Output, format: Format) -> Result<Writer, Error> {
         let sink = WriteSink::builder()
-            .target(output.open()?)
+            .target(output.open())
             .formatter(PatternFormatter::new(pattern!("{payload}{eol}")))
             .build_arc()?;
+        let failed = Arc::new(AtomicU64::new(0));
+        let failures = Arc::clone(&failed);
         let logger = Logger::builder()
             .name("mustardpin")
             .sink(sink)
             .level_filter(LevelFilter::All)
             .flush_level_filter(LevelFilter::Off)
+            // There is nowhere else to write that lines cannot be written.
+            .error_handler(move |_: spdlog::Error| {
+                failures.fetch_add(1, Ordering::Relaxed);
+            })
             .build_arc()?;
         let (sender, lines) = sync_channel(ROOM);
         let (writing, done) = sync_channel(0);
@@ -82,7 +88,7 @@
             write(&logger, format, &lines);
             drop(writing);
         })?;
-        Ok(Writer { lines: Some(sender), done })
+        Ok(Writer { lines: Some(sender), failed, done })
     }
 
     /// Hands a line to the thread. Returns false if there is no room for it.
@@ -92,6 +98,13 @@
     }
 }
 
+impl Writer {
+    /// Lines that could not be written since the last look.
+    pub(super) fn take_failed(&self) -> u64 {
+        self.failed.swap(0, Ordering::Relaxed)
+    }
+}
+
 impl Drop for Writer {
     fn drop(&mut self) {
         drop(self.lines.take());
--- a/crates/mustardpin-node/tests/testsuite/log.rs
+++ b/crates/mustardpin-node/tests/testsuite/log.rs
@@ -113,6 +113,42 @@
     assert!(lines.last().is_some_and(|line| line.contains("store_lost")), "{lines:?}");
 }
 
+/// An output that takes nothing at first.
+struct Failing {
+    left: u32,
+    kept: Kept,
+}
+
+impl Write for Failing {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        if self.left > 0 {
+            self.left -= 1;
+            return Err(io::ErrorKind::PermissionDenied.into());
+        }
+        self.kept.write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn lines_that_could_not_be_written_are_counted() {
+    let kept = Kept::default();
+    let output = Failing { left: 3, kept: kept.clone() };
+    let mut log = Log::open(Options::default(), Output::Other(Box::new(output))).expect("a log");
+    for number in 0..4 {
+        log.write(refused(number));
+    }
+    wait_until(|| !kept.lines().is_empty());
+    log.write(Note::new(Level::Info, "store_lost"));
+    drop(log);
+    let lines = kept.lines();
+    assert_eq!(lines.len(), 3, "{lines:?}");
+    assert!(lines[1].contains("lines_left_out count=3"), "{lines:?}");
+}
+
 #[test]
 fn a_reader_that_does_not_read_holds_up_nobody() {
     let kept = Kept::default();
