--- a/crates/mustardpin-node/src/traffic/caller.rs
+++ b/crates/mustardpin-node/src/traffic/caller.rs
@@ -252,7 +252,7 @@
             () = writing.advance(), if writing.awaits_piece() => {}
             () = reading.advance(), if reading.awaits_room() => {}
             _ = self.stage.changed(), if !is_leaving => {}
-            () = limit => self.time_out(reading, writing),
+            () = limit => self.time_out(reading),
         }
         Ok(())
     }
@@ -280,10 +280,10 @@
     }
 
     /// The connection has taken too long.
-    fn time_out(&mut self, reading: &mut Reading, writing: &mut Writing) {
+    fn time_out(&mut self, reading: &mut Reading) {
         self.is_closing = true;
         if reading.since().is_some() {
-            reading.time_out(self, writing);
+            reading.time_out(self);
         }
     }
 
--- a/crates/mustardpin-node/src/traffic/caller/reading.rs
+++ b/crates/mustardpin-node/src/traffic/caller/reading.rs
@@ -292,7 +292,7 @@
     }
 
     /// A request has taken too long to come.
-    pub(super) fn time_out(&mut self, connection: &mut Connection, _writing: &mut Writing) {
+    pub(super) fn time_out(&mut self, connection: &mut Connection) {
         match std::mem::take(&mut self.state) {
             State::Head => {
                 self.since = None;
