Give the test of HTTP/2 answers a target with room for all its requests

Cause: the test sends 20 requests at once to a new target. Its limit starts at 8, and the queue holds what the target runs in 250 ms, so beside load, when the first answers arrive before the last requests, a request is refused with queue_full. The refusal is true and the test is about the order of answers. Change: the limit of the test's nodes is fixed at 20. The assertion is unchanged: each caller gets its own whole answer.

--- a/crates/mustardpin-node/tests/testsuite/whole.rs
+++ b/crates/mustardpin-node/tests/testsuite/whole.rs
@@ -7,6 +7,7 @@
 };
 
 use bytes::Bytes;
+use mustardpin_world::options::LimitAlgorithm;
 
 use crate::fake::{Fleet, KEY, RawResponse, Script, Step, exchange, get, http2, text, wait_until};
 
@@ -117,7 +118,11 @@
 
 #[test]
 fn each_http2_caller_gets_its_own_answer_when_answers_come_in_another_order() {
-    let fleet = Fleet::start(&[("slots", script()), ("ledger", script())]);
+    // A new target starts with a lower limit than this, and would turn some of the requests away.
+    let fleet = Fleet::start_with(&[("slots", script()), ("ledger", script())], |mut launch| {
+        launch.options.limit.algorithm = LimitAlgorithm::Fixed(20);
+        launch
+    });
     let bodies: Vec<(u64, Bytes)> = fleet.runtime.block_on(async {
         let caller = http2(fleet.callers(1)).await;
         let calls = (0..20).map(|number| {
