Count the bodies of requests in progress as kept, and release them with the request

Cause: the bytes of a body were reserved while it was received and released by hand at each end, but not when the caller disconnected: one broken 9,000-byte upload made the next one 503 with 10,000 bytes allowed. They were also released as soon as the body was complete, while the body stayed in memory until its answer, so many uploads at once had no bound; bodies from peers and of HTTP/2 callers were never counted. Change: a reservation releases its bytes when it is dropped, and the request owns it. A body whose declared length has no room is refused at its head. The rest of the body of a request that has ended is discarded, so that the connection stays usable; where the connection closes, it lingers, since a reset could lose the answer.

--- a/crates/mustardpin-node/src/traffic.rs
+++ b/crates/mustardpin-node/src/traffic.rs
@@ -7,6 +7,7 @@
 //! needs no decision goes to its caller at once, and the control thread is notified afterwards.
 
 mod body;
+mod budget;
 mod caller;
 mod dispatch;
 mod exchange;
--- a/crates/mustardpin-node/src/traffic/caller.rs
+++ b/crates/mustardpin-node/src/traffic/caller.rs
@@ -153,6 +153,7 @@
             }
             self.start_ready_responses(&mut writing);
             if writing.write(&mut writer)? && self.can_close(&writing) {
+                self.has_unread_request |= reading.is_in_body();
                 return Ok(Protocol::Http1);
             }
             self.wait(&mut reader, &mut writer, buffer, &mut reading, &mut writing).await?;
--- a/crates/mustardpin-node/src/traffic/caller/reading.rs
+++ b/crates/mustardpin-node/src/traffic/caller/reading.rs
@@ -12,8 +12,9 @@
 
 use crate::traffic::{
     body::{self, Body, Piece, Writer},
+    budget::Reservation,
     caller::{Connection, ResponseOptions, ResponseSlot, writing::Writing},
-    intake,
+    intake::{self, Opened},
     listener::ListenerKind,
     response::CallerResponse,
 };
@@ -28,8 +29,7 @@
     length: Option<u64>,
     /// The trailers as encoded lines.
     trailers: Bytes,
-    /// The number of bytes reserved from the node's limit for buffered bodies.
-    reserved_bytes: usize,
+    reservation: Reservation,
     /// The number of body bytes received. Also counts bytes that are streamed later.
     received_bytes: u64,
 }
@@ -44,6 +44,13 @@
     received_bytes: u64,
 }
 
+/// A body whose request has ended. The rest of it is discarded, so that the connection can be used
+/// for the next request.
+struct DiscardedBody {
+    decoder: Decoder,
+    received_bytes: u64,
+}
+
 /// How much of the next request has been received.
 #[derive(Default)]
 enum State {
@@ -54,6 +61,8 @@
     Body(Box<BufferedRequest>),
     /// It is in progress, and its body is streamed.
     Streaming(Box<StreamedRequest>),
+    /// It has ended, and the rest of its body is discarded.
+    Discarding(DiscardedBody),
 }
 
 /// The reading side of a connection.
@@ -79,6 +88,7 @@
             State::Head => self.take_head(connection, buffer, writing),
             State::Body(incoming) => self.take_body(connection, buffer, *incoming),
             State::Streaming(request) => self.stream_body(connection, buffer, *request),
+            State::Discarding(body) => self.discard_body(connection, buffer, body),
         }
     }
 
@@ -115,10 +125,24 @@
         };
         let decoder = Decoder::from(framing);
         if decoder.is_complete() {
-            accept(connection, head, Body::Complete(Bytes::new()));
+            let reservation = connection.exchanges.body_budget.reservation();
+            accept(connection, head, Body::Complete(Bytes::new()), reservation);
             return true;
         }
-        if head.headers.has_token("expect", "100-continue") && buffer.is_empty() {
+        self.last_received = Some(Instant::now());
+        // A body that is too large to buffer is streamed once this many bytes were received.
+        let max_buffered = connection.exchanges.limits.retry_body_size as u64;
+        let mut reservation = connection.exchanges.body_budget.reservation();
+        let awaits_continue = head.headers.has_token("expect", "100-continue") && buffer.is_empty();
+        if !reservation.grow_to(length.unwrap_or(0).min(max_buffered) as usize) {
+            if awaits_continue {
+                // The caller may send another request in place of the body.
+                return refuse(connection, Reason::InProgressLimit);
+            }
+            let body = DiscardedBody { decoder, received_bytes: 0 };
+            return self.refuse_body(connection, buffer, &head, body);
+        }
+        if awaits_continue {
             writing.send_continue();
         }
         let incoming = BufferedRequest {
@@ -128,10 +152,9 @@
             buffered_bytes: 0,
             length,
             trailers: Bytes::new(),
-            reserved_bytes: 0,
+            reservation,
             received_bytes: 0,
         };
-        self.last_received = Some(Instant::now());
         self.take_body(connection, buffer, incoming)
     }
 
@@ -148,15 +171,14 @@
                 Ok(Decoded::Data(bytes)) => {
                     incoming.received_bytes += bytes.len() as u64;
                     if incoming.received_bytes > exchanges.caller_limits().body_size {
-                        exchanges.release_bytes(incoming.reserved_bytes);
                         return refuse(connection, Reason::BodyTooLarge);
                     }
-                    if !exchanges.reserve_bytes(bytes.len()) {
-                        exchanges.release_bytes(incoming.reserved_bytes);
-                        return refuse(connection, Reason::InProgressLimit);
-                    }
-                    incoming.reserved_bytes += bytes.len();
                     incoming.buffered_bytes += bytes.len();
+                    if !incoming.reservation.grow_to(incoming.buffered_bytes) {
+                        let BufferedRequest { head, decoder, received_bytes, .. } = incoming;
+                        let body = DiscardedBody { decoder, received_bytes };
+                        return self.refuse_body(connection, buffer, &head, body);
+                    }
                     incoming.pieces.push(bytes);
                     if incoming.buffered_bytes > exchanges.limits.retry_body_size {
                         return self.begin_streaming(connection, buffer, incoming);
@@ -167,20 +189,16 @@
                         intake::trailers(exchanges, connection.port(), &incoming.head, &trailers);
                 }
                 Ok(Decoded::End) => {
-                    exchanges.release_bytes(incoming.reserved_bytes);
                     self.last_received = None;
                     let body = Body::complete(join(incoming.pieces), incoming.trailers);
-                    accept(connection, incoming.head, body);
+                    accept(connection, incoming.head, body, incoming.reservation);
                     return true;
                 }
                 Ok(Decoded::Pending) => {
                     self.state = State::Body(Box::new(incoming));
                     return false;
                 }
-                Err(error) => {
-                    exchanges.release_bytes(incoming.reserved_bytes);
-                    return refuse(connection, reason_of(error));
-                }
+                Err(error) => return refuse(connection, reason_of(error)),
             }
         }
     }
@@ -194,9 +212,11 @@
         incoming: BufferedRequest,
     ) -> bool {
         let (writer, streamed) = body::channel(incoming.length);
-        connection.exchanges.release_bytes(incoming.reserved_bytes);
-        let BufferedRequest { head, decoder, pieces, trailers, received_bytes, .. } = incoming;
-        accept(connection, head.clone(), Body::Stream(streamed.with_first(join(pieces))));
+        let BufferedRequest {
+            head, decoder, pieces, trailers, reservation, received_bytes, ..
+        } = incoming;
+        let body = Body::Stream(streamed.with_first(join(pieces)));
+        accept(connection, head.clone(), body, reservation);
         let request =
             StreamedRequest { head, decoder, trailers, writer, pending: None, received_bytes };
         self.stream_body(connection, buffer, request)
@@ -224,10 +244,10 @@
                         self.state = State::Streaming(Box::new(request));
                         return false;
                     }
-                    // The request has finished, so the rest of its body is not read.
                     Err(mpsc::error::TrySendError::Closed(_)) => {
-                        connection.is_closing = true;
-                        return false;
+                        let StreamedRequest { decoder, received_bytes, .. } = request;
+                        let body = DiscardedBody { decoder, received_bytes };
+                        return self.discard_body(connection, buffer, body);
                     }
                 }
             }
@@ -259,6 +279,54 @@
         }
     }
 
+    /// Refuses a request for whose body there is no room, and discards the body.
+    fn refuse_body(
+        &mut self,
+        connection: &mut Connection,
+        buffer: &mut BytesMut,
+        head: &Request,
+        body: DiscardedBody,
+    ) -> bool {
+        let options = response_options(head);
+        if !options.is_persistent {
+            return refuse(connection, Reason::InProgressLimit);
+        }
+        let response = intake::refuse(&connection.exchanges, Reason::InProgressLimit, None);
+        connection.slots.push_back(ResponseSlot::Ready(response, options));
+        self.discard_body(connection, buffer, body)
+    }
+
+    /// Discards the received part of a body whose request has ended.
+    fn discard_body(
+        &mut self,
+        connection: &mut Connection,
+        buffer: &mut BytesMut,
+        mut body: DiscardedBody,
+    ) -> bool {
+        let limit = connection.exchanges.caller_limits().body_size;
+        loop {
+            match body.decoder.take(buffer) {
+                Ok(Decoded::Data(bytes)) if body.received_bytes + bytes.len() as u64 <= limit => {
+                    body.received_bytes += bytes.len() as u64;
+                }
+                Ok(Decoded::Trailers(_)) => {}
+                Ok(Decoded::End) => {
+                    self.last_received = None;
+                    return true;
+                }
+                Ok(Decoded::Pending) => {
+                    self.state = State::Discarding(body);
+                    return false;
+                }
+                Ok(Decoded::Data(_)) | Err(_) => {
+                    connection.is_closing = true;
+                    connection.has_unread_request = true;
+                    return false;
+                }
+            }
+        }
+    }
+
     /// Records that bytes were received.
     pub(super) fn record_received(&mut self) {
         if self.last_received.is_some() {
@@ -272,7 +340,7 @@
             State::Head => self.since,
             State::Body(_) => self.last_received,
             State::Streaming(ref request) if request.pending.is_some() => None,
-            State::Streaming(_) => self.last_received,
+            State::Streaming(_) | State::Discarding(_) => self.last_received,
         }
     }
 
@@ -301,13 +369,12 @@
                 self.since = None;
                 refuse(connection, Reason::BodyTimeout);
             }
-            State::Body(incoming) => {
-                connection.exchanges.release_bytes(incoming.reserved_bytes);
+            State::Body(_) => {
                 self.last_received = None;
                 refuse(connection, Reason::BodyTimeout);
             }
             // Dropping the writer truncates the body, which aborts the request.
-            State::Streaming(_) => self.last_received = None,
+            State::Streaming(_) | State::Discarding(_) => self.last_received = None,
         }
     }
 }
@@ -344,13 +411,12 @@
 }
 
 /// Accepts a request that has been read.
-fn accept(connection: &mut Connection, head: Request, body: Body) {
-    let is_persistent = head.is_persistent();
-    let options = ResponseOptions { is_persistent, accepts_chunked: head.is_version_11 };
-    connection.is_last |= !is_persistent;
+fn accept(connection: &mut Connection, head: Request, body: Body, reservation: Reservation) {
+    let options = response_options(&head);
+    connection.is_last |= !options.is_persistent;
     let slot = match local_response(connection, &head, &body) {
         Some(response) => ResponseSlot::Ready(response, options),
-        None => match intake::open(&connection.exchanges, connection.port(), &head, body) {
+        None => match open(connection, &head, body, reservation) {
             Ok(opened) => {
                 ResponseSlot::Open { ticket: opened.ticket, response: opened.response, options }
             }
@@ -360,6 +426,19 @@
     connection.slots.push_back(slot);
 }
 
+fn open(
+    connection: &Connection,
+    head: &Request,
+    body: Body,
+    reservation: Reservation,
+) -> Result<Opened, Box<CallerResponse>> {
+    intake::open(&connection.exchanges, connection.port(), head, body, reservation)
+}
+
+fn response_options(head: &Request) -> ResponseOptions {
+    ResponseOptions { is_persistent: head.is_persistent(), accepts_chunked: head.is_version_11 }
+}
+
 /// The response to a request for the node itself: a readiness check or a report.
 fn local_response(connection: &Connection, head: &Request, body: &Body) -> Option<CallerResponse> {
     let exchanges = &connection.exchanges;
--- a/crates/mustardpin-node/src/traffic/exchange.rs
+++ b/crates/mustardpin-node/src/traffic/exchange.rs
@@ -7,7 +7,9 @@
 use mustardpin_world::{Millis, refusal::Refusal, request::Fingerprint};
 use tokio::sync::oneshot;
 
-use crate::traffic::{body::Body, link::OutgoingLink, response::CallerResponse, sender::Sender};
+use crate::traffic::{
+    body::Body, budget::Reservation, link::OutgoingLink, response::CallerResponse, sender::Sender,
+};
 
 slotmap::new_key_type! {
     /// The key of a row in `Exchanges`.
@@ -31,6 +33,8 @@
     /// Whether a peer forwarded the request.
     pub(super) is_from_peer: bool,
     body: Mutex<Body>,
+    #[allow(dead_code, reason = "dropped to release the memory of the body")]
+    reservation: Reservation,
 }
 
 /// The request body for one attempt.
@@ -54,7 +58,8 @@
 }
 
 impl Outbound {
-    pub(super) fn new(head: OutboundHead, body: Body) -> Outbound {
+    /// A request whose body has this reservation.
+    pub(super) fn new(head: OutboundHead, body: Body, reservation: Reservation) -> Outbound {
         let OutboundHead { id, method, target, header_lines, fingerprint, is_from_peer } = head;
         Outbound {
             id,
@@ -64,6 +69,7 @@
             fingerprint,
             is_from_peer,
             body: Mutex::new(body),
+            reservation,
         }
     }
 
--- a/crates/mustardpin-node/src/traffic/exchanges.rs
+++ b/crates/mustardpin-node/src/traffic/exchanges.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
     time::Duration,
 };
@@ -24,6 +24,7 @@
     control::Handle,
     launch::Limits,
     traffic::{
+        budget::Budget,
         exchange::{Attempt, Exchange, ExchangeKey, FinalResponse, Outbound, ResponseRecipient},
         link::{Credentials, Links},
         listener::Stage,
@@ -62,11 +63,12 @@
     pub(super) service: CompactString,
     pub(super) target: Target,
     pub(super) links: Links,
+    /// The memory for request bodies, of callers and of peers.
+    pub(super) body_budget: Arc<Budget>,
     table: Mutex<SlotMap<ExchangeKey, Exchange>>,
     callers: Mutex<CallerLimits>,
     load: Mutex<Load>,
     ready: AtomicBool,
-    buffered_bytes: AtomicUsize,
     stage: watch::Sender<Stage>,
 }
 
@@ -78,11 +80,11 @@
             outbox: Outbox::new(control),
             target: Target::new(),
             links: Links::new(credentials),
+            body_budget: Budget::new(limits.buffered_size),
             table: Mutex::default(),
             callers: Mutex::new(limits.caller_limits()),
             load: Mutex::default(),
             ready: AtomicBool::new(false),
-            buffered_bytes: AtomicUsize::new(0),
             stage: watch::Sender::new(Stage::Serving),
             clock,
             limits,
@@ -145,21 +147,6 @@
         *self.load.lock().unwrap_or_else(PoisonError::into_inner) = load;
     }
 
-    /// Reserves memory for buffered bytes of a request body. Returns false if the limit is reached.
-    pub(super) fn reserve_bytes(&self, count: usize) -> bool {
-        let previous = self.buffered_bytes.fetch_add(count, Ordering::Relaxed);
-        let is_within_limit = previous + count <= self.limits.buffered_size;
-        if !is_within_limit {
-            self.buffered_bytes.fetch_sub(count, Ordering::Relaxed);
-        }
-        is_within_limit
-    }
-
-    /// Releases bytes that `reserve_bytes` reserved.
-    pub(super) fn release_bytes(&self, count: usize) {
-        self.buffered_bytes.fetch_sub(count, Ordering::Relaxed);
-    }
-
     /// Inserts a request and notifies the control thread. Returns `None` if the limit of requests
     /// in progress is reached.
     pub(super) fn open(
--- a/crates/mustardpin-node/src/traffic/http2.rs
+++ b/crates/mustardpin-node/src/traffic/http2.rs
@@ -28,6 +28,7 @@
 
 use crate::traffic::{
     body::{self, Body, Piece, Stream, Writer},
+    budget::Reservation,
     exchanges::Exchanges,
     intake,
     listener::{ListenerKind, Stage},
@@ -87,11 +88,12 @@
     let (parts, incoming) = request.into_parts();
     let head = head_of(&parts);
     let port = if kind == ListenerKind::Local { Port::Local } else { Port::Callers };
-    let body = match read_body(&exchanges, port, &head, incoming).await {
+    let mut reservation = exchanges.body_budget.reservation();
+    let body = match read_body(&exchanges, port, &head, incoming, &mut reservation).await {
         Ok(body) => body,
         Err(reason) => return Ok(hyper_response(intake::refuse(&exchanges, reason, None))),
     };
-    match intake::open(&exchanges, port, &head, body) {
+    match intake::open(&exchanges, port, &head, body, reservation) {
         Err(caller_response) => Ok(hyper_response(*caller_response)),
         Ok(opened) => {
             let mut guard = DisconnectGuard { exchanges, ticket: Some(opened.ticket) };
@@ -131,6 +133,7 @@
     port: Port,
     head: &head::Request,
     mut incoming: Incoming,
+    reservation: &mut Reservation,
 ) -> Result<Body, Reason> {
     let limit = exchanges.caller_limits().body_size;
     let length = incoming.size_hint().exact();
@@ -145,6 +148,9 @@
             None => return Ok(Body::complete(buffered.freeze(), trailers)),
             Some(Err(_)) => return Err(Reason::RequestMalformed),
             Some(Ok(frame)) => match frame.into_data() {
+                Ok(data) if !reservation.grow_to(buffered.len() + data.len()) => {
+                    return Err(Reason::InProgressLimit);
+                }
                 Ok(data) => buffered.extend_from_slice(&data),
                 Err(frame) => trailers = trailer_lines(exchanges, port, head, &frame),
             },
--- a/crates/mustardpin-node/src/traffic/intake.rs
+++ b/crates/mustardpin-node/src/traffic/intake.rs
@@ -18,6 +18,7 @@
 
 use crate::traffic::{
     body::Body,
+    budget::Reservation,
     exchange::{Attempt, Exchange, Outbound, OutboundHead, ResponseRecipient},
     exchanges::Exchanges,
     response::CallerResponse,
@@ -35,22 +36,23 @@
     pub(super) response: oneshot::Receiver<CallerResponse>,
 }
 
-/// Inserts a caller's request into `Exchanges`. Returns the response to send if the request is
-/// refused.
+/// Inserts a caller's request into `Exchanges`. Its body keeps the reservation until the request is
+/// removed. Returns the response to send if the request is refused.
 pub(super) fn open(
     exchanges: &Arc<Exchanges>,
     port: Port,
     head: &head::Request,
     body: Body,
+    reservation: Reservation,
 ) -> Result<Opened, Box<CallerResponse>> {
     let parsed = exchanges.dialect.read_request(port, head);
     let parsed = parsed.map_err(|error| Box::new(refuse(exchanges, error.reason, None)))?;
     let expires = parsed.timeout.map(|timeout| exchanges.clock.now() + timeout);
     let (caller, response) = oneshot::channel();
-    let outbound = outbound(exchanges, head, &parsed, body);
+    let outbound = outbound_head(exchanges, head, &parsed, &body);
     let (id, fingerprint) = (outbound.id.clone(), outbound.fingerprint);
     let exchange = Exchange {
-        request: Arc::new(outbound),
+        request: Arc::new(Outbound::new(outbound, body, reservation)),
         recipient: Some(ResponseRecipient::Caller(caller)),
         attempt: Attempt::None,
         undecided: None,
@@ -91,32 +93,31 @@
     trailer_lines.into()
 }
 
-/// The request to be sent on.
-fn outbound(
+/// The head of the request to be sent on.
+fn outbound_head(
     exchanges: &Exchanges,
     head: &head::Request,
     parsed: &ParsedRequest,
-    body: Body,
-) -> Outbound {
+    body: &Body,
+) -> OutboundHead {
     let mut header_lines = Vec::with_capacity(256);
     let is_forwarded =
         |name: &str, value: &[u8]| exchanges.dialect.forwards_request_header(parsed, name, value);
     scrub::copy_headers(&head.headers, is_forwarded, &mut header_lines);
-    let prefix = match &body {
+    let prefix = match body {
         Body::Complete(bytes) => bytes,
         Body::Stream(streamed) => streamed.first(),
         Body::Empty => &[],
     };
     let fingerprint = fingerprint::of(&exchanges.service, head.method(), head.target(), prefix);
-    let head = OutboundHead {
+    OutboundHead {
         id: parsed.id.clone().unwrap_or_else(random_id),
         method: head.method().into(),
         target: head.target().into(),
         header_lines: header_lines.into(),
         fingerprint,
         is_from_peer: false,
-    };
-    Outbound::new(head, body)
+    }
 }
 
 fn random_id() -> CompactString {
--- a/crates/mustardpin-node/src/traffic/link/incoming.rs
+++ b/crates/mustardpin-node/src/traffic/link/incoming.rs
@@ -147,6 +147,11 @@
 ) -> Result<(), Error> {
     let stream = head.stream;
     let (header_lines, complete_body) = frame::split_payload(payload, head.fields)?;
+    let mut reservation = exchanges.body_budget.reservation();
+    if !reservation.grow_to(complete_body.len()) {
+        refuse_without_room(exchanges, sender, stream);
+        return Ok(());
+    }
     let body = match head.body {
         frame::Body::Whole | frame::Body::Empty => Body::Complete(complete_body),
         frame::Body::Chunks { length } => {
@@ -177,16 +182,21 @@
         is_from_peer: true,
     };
     let exchange = Exchange {
-        request: Arc::new(Outbound::new(outbound, body)),
+        request: Arc::new(Outbound::new(outbound, body, reservation)),
         recipient: Some(ResponseRecipient::Peer { sender: Arc::clone(sender), stream }),
         attempt: Attempt::None,
         undecided: None,
         expires: None,
     };
     if exchanges.open(exchange, request).is_none() {
-        let reason = Reason::InProgressLimit;
-        exchanges.outbox.push(Event::Refused(reason));
-        sender.refuse(stream, &Refusal::not_run(reason), 0, exchanges.load());
+        refuse_without_room(exchanges, sender, stream);
     }
     Ok(())
 }
+
+/// Refuses a request because the limit of requests in progress or of kept bodies is reached.
+fn refuse_without_room(exchanges: &Exchanges, sender: &Sender, stream: u32) {
+    let reason = Reason::InProgressLimit;
+    exchanges.outbox.push(Event::Refused(reason));
+    sender.refuse(stream, &Refusal::not_run(reason), 0, exchanges.load());
+}
--- a/crates/mustardpin-node/tests/testsuite/fake.rs
+++ b/crates/mustardpin-node/tests/testsuite/fake.rs
@@ -7,7 +7,7 @@
 mod target;
 
 pub use self::{
-    caller::{End, RawResponse, call, exchange, get, http2, read_all},
+    caller::{End, RawResponse, call, exchange, get, http2, read_all, read_response},
     fleet::{Fleet, KEY},
     platform::Platform,
     side::{TrafficSide, run},
--- a/crates/mustardpin-node/tests/testsuite/fake/caller.rs
+++ b/crates/mustardpin-node/tests/testsuite/fake/caller.rs
@@ -73,6 +73,27 @@
     RawResponse { text: String::from_utf8_lossy(&bytes).into_owned(), end }
 }
 
+/// Reads one response with a content length, and leaves the connection open.
+pub fn read_response(stream: &mut TcpStream) -> RawResponse {
+    stream.set_read_timeout(Some(Duration::from_secs(5))).expect("the timeout is not zero");
+    let mut bytes = Vec::new();
+    let mut byte = [0];
+    loop {
+        let text = String::from_utf8_lossy(&bytes);
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+            if length.and_then(|length| length.parse().ok()) == Some(body.len()) {
+                return RawResponse { text: text.into_owned(), end: End::LeftOpen };
+            }
+        }
+        match stream.read(&mut byte) {
+            Ok(0) => return RawResponse { text: text.into_owned(), end: End::Closed },
+            Ok(_) => bytes.push(byte[0]),
+            Err(_) => return RawResponse { text: text.into_owned(), end: End::Reset },
+        }
+    }
+}
+
 /// Sends a request on a connection that is closed after the response.
 pub fn call(address: SocketAddr, line: &str, headers: &[(&str, &str)], body: &str) -> RawResponse {
     let mut text = format!("{line} HTTP/1.1\r\nhost: fleet\r\nconnection: close\r\n");
--- a/crates/mustardpin-node/tests/testsuite/main.rs
+++ b/crates/mustardpin-node/tests/testsuite/main.rs
@@ -14,4 +14,5 @@
 mod reload;
 mod run;
 mod stream;
+mod upload;
 mod whole;
