--- a/crates/mustardpin-settings/src/settings.rs
+++ b/crates/mustardpin-settings/src/settings.rs
@@ -410,7 +410,9 @@
 fn read_retry(reader: &mut Reader, retry: &mut options::Retry) {
     retry.limit_resends = reader.flag("retry.limit-resends", retry.limit_resends);
     let ratio = reader.optional_fraction("retry.fleet-ratio", 0.0..=1.0);
-    let slack = reader.count("retry.fleet-slack", 0, 0..=1_000_000) as u32;
+    // Rounded down, so that the fleet never retries more often than it may.
+    let slack = reader.optional_fraction("retry.fleet-slack", 0.0..=1e6);
+    let slack = slack.unwrap_or_default() as u32;
     retry.fleet = ratio
         .map(|ratio| options::FleetRetries { permille: (ratio * 1_000.0).round() as u32, slack });
     let mut count = |key, value: &mut u32, min, max| {
--- a/crates/mustardpin-settings/tests/testsuite/settings.rs
+++ b/crates/mustardpin-settings/tests/testsuite/settings.rs
@@ -111,3 +111,34 @@
     let error = Settings::load(Path::new("no-such-file.yaml")).unwrap_err();
     assert_eq!(error.to_string(), "cannot read settings file no-such-file.yaml");
 }
+
+/// Every setting that holds a number either takes these, or is named in one error.
+#[test]
+fn numbers_that_are_fractions_zero_huge_or_negative() {
+    const NUMBERS: [&str; 4] = ["0.5", "0", "99999999999999999999", "-1"];
+    let settings = [
+        ("limits", "connections", ""),
+        ("limits", "body-size", "KiB"),
+        ("freshness", "bound", "s"),
+        ("stop", "grace", "s"),
+        ("queueing", "wait", "s"),
+        ("retry", "fleet-ratio", ""),
+        ("retry", "fleet-slack", ""),
+    ];
+    let mut report = String::new();
+    for (section, key, unit) in settings {
+        for number in NUMBERS {
+            let yaml = format!("{EXAMPLE}\n{section}:\n  {key}: {number}{unit}\n");
+            let verdict = match Settings::parse(Path::new("node.yaml"), &yaml) {
+                Ok(_) => "accepted".to_owned(),
+                Err(error) => {
+                    let error = error.to_string();
+                    assert_eq!(error.matches(&format!("{section}.{key}")).count(), 1, "{error}");
+                    error
+                }
+            };
+            report += &format!("{section}.{key} {number}{unit}: {verdict}\n");
+        }
+    }
+    insta::assert_snapshot!(report);
+}
