Reset the connection of a truncated response that ends with its connection

A target that declined a request and sent a body without end held the request until its deadline, and the caller got 504 though nothing had run. Change: such a response resets its connection when it is truncated. The body of a refusal by the target is skipped up to 16 KiB.

--- a/crates/mustardpin-node/src/traffic/caller.rs
+++ b/crates/mustardpin-node/src/traffic/caller.rs
@@ -12,6 +12,7 @@
 use bytes::BytesMut;
 use mustardpin_wire::dialect::Port;
 use mustardpin_world::{Millis, request::Ticket};
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{
@@ -154,6 +155,11 @@
             self.start_ready_responses(&mut writing);
             if writing.write(&mut writer)? && self.can_close(&writing) {
                 self.has_unread_request |= reading.is_in_body();
+                if writing.must_reset() {
+                    // With zero linger time, dropping the socket resets the connection.
+                    SockRef::from(writer.as_ref()).set_linger(Some(Duration::ZERO))?;
+                    self.has_unread_request = false;
+                }
                 return Ok(Protocol::Http1);
             }
             self.wait(&mut reader, &mut writer, buffer, &mut reading, &mut writing).await?;
--- a/crates/mustardpin-node/src/traffic/caller/writing.rs
+++ b/crates/mustardpin-node/src/traffic/caller/writing.rs
@@ -15,6 +15,8 @@
 struct StreamedBody {
     pieces: Stream,
     is_chunked: bool,
+    /// Whether the end of the connection is the end of the body.
+    ends_by_close: bool,
 }
 
 /// The writing side of a connection.
@@ -28,6 +30,7 @@
     streamed: Option<StreamedBody>,
     is_blocked: bool,
     is_truncated: bool,
+    must_reset: bool,
 }
 
 /// The maximum size in bytes of a body that is written together with its head.
@@ -69,7 +72,7 @@
                     write::header(&mut self.out, "transfer-encoding", b"chunked");
                 }
                 self.out.extend_from_slice(b"\r\n");
-                self.streamed = Some(StreamedBody { pieces, is_chunked });
+                self.streamed = Some(StreamedBody { pieces, is_chunked, ends_by_close });
             }
         }
         closes
@@ -96,6 +99,12 @@
         self.is_truncated
     }
 
+    /// Whether the connection must be reset, since the caller would take its regular end for the end
+    /// of a truncated response.
+    pub(super) fn must_reset(&self) -> bool {
+        self.must_reset
+    }
+
     /// Whether the writer is ready for the next piece of a body.
     pub(super) fn awaits_piece(&self) -> bool {
         self.streamed.is_some() && !self.is_blocked
@@ -103,7 +112,7 @@
 
     /// Truncates the response. The connection is closed, so that the caller notices.
     pub(super) fn truncate(&mut self) {
-        self.streamed = None;
+        self.must_reset = self.streamed.take().is_some_and(|streamed| streamed.ends_by_close);
         self.is_truncated = true;
     }
 
--- a/crates/mustardpin-node/src/traffic/target/run.rs
+++ b/crates/mustardpin-node/src/traffic/target/run.rs
@@ -40,6 +40,9 @@
 /// be replaced by that of a retry. Larger responses are streamed.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
+/// The maximum size in bytes of a body that is discarded to keep its connection.
+const MAX_SKIPPED_BYTES: usize = 16 * 1024;
+
 /// If a reused connection ends within this time after an exchange began, it is assumed that the
 /// target had closed the connection before and has not read the request.
 const STALE_CONNECTION_WINDOW: Millis = Millis(10);
@@ -326,12 +329,16 @@
     }
 
     /// Discards the body of a response that is fully described by its head. Returns whether the
-    /// connection can be reused.
+    /// connection can be reused, which it cannot if the body is too large.
     async fn skip_body(&mut self, framing: Framing) -> bool {
         let mut decoder = Decoder::from(framing);
+        let mut skipped = 0;
         loop {
             match self.next_body_piece(&mut decoder).await {
-                Ok(Piece::Data(_)) => {}
+                Ok(Piece::Data(bytes)) if skipped + bytes.len() <= MAX_SKIPPED_BYTES => {
+                    skipped += bytes.len();
+                }
+                Ok(Piece::Data(_)) => return false,
                 Ok(Piece::End(_)) => return self.connection.buffer.is_empty(),
                 Err(_) => return false,
             }
