Lease tokens ahead only for whole expected requests

Cause: on a large fleet the requests of a team arrive thinly spread over many nodes. One request made a node expect 3 a second of its team, so it leased another token, which then expired unused: the rate was spent twice, and teams at 62% of their rates were refused. Change: demand is smoothed over a second, only whole expected requests are leased ahead, and a shard has room for four tokens or more.

--- a/crates/mustardpin-virtual/tests/testsuite/rate_limit.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/rate_limit.rs
@@ -283,3 +283,37 @@
         assert!(excess <= f64::from(SMALL_BURST), "seed {seed}: {excess} beyond the rate");
     }
 }
+
+/// Many teams whose requests arrive thinly spread over a large fleet, so that no node has a steady
+/// demand of any of them. Tokens that nodes lease ahead and never use are lost to other nodes.
+#[test]
+fn teams_spread_thinly_over_a_large_fleet_are_not_refused() {
+    const TEAMS: usize = 12;
+    const SITES: usize = 48;
+    const TEAM_RATE: u32 = 20;
+    /// Each team sends this share of its rate.
+    const SENT_SHARE: f64 = 0.62;
+
+    let mut fleet = fleet(1, Options::default(), &Service::leaf("search", 200, 2.0), SITES / 3);
+    let names: Vec<_> = (0..TEAMS).map(|number| format!("garage{number}")).collect();
+    let mut rows = vec![Row::Route(route("search"))];
+    for name in &names {
+        rows.extend([team(name, TEAM_RATE, TEAM_RATE), key(name)]);
+    }
+    put(&mut fleet, rows);
+    fleet.run_for(Millis::from_secs(10));
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let rate = SENT_SHARE * f64::from(TEAM_RATE) * TEAMS as f64;
+    let (start, mut at) = (fleet.now, fleet.now.0 as f64);
+    while at < (start + Millis::from_secs(20)).0 as f64 {
+        let uniform: f64 = rng.random_range(f64::EPSILON..1.0);
+        at += -uniform.ln() * 1_000.0 / rate;
+        fleet.run_until(Millis(at as u64));
+        let name = &names[rng.random_range(0..TEAMS)];
+        let site = Site(rng.random_range(0..SITES));
+        fleet.send(site, Request::get("/search", &format!("{name}-1.secret")));
+    }
+    fleet.run_for(Millis::from_secs(1));
+    let share = refused_by_rate_limit(&fleet) as f64 / fleet.received.len() as f64;
+    assert!(share < 0.001, "{share} of {}", fleet.received.len());
+}
--- a/crates/mustardpin-world/src/system/rate_limit/leasing.rs
+++ b/crates/mustardpin-world/src/system/rate_limit/leasing.rs
@@ -29,9 +29,7 @@
 /// Interval at which the smoothed demand is updated.
 const SMOOTHING_INTERVAL: Millis = Millis(100);
 /// Weight of the latest interval in the smoothed demand.
-const SMOOTHING_WEIGHT: f64 = 0.3;
-/// Demand, in requests per second, below which no tokens are leased ahead.
-const MIN_PREFETCH_DEMAND: f64 = 2.0;
+const SMOOTHING_WEIGHT: f64 = 0.1;
 /// Time after the first tick within which a node learns the shard owners.
 const STARTUP_PERIOD: Millis = Millis(4_000);
 /// How long a request may wait for a token during [`STARTUP_PERIOD`].
@@ -227,11 +225,9 @@
 fn wanted(world: &mut World, now: Millis, team: TeamKey, parameters: &BucketParameters) -> u32 {
     let horizon = world.options.rate_limit.horizon.min(Millis(parameters.lease_duration.0 / 2));
     let Some(cache) = world.tables.rate_limits.token_caches.get_mut(team) else { return 0 };
-    let prefetch = if cache.demand < MIN_PREFETCH_DEMAND {
-        0
-    } else {
-        (cache.demand.min(f64::from(parameters.rate)) * horizon.0 as f64 / 1_000.0).ceil() as u32
-    };
+    // Only whole expected requests: a token leased for less than one would mostly expire unused.
+    let demand = cache.demand.min(f64::from(parameters.rate));
+    let prefetch = (demand * horizon.0 as f64 / 1_000.0) as u32;
     let waiting = cache.waiting.len() as u32;
     let cached = cache.tokens(now);
     if waiting == 0 && cached * 2 > prefetch {
--- a/crates/mustardpin-world/src/table/rate_limit.rs
+++ b/crates/mustardpin-world/src/table/rate_limit.rs
@@ -25,6 +25,10 @@
 /// Maximum number of shards of a team's rate. A power of two.
 pub const MAX_SHARDS: u8 = 8;
 
+/// The minimum capacity of a shard, in tokens. A fleet that spends tokens at many nodes finds smaller
+/// ones empty by chance.
+const MIN_SHARD_CAPACITY: u64 = 4;
+
 /// Maximum time between the lease of a token and its expiry.
 const MAX_LEASE_DURATION: Millis = Millis(1_000);
 
@@ -63,7 +67,7 @@
         let reserve = (burst / 2).min(burst.saturating_sub(TOKEN));
         let lease_duration = Millis((reserve / per_ms).min(MAX_LEASE_DURATION.0));
         let total = burst - lease_duration.0 * per_ms;
-        let fitting = (total / (2 * TOKEN)).clamp(1, u64::from(max_shards.max(1)));
+        let fitting = (total / (MIN_SHARD_CAPACITY * TOKEN)).clamp(1, u64::from(max_shards.max(1)));
         let shards = 1_u8 << fitting.ilog2();
         let parts = u32::from(shards);
         BucketParameters {
