Send no streamed body again once a part of it was taken

Cause: a repeatable request whose connection to the target turned out to be closed was sent again over a new one, also if its body is streamed and pieces of it were gone: the target got a body with a hole. Change: a streamed body is sent again only while no piece of it was taken; the run counts as broken otherwise. Measured: upload::a_body_of_which_a_part_was_sent_is_not_sent_again was red (330,529 bytes arrived on the second connection for a body of 400,000), now green.

--- a/crates/mustardpin-node/src/traffic/body.rs
+++ b/crates/mustardpin-node/src/traffic/body.rs
@@ -43,12 +43,14 @@
     pub(super) length: Option<u64>,
     first: Option<Bytes>,
     source: Source,
+    is_started: bool,
 }
 
 impl Stream {
     /// A complete body followed by trailers.
     pub(super) fn with_trailers(body: Bytes, trailers: Bytes) -> Stream {
-        Stream { length: None, first: Some(body), source: Source::Trailers(Some(trailers)) }
+        let source = Source::Trailers(Some(trailers));
+        Stream { length: None, first: Some(body), source, is_started: false }
     }
 
     /// Puts a first piece before the body.
@@ -61,15 +63,25 @@
         self.first.as_deref().unwrap_or_default()
     }
 
+    /// Whether a piece was taken.
+    pub(super) fn is_started(&self) -> bool {
+        self.is_started
+    }
+
     /// Returns the next piece; `None` if the body is truncated.
     pub(super) async fn next(&mut self) -> Option<Piece> {
         if let Some(first) = self.first.take_if(|first| !first.is_empty()) {
+            self.is_started = true;
             return Some(Piece::Data(first));
         }
         match &mut self.source {
-            Source::Trailers(trailers) => trailers.take().map(Piece::End),
+            Source::Trailers(trailers) => {
+                self.is_started = true;
+                trailers.take().map(Piece::End)
+            }
             Source::Receiving { receiver, credit } => {
                 let piece = receiver.recv().await;
+                self.is_started = true;
                 if let (Some(Piece::Data(_)), Some((sender, stream))) = (&piece, credit) {
                     sender.send_credit(*stream);
                 }
@@ -103,7 +115,8 @@
 /// Creates a streamed body of this length in bytes, and its sending end.
 pub(super) fn channel(length: Option<u64>) -> (Writer, Stream) {
     let (writer, receiver) = mpsc::channel(MAX_QUEUED_PIECES);
-    (writer, Stream { length, first: None, source: Source::Receiving { receiver, credit: None } })
+    let source = Source::Receiving { receiver, credit: None };
+    (writer, Stream { length, first: None, source, is_started: false })
 }
 
 /// Like [`channel`], for a body received from a peer: the peer gets a credit for each piece taken.
@@ -111,5 +124,5 @@
     // One more slot for the end, which needs no credit.
     let (writer, receiver) = mpsc::channel(MAX_QUEUED_PIECES + 1);
     let source = Source::Receiving { receiver, credit: Some((sender, stream)) };
-    (writer, Stream { length, first: None, source })
+    (writer, Stream { length, first: None, source, is_started: false })
 }
--- a/crates/mustardpin-node/src/traffic/target/run.rs
+++ b/crates/mustardpin-node/src/traffic/target/run.rs
@@ -114,7 +114,7 @@
         let mut exchange = TargetExchange::new(exchanges, run, request, connection);
         let end = exchange.perform(&out, &mut streamed).await;
         match end {
-            Err(_) if exchange.was_stale() => {}
+            Err(_) if exchange.was_stale() && is_complete(&streamed) => {}
             end => return exchange.finish(end),
         }
     }
@@ -127,6 +127,11 @@
     exchange.finish(end)
 }
 
+/// Whether a request with this body can be sent from the start.
+fn is_complete(streamed: &Option<Stream>) -> bool {
+    streamed.as_ref().is_none_or(|streamed| !streamed.is_started())
+}
+
 /// How the body of a request is framed.
 #[derive(Clone, Copy)]
 enum BodyFraming<'a> {
--- a/crates/mustardpin-node/tests/testsuite/upload.rs
+++ b/crates/mustardpin-node/tests/testsuite/upload.rs
@@ -3,20 +3,21 @@
 
 use std::{
     io::{ErrorKind, Read as _, Write as _},
-    net::TcpStream,
-    sync::{Arc, mpsc},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{Arc, Mutex, mpsc},
     thread,
     time::Duration,
 };
 
-use mustardpin_node::{Launch, launch::Limits};
+use mustardpin_node::{Launch, launch::Limits, traffic::TrafficCommand};
 use mustardpin_world::{
+    Event,
     refusal::{Reason, Refusal},
-    request::Verdict,
+    request::{RunEnd, Verdict},
 };
 
 use crate::fake::{
-    Fleet, KEY, RawResponse, Script, Step, TrafficSide, call, read_response, text, wait_until,
+    Fleet, KEY, RawResponse, Script, Step, TrafficSide, call, read_response, run, text, wait_until,
 };
 
 const KEPT_BYTES: usize = 10_000;
@@ -154,3 +155,53 @@
     caller.write_all(&vec![b'x'; size / 2]).expect("the node does not reset the connection");
     assert_eq!(read_response(&mut caller).status(), 503);
 }
+
+/// A target that closes an idle connection when it has read a part of the next request on it.
+fn target_that_closes_idle_connections() -> (SocketAddr, Arc<Mutex<Vec<usize>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let bodies: Arc<Mutex<Vec<usize>>> = Arc::default();
+    let seen = Arc::clone(&bodies);
+    thread::spawn(move || {
+        for (number, mut stream) in listener.incoming().flatten().enumerate() {
+            let seen = Arc::clone(&seen);
+            thread::spawn(move || {
+                let mut bytes = [0; 4096];
+                if number == 0 {
+                    let _ = stream.read(&mut bytes);
+                    let _ = stream.write_all(OK.as_bytes());
+                    let _ = stream.read(&mut bytes);
+                    return;
+                }
+                stream.set_read_timeout(Some(Duration::from_millis(500))).expect("not zero");
+                let mut size = 0;
+                while let Ok(count @ 1..) = stream.read(&mut bytes) {
+                    size += count;
+                }
+                seen.lock().expect("the lock is not poisoned").push(size);
+            });
+        }
+    });
+    (address, bodies)
+}
+
+#[test]
+fn a_body_of_which_a_part_was_sent_is_not_sent_again() {
+    let (target, bodies) = target_that_closes_idle_connections();
+    let side = TrafficSide::start(target, Limits::default());
+    let mut first = TcpStream::connect(side.callers).expect("the node listens");
+    first.write_all((upload_head(5) + "slot7").as_bytes()).expect("the node reads");
+    let ticket = side.accept().ticket;
+    side.dispatch(TrafficCommand::Run(run(ticket)));
+    assert_eq!(read_response(&mut first).status(), 200);
+    side.event();
+    let mut caller = TcpStream::connect(side.callers).expect("the node listens");
+    let size = 400_000;
+    caller.write_all(upload_head(size).as_bytes()).expect("the node reads");
+    caller.write_all(&vec![b'x'; size]).expect("the node reads");
+    let ticket = side.accept().ticket;
+    side.dispatch(TrafficCommand::Run(run(ticket)));
+    assert_eq!(side.event(), Event::RunEnded(ticket, RunEnd::Broken));
+    thread::sleep(Duration::from_millis(600));
+    assert_eq!(*bodies.lock().expect("the lock is not poisoned"), [0; 0]);
+}
