Let the nodes of a large fleet share their long polls for the configuration

Nodes refresh their data from peers, which they already asked when the store was silent, and ask the store themselves where no peer has recent data, at a random age well below the window.

--- /dev/null
+++ b/crates/mustardpin-virtual/tests/testsuite/growth.rs
@@ -0,0 +1,95 @@
+//! What a node costs others at rest does not grow with the fleet.
+
+use mustardpin_virtual::{Fleet, Request, Service, Site};
+use mustardpin_world::{
+    Millis, Options,
+    config::Row,
+    event::Proposal,
+    options::Freshness,
+    store::{RowKey, Value},
+};
+
+use crate::support::{fleet, key, put, route, team};
+
+/// The window of the bound on withdrawn keys that the users' platform sets.
+const WINDOW: Millis = Freshness::window_within(Millis(5_000));
+const SMALL: usize = 24;
+const LARGE: usize = 96;
+/// The time in which a change is in force at every node.
+const MAX_CHANGE_TIME: Millis = Millis::from_secs(3);
+
+fn rested_fleet(nodes: usize) -> Fleet {
+    let freshness = Freshness { window: WINDOW, watch: Millis(1_500), strict: true };
+    let options = Options { freshness, ..Options::default() };
+    let mut fleet = fleet(1, options, &Service::leaf("search", 4, 5.0), nodes / 3);
+    fleet.platform.put(vec![(RowKey::Head, Value::Head(Vec::new()))]);
+    put(&mut fleet, vec![Row::Route(route("search")), team("garage", 1_000, 1_000), key("garage")]);
+    fleet.run_for(Millis::from_secs(25));
+    fleet
+}
+
+/// Reads of the store a second. No node may lose track of the store meanwhile.
+fn reads_per_second(fleet: &mut Fleet, length: Millis) -> f64 {
+    let (start, reads) = (fleet.now, fleet.platform.reads);
+    while fleet.now < start + length {
+        fleet.run_for(Millis(50));
+        for site in fleet.sites() {
+            let freshness = &fleet.world_at(site).tables().freshness;
+            assert!(freshness.fresh, "{site:?} at {}: {}", fleet.now, freshness.age);
+        }
+    }
+    (fleet.platform.reads - reads) as f64 * 1_000.0 / length.0 as f64
+}
+
+#[test]
+fn reads_of_the_store_at_rest_do_not_grow_with_the_fleet() {
+    let [small, large] = [SMALL, LARGE]
+        .map(|nodes| reads_per_second(&mut rested_fleet(nodes), Millis::from_secs(30)));
+    assert!(large <= small * 1.5, "{small} a second at {SMALL} nodes, {large} at {LARGE}");
+}
+
+#[test]
+fn a_change_is_in_force_everywhere_in_a_large_fleet() {
+    let mut fleet = rested_fleet(LARGE);
+    let expected = fleet.world_at(Site(0)).tables().configuration.revision;
+    let rows = vec![team("changed", 100, 100)];
+    let proposal = Proposal { id: "change".into(), expected, rows, removals: Vec::new() };
+    fleet.propose(Site(0), 1, proposal);
+    fleet.run_for(MAX_CHANGE_TIME);
+    let is_known =
+        |fleet: &Fleet, site| fleet.world_at(site).tables().teams.by_name("changed").is_some();
+    let missing: Vec<_> = fleet.sites().filter(|&site| !is_known(&fleet, site)).collect();
+    assert!(missing.is_empty(), "{missing:?}");
+}
+
+/// Messages between nodes for each node and second, while each node gets two requests a second.
+fn messages_per_second(nodes: usize) -> f64 {
+    const LENGTH: Millis = Millis::from_secs(10);
+    let mut fleet = rested_fleet(nodes);
+    let (start, messages) = (fleet.now, fleet.messages);
+    while fleet.now < start + LENGTH {
+        for site in fleet.sites().collect::<Vec<_>>() {
+            fleet.send(site, Request::get("/search", "garage-1.secret"));
+        }
+        fleet.run_for(Millis(500));
+    }
+    (fleet.messages - messages) as f64 * 1_000.0 / LENGTH.0 as f64 / nodes as f64
+}
+
+#[test]
+fn messages_between_nodes_do_not_grow_with_the_fleet() {
+    let [small, large] = [SMALL, LARGE].map(messages_per_second);
+    assert!(large <= small * 1.5, "{small} a node and second at {SMALL} nodes, {large} at {LARGE}");
+}
+
+#[test]
+fn messages_while_a_fleet_starts_do_not_grow_with_its_square() {
+    let bytes_per_node = |nodes| {
+        let mut fleet = fleet(1, Options::default(), &Service::leaf("search", 4, 5.0), nodes / 3);
+        fleet.run_for(Millis::from_secs(10));
+        fleet.message_bytes as f64 / nodes as f64
+    };
+    let [small, large] = [SMALL, LARGE].map(bytes_per_node);
+    let growth = LARGE as f64 / SMALL as f64;
+    assert!(large <= small * growth * 1.2, "{small} bytes a node at {SMALL}, {large} at {LARGE}");
+}
--- a/crates/mustardpin-virtual/tests/testsuite/main.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod drain;
 mod faults;
 mod freshness;
+mod growth;
 mod membership;
 mod once;
 mod overload;
--- a/crates/mustardpin-world/src/system/freshness/relay.rs
+++ b/crates/mustardpin-world/src/system/freshness/relay.rs
@@ -18,6 +18,10 @@
 const MIN_QUERY_AGE: Millis = Millis(1_800);
 /// Interval between two queries, each to a random peer.
 const QUERY_INTERVAL: Millis = Millis(300);
+/// Like `MIN_QUERY_AGE`, in a fleet whose nodes rely on each other for recent data.
+const SHARED_MIN_QUERY_AGE: Millis = Millis(1_200);
+/// Like `QUERY_INTERVAL`, in a fleet whose nodes rely on each other for recent data.
+const SHARED_QUERY_INTERVAL: Millis = Millis(200);
 
 /// State of the relay between ticks.
 #[derive(Debug, Default)]
@@ -74,8 +78,12 @@
 fn send_query(world: &mut World, tick: &mut Tick) {
     let freshness = &world.tables.freshness;
     let age = freshness.configuration_age(tick.now).max(freshness.fleet_age(tick.now));
-    if age < MIN_QUERY_AGE {
-        return tick.wake(tick.now + (MIN_QUERY_AGE - age));
+    let (min_age, interval) = match world.systems.freshness.shared_wait {
+        Some(_) => (SHARED_MIN_QUERY_AGE, SHARED_QUERY_INTERVAL),
+        None => (MIN_QUERY_AGE, QUERY_INTERVAL),
+    };
+    if age < min_age {
+        return tick.wake(tick.now + (min_age - age));
     }
     if tick.now < world.systems.freshness.relay.next_query {
         return tick.wake(world.systems.freshness.relay.next_query);
@@ -89,7 +97,7 @@
     let relay = &mut world.systems.freshness.relay;
     relay.last_number += 1;
     relay.pending = Some((relay.last_number, tick.now));
-    relay.next_query = tick.now + QUERY_INTERVAL;
+    relay.next_query = tick.now + interval;
     tick.wake(relay.next_query);
     let number = relay.last_number;
     world.send(tick, peer, Message::Query { number });
