Keep messages between nodes from growing with the fleet

Cause: each node sent the costs of its routes to every peer each second, pinged each idle peer every 0.7 s, and passed all its peers on over each new connection, so at 80 nodes a node handled about 80 costs, 100 pings and 100 pongs a second for 130 requests, and a start cost bytes by the cube of the fleet. Change: costs go to 16 peers at a time in turn, a node sends an idle ping every 30 ms at most, and a new connection passes on 8 peers. Whether all peers were tried is only looked up during the start.

--- a/crates/mustardpin-node/src/traffic.rs
+++ b/crates/mustardpin-node/src/traffic.rs
@@ -35,7 +35,7 @@
 pub use self::{
     dispatch::Dispatcher,
     exchanges::{Exchanges, Setup},
-    link::{Credentials, discover},
+    link::{Credentials, discover, idle_ping_timeout},
     listener::{ListenerKind, Stage, serve},
 };
 
--- a/crates/mustardpin-node/src/traffic/link.rs
+++ b/crates/mustardpin-node/src/traffic/link.rs
@@ -25,6 +25,7 @@
 
 use crate::traffic::{exchanges::Exchanges, sender::Sender};
 
+pub use self::outgoing::idle_ping_timeout;
 pub(super) use self::{
     incoming::accept,
     outgoing::{OutgoingLink, SendResult, query_seed},
@@ -72,6 +73,11 @@
         self.outgoing().get(&node).cloned()
     }
 
+    /// The number of connections to peers that are maintained.
+    pub(super) fn count(&self) -> usize {
+        self.outgoing().len()
+    }
+
     /// Starts maintaining a connection to a peer.
     pub(super) fn connect(&self, exchanges: &Arc<Exchanges>, announcement: Announcement) {
         let node = announcement.node;
--- a/crates/mustardpin-node/src/traffic/link/outgoing.rs
+++ b/crates/mustardpin-node/src/traffic/link/outgoing.rs
@@ -38,8 +38,11 @@
 const MAX_RECONNECT_BACKOFF: Duration = Duration::from_millis(800);
 /// The interval between two liveness checks of the peer.
 const LIVENESS_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// A peer is pinged after nothing has been received from it for this long.
+/// A peer is pinged after nothing has been received from it for this long, at least.
 const IDLE_PING_TIMEOUT: Millis = Millis(700);
+/// The least time between two pings of this node to idle peers. With many peers, each is pinged less
+/// often; the keep-alive probes of TCP still show a dead instance.
+const PING_SPACING: Millis = Millis(30);
 /// Like `IDLE_PING_TIMEOUT`, while requests wait for the peer.
 const BUSY_PING_TIMEOUT: Millis = Millis(250);
 /// A peer counts as silent if it has sent nothing for this long after a ping.
@@ -336,8 +339,10 @@
         let now = exchanges.clock.now();
         let Some(pinged_at) = self.pinged_at else {
             let is_waiting = !link.streams().is_empty();
-            let timeout_before_ping =
-                if is_waiting { BUSY_PING_TIMEOUT } else { IDLE_PING_TIMEOUT };
+            let timeout_before_ping = match is_waiting {
+                true => BUSY_PING_TIMEOUT,
+                false => idle_ping_timeout(exchanges.links.count()),
+            };
             if now - self.last_received >= timeout_before_ping {
                 self.pinged_at = Some(now);
                 sender.send(&Head::Ping, &[]);
@@ -357,6 +362,20 @@
     }
 }
 
+/// How long a connection to a peer may be idle before the peer is pinged, if the node maintains this
+/// number of connections. The pings of a node do not grow with the fleet.
+///
+/// ```
+/// use mustardpin_node::traffic::idle_ping_timeout;
+/// use mustardpin_world::Millis;
+///
+/// assert_eq!(idle_ping_timeout(13), Millis(700));
+/// assert_eq!(idle_ping_timeout(300), Millis(9_000));
+/// ```
+pub fn idle_ping_timeout(links: usize) -> Millis {
+    IDLE_PING_TIMEOUT.max(Millis(PING_SPACING.0 * links as u64))
+}
+
 /// Processes a received frame.
 async fn process_frame(
     exchanges: &Arc<Exchanges>,
--- a/crates/mustardpin-world/src/system/fleet.rs
+++ b/crates/mustardpin-world/src/system/fleet.rs
@@ -7,6 +7,7 @@
 use std::collections::VecDeque;
 
 use compact_str::CompactString;
+use rand::seq::IndexedRandom as _;
 
 use crate::{
     clock::Millis,
@@ -26,6 +27,9 @@
 const RETURNED_FACTOR: u64 = 40;
 /// Maximum number of removed rows that are remembered to notice when one is written again.
 const MAX_REMOVED: usize = 256;
+/// Maximum number of peers that a new connection passes on. Several connections together pass on a
+/// larger fleet.
+const MAX_KNOWN: usize = 8;
 /// Range of the random delay before a removal, so that nodes don't remove the same row at once.
 const REMOVAL_JITTER: Millis = Millis(3_000);
 
@@ -247,7 +251,12 @@
         peer.health.record_success();
     }
     let known = world.tables.peers.iter().filter(|(_, peer)| peer.link == Link::Up);
-    let known = known.map(|(_, peer)| peer.announcement.clone()).collect();
+    let mut known: Vec<_> = known.map(|(key, _)| key).collect();
+    if known.len() > MAX_KNOWN {
+        known = known.sample(&mut world.rng, MAX_KNOWN).copied().collect();
+    }
+    let announcement = |key: PeerKey| Some(world.tables.peers.get(key)?.announcement.clone());
+    let known = known.into_iter().filter_map(announcement).collect();
     world.send(tick, key, Message::Known(known));
 }
 
--- a/crates/mustardpin-world/src/system/shedding/route_cost.rs
+++ b/crates/mustardpin-world/src/system/shedding/route_cost.rs
@@ -22,6 +22,9 @@
 const UPDATE_INTERVAL: Millis = Millis(200);
 /// The time between two messages with costs to peers.
 const SEND_INTERVAL: Millis = Millis(1_000);
+/// The maximum number of peers to which one message is sent. In a larger fleet, peers get costs in
+/// turn.
+const MAX_RECIPIENTS: usize = 16;
 /// The forgetting factor: the weight of past intervals is multiplied by this at each update.
 const FORGETTING_FACTOR: f64 = 0.97;
 /// The variance of the estimated calls of a route before its first run.
@@ -52,6 +55,8 @@
 pub(super) struct State {
     next_update: Millis,
     next_send: Millis,
+    /// The number of messages sent, by which peers take turns.
+    sent: usize,
     runs: Vec<RouteRuns>,
     /// Calls in this interval, by the name of the called route.
     called: BTreeMap<CompactString, f64>,
@@ -186,7 +191,7 @@
     }
 }
 
-/// Sends the costs of runs here to all peers, and merges them into the table as the peers do.
+/// Sends the costs of runs here to the peers whose turn it is, and merges them into the table as the peers do.
 fn send_costs(world: &mut World, tick: &mut Tick) {
     let costs = world.systems.shedding.route_cost.costs();
     if costs.is_empty() {
@@ -197,7 +202,11 @@
     }
     let peers = world.tables.peers.iter().filter(|(_, peer)| peer.link == Link::Up);
     let peers: Vec<_> = peers.map(|(key, _)| key).collect();
-    for peer in peers {
+    let state = &mut world.systems.shedding.route_cost;
+    let first = state.sent % peers.len().max(1);
+    let count = peers.len().min(MAX_RECIPIENTS);
+    state.sent += count;
+    for &peer in peers.iter().cycle().skip(first).take(count) {
         world.send(tick, peer, Message::Costs(costs.clone()));
     }
 }
--- a/crates/mustardpin-world/src/system/stop.rs
+++ b/crates/mustardpin-world/src/system/stop.rs
@@ -50,7 +50,7 @@
     let started = world.systems.stop.started.unwrap_or(tick.now);
     let tables = &world.tables;
     let has_tried_peers =
-        fleet::all_peers_tried(world) || tick.now - started >= world.options.fleet.meet_within;
+        tick.now - started >= world.options.fleet.meet_within || fleet::all_peers_tried(world);
     let has_configuration = tables.configuration.revision.0 > 0;
     let ready = has_configuration && has_tried_peers && tables.freshness.fresh && !tables.leaving;
     if !has_tried_peers {
