Let nodes of a large fleet read changes together

Cause: each change of the configuration made every node read the rows of nodes as well, since the store's versions are global, and each change of a row or of the configuration was answered to every node by itself. Change: a large fleet's node catches up on rows of nodes only once neither its long poll nor a peer has refreshed them; after a change it asks for the next one after a pause of 250 to 500 ms for the configuration and of 1.5 to 3 s for rows, which new nodes do not depend on, since they connect by themselves.

--- a/crates/mustardpin-virtual/tests/testsuite/growth.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/growth.rs
@@ -51,15 +51,39 @@
 #[test]
 fn a_change_is_in_force_everywhere_in_a_large_fleet() {
     let mut fleet = rested_fleet(LARGE);
+    change(&mut fleet, 1, "changed");
+    fleet.run_for(MAX_CHANGE_TIME);
+    assert_eq!(sites_without(&fleet, "changed"), []);
+}
+
+/// Adds a team through the first node.
+fn change(fleet: &mut Fleet, number: u64, name: &str) {
     let expected = fleet.world_at(Site(0)).tables().configuration.revision;
-    let rows = vec![team("changed", 100, 100)];
-    let proposal = Proposal { id: "change".into(), expected, rows, removals: Vec::new() };
-    fleet.propose(Site(0), 1, proposal);
+    let rows = vec![team(name, 100, 100)];
+    let proposal = Proposal { id: name.into(), expected, rows, removals: Vec::new() };
+    fleet.propose(Site(0), number, proposal);
+}
+
+fn sites_without(fleet: &Fleet, name: &str) -> Vec<Site> {
+    let is_known = |&site: &Site| fleet.world_at(site).tables().teams.by_name(name).is_some();
+    fleet.sites().filter(|site| !is_known(site)).collect()
+}
+
+#[test]
+fn a_storm_of_changes_costs_few_reads() {
+    /// Reads of a node: its long poll is answered by the first change, its next one by the others,
+    /// and one is its share of the reads at rest.
+    const MAX_READS: f64 = 3.0;
+    let mut fleet = rested_fleet(LARGE);
+    let reads = fleet.platform.reads;
+    for (number, name) in [(1, "one"), (2, "two"), (3, "three")] {
+        change(&mut fleet, number, name);
+        fleet.run_for(Millis(150));
+    }
     fleet.run_for(MAX_CHANGE_TIME);
-    let is_known =
-        |fleet: &Fleet, site| fleet.world_at(site).tables().teams.by_name("changed").is_some();
-    let missing: Vec<_> = fleet.sites().filter(|&site| !is_known(&fleet, site)).collect();
-    assert!(missing.is_empty(), "{missing:?}");
+    assert_eq!(sites_without(&fleet, "three"), []);
+    let reads = (fleet.platform.reads - reads) as f64 / LARGE as f64;
+    assert!(reads <= MAX_READS, "{reads} reads a node");
 }
 
 /// Messages between nodes for each node and second, while each node gets two requests a second.
--- a/crates/mustardpin-world/src/system/freshness.rs
+++ b/crates/mustardpin-world/src/system/freshness.rs
@@ -13,7 +13,7 @@
     clock::Millis,
     id::StoreVersion,
     log::{Entry, Level},
-    store::{Area, Operation, Refused, Reply, Ticket},
+    store::{Area, Changes, Operation, Refused, Reply, Ticket},
     table::{latency::Step, peer::Link},
     world::{Tick, World},
 };
@@ -41,6 +41,11 @@
 const FLEET_REPLY_INTERVAL: Millis = Millis(100);
 /// Nodes rely on each other once that makes their long polls this many times as long.
 const MIN_SHARED_WAIT_FACTOR: u64 = 2;
+/// The least pause of a large fleet's node after a change of the configuration.
+const CONFIGURATION_PAUSE: Millis = Millis(250);
+/// The least pause of a large fleet's node after a change of the rows of nodes. New nodes connect to
+/// their peers by themselves, so their rows are not urgent.
+const FLEET_PAUSE: Millis = Millis(1_500);
 /// The longest time for which the store holds a long poll for the configuration of a large fleet.
 const MAX_SHARED_WAIT: Millis = Millis(20_000);
 /// The time between two updates of whether the nodes of the fleet rely on each other.
@@ -127,8 +132,9 @@
     sent: Millis,
 ) {
     let base_backoff = match &tick.inbox.store[index].1 {
-        Reply::Changes { up_to, clock, .. } => {
+        Reply::Changes { up_to, clock, changes, .. } => {
             let (up_to, clock) = (*up_to, *clock);
+            let is_empty = matches!(changes, Changes::Rows(rows) if rows.is_empty());
             let as_of = world.systems.freshness.store_clock.as_of(clock, sent, tick.now);
             world.systems.freshness.reply_delay = tick.now - as_of;
             world.tables.latencies.record_step(Step::Store, tick.now - as_of);
@@ -139,9 +145,14 @@
                 let age = Millis(window * DIRECT_QUERY_PERCENT / 100) + jitter;
                 world.systems.freshness.direct_query_age = age;
             }
+            let pause = match is_empty {
+                true => Millis::ZERO,
+                false => pause_after_change(world, area),
+            };
             let state = &mut world.systems.freshness;
             let watch = watch_at(state, watch_index);
             watch.failures = 0;
+            watch.next_query = tick.now + pause;
             return;
         }
         Reply::HistoryGone => {
@@ -233,8 +244,7 @@
         world.systems.freshness.fleet.pending.push(query);
     }
     let Some(after) = world.systems.fleet.read_up_to else { return };
-    let watch = &world.systems.freshness.catch_up;
-    if world.systems.freshness.fleet_is_behind && is_due(watch, tick, false) {
+    if must_catch_up(world, tick) && is_due(&world.systems.freshness.catch_up, tick, false) {
         let operation = Operation::Watch { area: Area::Fleet, after, wait: Millis::ZERO };
         let query = send_query(world, tick, operation, Millis::ZERO);
         world.systems.freshness.catch_up.pending.push(query);
@@ -255,6 +265,19 @@
     options.watch.min(options.window - REPLY_MARGIN - Millis(delay.0 * 3))
 }
 
+/// How long a node of a large fleet waits after a change before it asks for the next one, so that
+/// changes in quick succession are answered together.
+fn pause_after_change(world: &mut World, area: Area) -> Millis {
+    if world.systems.freshness.shared_wait.is_none() {
+        return Millis::ZERO;
+    }
+    let pause = match area {
+        Area::Configuration => CONFIGURATION_PAUSE,
+        Area::Fleet => FLEET_PAUSE,
+    };
+    pause + world.jitter(pause)
+}
+
 /// How long the store may hold the next query for the configuration.
 fn configuration_wait(world: &mut World) -> Millis {
     match world.systems.freshness.shared_wait {
@@ -264,6 +287,23 @@
     }
 }
 
+/// Whether the node asks at once for the rows of nodes, since the configuration was read at a later
+/// version. In a large fleet it first waits for its peers to refresh its data.
+fn must_catch_up(world: &World, tick: &mut Tick) -> bool {
+    if !world.systems.freshness.fleet_is_behind {
+        return false;
+    }
+    if world.systems.freshness.shared_wait.is_none() {
+        return true;
+    }
+    let (age, max_age) =
+        (world.tables.freshness.fleet_age(tick.now), world.systems.freshness.direct_query_age);
+    if age < max_age {
+        tick.wake(tick.now + (max_age - age));
+    }
+    age >= max_age
+}
+
 /// Updates whether the nodes of the fleet rely on each other for recent data.
 fn update_shared_wait(world: &mut World, now: Millis) {
     if now < world.systems.freshness.next_update {
