Close the connection of a peer whose queue is full

Cause: once 32 MiB were queued for a peer that reads slowly, frames were dropped while the connection stayed: requests lost their answers, and a body sent in chunks could arrive with a hole as complete. Change: the connection is closed when a frame is dropped, so both sides end its requests. Measured: link::a_connection_whose_queue_is_full_is_closed was red (the connection stayed open after 240 responses of 250 KB to a peer that read none), now green.

--- a/crates/mustardpin-node/src/traffic/link/wire.rs
+++ b/crates/mustardpin-node/src/traffic/link/wire.rs
@@ -53,6 +53,10 @@
     #[display("the peer stopped responding to pings")]
     #[from(skip)]
     PingTimeout,
+    /// More is queued for the peer than it reads.
+    #[display("more is queued for the peer than it reads")]
+    #[from(skip)]
+    QueueFull,
     /// The connection was closed by this node.
     #[display("the connection was closed by this node")]
     #[from(skip)]
@@ -126,6 +130,7 @@
                 0 => Err(Error::Io(io::ErrorKind::UnexpectedEof.into())),
                 _ => Ok(true),
             },
+            () = sender.overflowed() => Err(Error::QueueFull),
             () = sender.queued(), if !is_write_blocked => Ok(false),
             ready = writer.writable(), if is_write_blocked => Ok(ready.map(|()| false)?),
         }
--- a/crates/mustardpin-node/src/traffic/sender.rs
+++ b/crates/mustardpin-node/src/traffic/sender.rs
@@ -19,8 +19,7 @@
     response::CallerResponse,
 };
 
-/// While more bytes than this are queued for a slow peer, `Sender::send` drops further frames. The
-/// connection stays open.
+/// The connection is closed once more bytes than this are queued for a slow peer.
 const MAX_QUEUED_BYTES: usize = 32 * 1024 * 1024;
 
 #[derive(Debug, Default)]
@@ -39,15 +38,23 @@
     /// Requests received over the connection that have no response yet, by stream id.
     open_requests: Mutex<HashMap<u32, Ticket>>,
     queued: Notify,
+    overflowed: Notify,
     is_closed: AtomicBool,
 }
 
 impl Sender {
     /// Queues a frame. Returns its byte offset in the connection's output, or `None` if the frame
-    /// was dropped: the connection has ended, the queue is full or the frame is too large.
+    /// was dropped: the frame is too large, the connection has ended, or it is being closed because
+    /// its queue is full.
     pub(super) fn send(&self, head: &Head, payload: &[&[u8]]) -> Option<u64> {
         let mut queue = self.queue();
-        if self.is_closed.load(Ordering::Relaxed) || queue.bytes.len() > MAX_QUEUED_BYTES {
+        if self.is_closed.load(Ordering::Relaxed) {
+            return None;
+        }
+        if queue.bytes.len() > MAX_QUEUED_BYTES {
+            // The peer must not get later frames without this one.
+            self.is_closed.store(true, Ordering::Relaxed);
+            self.overflowed.notify_one();
             return None;
         }
         let (start, queued_bytes) = (queue.total, queue.bytes.len());
@@ -156,6 +163,11 @@
         self.queued.notified().await;
     }
 
+    /// Returns once a frame was dropped because the queue is full.
+    pub(super) async fn overflowed(&self) {
+        self.overflowed.notified().await;
+    }
+
     /// Closes the sender after the connection has ended. Returns the requests received over it that
     /// have no response.
     pub(super) fn close(&self) -> Vec<Ticket> {
--- a/crates/mustardpin-node/tests/testsuite/link.rs
+++ b/crates/mustardpin-node/tests/testsuite/link.rs
@@ -12,15 +12,16 @@
 };
 
 use mustardpin_node::{launch::Limits, traffic::TrafficCommand};
+use mustardpin_wire::frame::{self, Head, Hello};
 use mustardpin_world::{
     Event, Millis,
-    id::{NodeId, Revision},
+    id::{KeyDigest, NodeId, Revision},
     message::{Message, configuration},
     request::{Forward, ForwardEnd, Forwarded, Load, Nesting, Ticket},
     store::Announcement,
 };
 
-use crate::fake::TrafficSide;
+use crate::fake::{End, Target, TrafficSide, read_all, run, text};
 
 const UNUSED_ADDRESS: &str = "127.0.0.1:1";
 
@@ -221,3 +222,59 @@
         deadline: Millis::from_secs(10),
     }
 }
+
+/// A peer that reads nothing for a while must not get responses with parts missing.
+#[test]
+fn a_connection_whose_queue_is_full_is_closed() {
+    const REQUESTS: u32 = 240;
+    const BODY_BYTES: usize = 250_000;
+    let body = "x".repeat(BODY_BYTES);
+    let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {BODY_BYTES}\r\n\r\n{body}");
+    let target = Target::start(Arc::new(move |_| text(&answer)));
+    let one = TrafficSide::start(target.address, Limits::default());
+    let mut peer = TcpStream::connect(&*one.announcement.address).expect("the node listens");
+    let hello = Hello {
+        version: frame::PROTOCOL_VERSION,
+        credential: KeyDigest::of("fleet").0,
+        announcement: Announcement { node: NodeId(9), ..one.announcement.clone() }.into(),
+        to: 1,
+        revision: 0,
+    };
+    let mut frames = Vec::new();
+    frame::encode(&mut frames, &Head::Hello(hello), &[]).expect("the frame is small");
+    for stream in 1..=REQUESTS {
+        let head = Head::Request(frame::Request {
+            stream,
+            id: "one".into(),
+            method: "GET".into(),
+            target: "/slots".into(),
+            timeout_ms: 10_000,
+            fingerprint: 0,
+            revision: 0,
+            key_id: None,
+            team: None,
+            route: "slots".into(),
+            service: "slots".into(),
+            rank: (0, 0),
+            nesting: Nesting::Root.into(),
+            repeatable: true,
+            objective_ms: 0,
+            retry_allowance: 0,
+            depth: 0,
+            hops: 0,
+            fields: 0,
+            body: frame::Body::Empty,
+        });
+        frame::encode(&mut frames, &head, &[]).expect("the frame is small");
+    }
+    peer.write_all(&frames).expect("the node reads");
+    for _ in 0..REQUESTS {
+        let event = next_event(&one, |event| matches!(event, Event::Arrived(_)));
+        let Event::Arrived(request) = event else { continue };
+        one.dispatch(TrafficCommand::Run(run(request.ticket)));
+    }
+    for _ in 0..REQUESTS {
+        next_event(&one, |event| matches!(event, Event::RunEnded(..)));
+    }
+    assert_ne!(read_all(peer).end, End::LeftOpen);
+}
