Enforce the size and the timeout of streamed bodies of HTTP/2 callers

Cause: once a body of an HTTP/2 caller was streamed, its size was checked only after the piece was sent, the caller got 502 instead of 413, and a caller that sent nothing more was never timed out. Change: the stream ends with 413 before the piece that is too large, with an unknown outcome, and is aborted when no piece arrives within the timeout of bodies.

--- a/crates/mustardpin-node/src/traffic/http2.rs
+++ b/crates/mustardpin-node/src/traffic/http2.rs
@@ -17,7 +17,10 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use mustardpin_http::head;
 use mustardpin_wire::dialect::Port;
-use mustardpin_world::{refusal::Reason, request::Ticket};
+use mustardpin_world::{
+    refusal::{Reason, Refusal},
+    request::Ticket,
+};
 use tokio::{
     io::{AsyncReadExt as _, join},
     net::TcpStream,
@@ -89,15 +92,32 @@
     let head = head_of(&parts);
     let port = if kind == ListenerKind::Local { Port::Local } else { Port::Callers };
     let mut reservation = exchanges.body_budget.reservation();
-    let body = match read_body(&exchanges, port, &head, incoming, &mut reservation).await {
-        Ok(body) => body,
+    let read = read_body(&exchanges, port, &head, incoming, &mut reservation).await;
+    let (body, upload) = match read {
+        Ok(read) => read,
         Err(reason) => return Ok(hyper_response(intake::refuse(&exchanges, reason, None))),
     };
     match intake::open(&exchanges, port, &head, body, reservation) {
         Err(caller_response) => Ok(hyper_response(*caller_response)),
         Ok(opened) => {
             let mut guard = DisconnectGuard { exchanges, ticket: Some(opened.ticket) };
-            let caller_response = opened.response.await.map_err(|_| Truncated)?;
+            let mut response = opened.response;
+            if let Some(mut upload) = upload {
+                select! {
+                    end = &mut upload => if let Err(reason) = end {
+                        let refusal = Refusal::unknown(reason);
+                        let response = intake::refusal_response(&guard.exchanges, refusal, None);
+                        return Ok(hyper_response(response));
+                    },
+                    received = &mut response => {
+                        let caller_response = received.map_err(|_| Truncated)?;
+                        guard.ticket = None;
+                        tokio::spawn(upload);
+                        return Ok(hyper_response(caller_response));
+                    }
+                }
+            }
+            let caller_response = response.await.map_err(|_| Truncated)?;
             guard.ticket = None;
             Ok(hyper_response(caller_response))
         }
@@ -127,6 +147,9 @@
     head::Request::new(parts.method.as_str(), target, headers)
 }
 
+/// Streams the rest of a request body. Fails if the body is too large.
+type Upload = Pin<Box<dyn Future<Output = Result<(), Reason>> + Send>>;
+
 /// Reads a body until it is complete, or streams it if it is too large to buffer.
 async fn read_body(
     exchanges: &Arc<Exchanges>,
@@ -134,7 +157,7 @@
     head: &head::Request,
     mut incoming: Incoming,
     reservation: &mut Reservation,
-) -> Result<Body, Reason> {
+) -> Result<(Body, Option<Upload>), Reason> {
     let limit = exchanges.caller_limits().body_size;
     let length = incoming.size_hint().exact();
     if incoming.size_hint().lower() > limit {
@@ -145,7 +168,7 @@
     while buffered.len() <= exchanges.limits.retry_body_size {
         let frame = time::timeout(exchanges.limits.body_timeout, incoming.frame()).await;
         match frame.map_err(|_| Reason::BodyTimeout)? {
-            None => return Ok(Body::complete(buffered.freeze(), trailers)),
+            None => return Ok((Body::complete(buffered.freeze(), trailers), None)),
             Some(Err(_)) => return Err(Reason::RequestMalformed),
             Some(Ok(frame)) => match frame.into_data() {
                 Ok(data) if !reservation.grow_to(buffered.len() + data.len()) => {
@@ -160,8 +183,8 @@
     let forwarder =
         BodyForwarder { exchanges: Arc::clone(exchanges), port, head: head.clone(), writer, limit };
     let received_bytes = buffered.len() as u64;
-    tokio::spawn(forwarder.run(incoming, received_bytes));
-    Ok(Body::Stream(streamed.with_first(buffered.freeze())))
+    let upload: Upload = Box::pin(forwarder.run(incoming, received_bytes));
+    Ok((Body::Stream(streamed.with_first(buffered.freeze())), Some(upload)))
 }
 
 /// The trailers of a request that are forwarded, as encoded lines.
@@ -187,16 +210,23 @@
 
 impl BodyForwarder {
     /// Sends the body's pieces. Returning before the end truncates the body.
-    async fn run(self, mut incoming: Incoming, mut received_bytes: u64) {
+    async fn run(self, mut incoming: Incoming, mut received_bytes: u64) -> Result<(), Reason> {
+        let timeout = self.exchanges.limits.body_timeout;
         let mut trailers = Bytes::new();
-        while let Some(frame) = incoming.frame().await {
-            let Ok(frame) = frame else { return };
+        loop {
+            let frame = match time::timeout(timeout, incoming.frame()).await {
+                Ok(None) => break,
+                Ok(Some(Ok(frame))) => frame,
+                Err(_) | Ok(Some(Err(_))) => return Ok(()),
+            };
             match frame.into_data() {
                 Ok(data) => {
                     received_bytes += data.len() as u64;
-                    let is_sent = self.writer.send(Piece::Data(data)).await.is_ok();
-                    if received_bytes > self.limit || !is_sent {
-                        return;
+                    if received_bytes > self.limit {
+                        return Err(Reason::BodyTooLarge);
+                    }
+                    if self.writer.send(Piece::Data(data)).await.is_err() {
+                        return Ok(());
                     }
                 }
                 Err(frame) => {
@@ -206,6 +236,7 @@
         }
         // Fails if the request has finished, which has been reported already.
         let _ = self.writer.send(Piece::End(trailers)).await;
+        Ok(())
     }
 }
 
--- a/crates/mustardpin-node/tests/testsuite/upload.rs
+++ b/crates/mustardpin-node/tests/testsuite/upload.rs
@@ -2,6 +2,7 @@
 //! being received when its request ends.
 
 use std::{
+    convert::Infallible,
     io::{ErrorKind, Read as _, Write as _},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Mutex, mpsc},
@@ -9,6 +10,12 @@
     time::Duration,
 };
 
+use bytes::Bytes;
+use futures::StreamExt as _;
+use http_body::Frame;
+use http_body_util::StreamBody;
+use hyper::client::conn::http2;
+use hyper_util::rt::{TokioExecutor, TokioIo};
 use mustardpin_node::{Launch, launch::Limits, traffic::TrafficCommand};
 use mustardpin_world::{
     Event,
@@ -205,3 +212,40 @@
     thread::sleep(Duration::from_millis(600));
     assert_eq!(*bodies.lock().expect("the lock is not poisoned"), [0; 0]);
 }
+
+/// A body sent over HTTP/2, one piece for each wait, and never ended.
+async fn upload_http2(callers: SocketAddr, pieces: Vec<(Duration, usize)>) -> u16 {
+    let stream = tokio::net::TcpStream::connect(callers).await.expect("the node listens");
+    let handshake = http2::handshake(TokioExecutor::new(), TokioIo::new(stream));
+    let (mut sender, connection) = handshake.await.expect("the node speaks HTTP/2");
+    tokio::spawn(connection);
+    let body = futures::stream::iter(pieces).then(|(wait, size)| async move {
+        tokio::time::sleep(wait).await;
+        Ok::<_, Infallible>(Frame::data(Bytes::from(vec![b'x'; size])))
+    });
+    let body = body.chain(futures::stream::pending());
+    let request = http::Request::post("http://fleet/slots")
+        .header("authorization", format!("Bearer {KEY}"))
+        .header("idempotency-key", "one")
+        .body(StreamBody::new(Box::pin(body)))
+        .expect("the request is well formed");
+    let response = sender.send_request(request).await.expect("a response");
+    response.status().as_u16()
+}
+
+#[test]
+fn streamed_bodies_of_http2_callers_have_a_size_and_a_timeout() {
+    let limits = Limits {
+        body_size: 200_000,
+        body_timeout: Duration::from_millis(300),
+        ..Limits::default()
+    };
+    let fleet = Fleet::start_with(&[("slots", script())], |launch| Launch { limits, ..launch });
+    let callers = fleet.callers(0);
+    let soon = Duration::ZERO;
+    let too_large = upload_http2(callers, vec![(soon, 100_000), (soon, 100_000), (soon, 1_000)]);
+    assert_eq!(fleet.runtime.block_on(too_large), 413);
+    let too_slow = upload_http2(callers, vec![(soon, 100_000)]);
+    // The target may have got a part of it.
+    assert_eq!(fleet.runtime.block_on(too_slow), 502);
+}
