Pause a large fleet's nodes longer between reads of rows, but not while they start

A node that starts among others that start has old rows of them, by which neither can connect, so it must not wait. Change: the pause after changed rows is 2.5 to 5 s, none in the first 10 s of a node; after a change of the configuration 350 to 700 ms. Costs of routes go to 24 peers at a time instead of 16.

--- a/crates/mustardpin-virtual/tests/testsuite/growth.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/growth.rs
@@ -117,3 +117,27 @@
     let growth = LARGE as f64 / SMALL as f64;
     assert!(large <= small * growth * 1.2, "{small} bytes a node at {SMALL}, {large} at {LARGE}");
 }
+
+/// All processes are killed and start again within a second, so most read rows of processes that are
+/// gone.
+#[test]
+fn a_large_fleet_that_restarts_at_once_is_connected_soon() {
+    const MAX_CONNECT_TIME: Millis = Millis::from_secs(4);
+    let mut fleet = rested_fleet(LARGE);
+    let sites: Vec<_> = fleet.sites().collect();
+    for &site in &sites {
+        fleet.kill(site);
+    }
+    fleet.run_for(Millis::from_secs(1));
+    for &site in &sites {
+        fleet.restart(site);
+        fleet.run_for(Millis(10));
+    }
+    fleet.run_for(MAX_CONNECT_TIME);
+    let open = |site| {
+        let peers = &fleet.world_at(site).tables().peers;
+        peers.iter().filter(|(_, peer)| peer.is_open()).count()
+    };
+    let least = sites.iter().map(|&site| open(site)).min();
+    assert_eq!(least, Some(LARGE - 1));
+}
--- a/crates/mustardpin-world/src/system/freshness.rs
+++ b/crates/mustardpin-world/src/system/freshness.rs
@@ -42,10 +42,13 @@
 /// Nodes rely on each other once that makes their long polls this many times as long.
 const MIN_SHARED_WAIT_FACTOR: u64 = 2;
 /// The least pause of a large fleet's node after a change of the configuration.
-const CONFIGURATION_PAUSE: Millis = Millis(250);
+const CONFIGURATION_PAUSE: Millis = Millis(350);
 /// The least pause of a large fleet's node after a change of the rows of nodes. New nodes connect to
 /// their peers by themselves, so their rows are not urgent.
-const FLEET_PAUSE: Millis = Millis(1_500);
+const FLEET_PAUSE: Millis = Millis(2_500);
+/// The time after its start in which a node follows the rows of nodes without a pause. Nodes that
+/// started together know only old rows of each other, by which neither can connect.
+const START_PERIOD: Millis = Millis(10_000);
 /// The longest time for which the store holds a long poll for the configuration of a large fleet.
 const MAX_SHARED_WAIT: Millis = Millis(20_000);
 /// The time between two updates of whether the nodes of the fleet rely on each other.
@@ -86,6 +89,8 @@
     catch_up: Watch,
     /// Upper bound of the time that the last reply took to arrive.
     reply_delay: Millis,
+    /// Time of the first tick.
+    started: Option<Millis>,
     /// How long the store may hold a query for the configuration if the fleet is so large that its
     /// nodes rely on each other for recent data; `None` if this node relies on its own queries.
     shared_wait: Option<Millis>,
@@ -117,6 +122,7 @@
         let area = if watch_index == 0 { Area::Configuration } else { Area::Fleet };
         handle_reply(world, tick, index, area, watch_index, sent);
     }
+    world.systems.freshness.started.get_or_insert(tick.now);
     update_shared_wait(world, tick.now);
     relay::run(world, tick);
     send_due_queries(world, tick);
@@ -147,7 +153,7 @@
             }
             let pause = match is_empty {
                 true => Millis::ZERO,
-                false => pause_after_change(world, area),
+                false => pause_after_change(world, tick.now, area),
             };
             let state = &mut world.systems.freshness;
             let watch = watch_at(state, watch_index);
@@ -267,12 +273,13 @@
 
 /// How long a node of a large fleet waits after a change before it asks for the next one, so that
 /// changes in quick succession are answered together.
-fn pause_after_change(world: &mut World, area: Area) -> Millis {
-    if world.systems.freshness.shared_wait.is_none() {
-        return Millis::ZERO;
-    }
+fn pause_after_change(world: &mut World, now: Millis, area: Area) -> Millis {
+    let state = &world.systems.freshness;
+    let is_starting = state.started.is_none_or(|started| now - started < START_PERIOD);
     let pause = match area {
+        _ if state.shared_wait.is_none() => return Millis::ZERO,
         Area::Configuration => CONFIGURATION_PAUSE,
+        Area::Fleet if is_starting => return Millis::ZERO,
         Area::Fleet => FLEET_PAUSE,
     };
     pause + world.jitter(pause)
--- a/crates/mustardpin-world/src/system/shedding/route_cost.rs
+++ b/crates/mustardpin-world/src/system/shedding/route_cost.rs
@@ -24,7 +24,7 @@
 const SEND_INTERVAL: Millis = Millis(1_000);
 /// The maximum number of peers to which one message is sent. In a larger fleet, peers get costs in
 /// turn.
-const MAX_RECIPIENTS: usize = 16;
+const MAX_RECIPIENTS: usize = 24;
 /// The forgetting factor: the weight of past intervals is multiplied by this at each update.
 const FORGETTING_FACTOR: f64 = 0.97;
 /// The variance of the estimated calls of a route before its first run.
