Tell all peers at once when the cost of a route changes

Cause: with costs sent to peers in turn, a node of a large fleet learned up to five seconds late that targets were fast again after all of them had been slow. Change: a slot time that changed by a quarter and by more than 10 ms is sent to all peers; unchanged costs go to 16 peers in turn.

--- a/crates/mustardpin-virtual/tests/testsuite/growth.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/growth.rs
@@ -141,3 +141,33 @@
     let least = sites.iter().map(|&site| open(site)).min();
     assert_eq!(least, Some(LARGE - 1));
 }
+
+/// The largest slot time that a node expects of a route, 1.5 s after all targets were slow, as after
+/// a restart of the whole fleet. Nodes that still expect slow runs refuse requests for which there is
+/// room.
+fn expected_slot_time(nodes: usize) -> Millis {
+    const SLOWDOWN: f64 = 20.0;
+    let mut fleet = rested_fleet(nodes);
+    let sites: Vec<_> = fleet.sites().collect();
+    let phases = [(1.0, 5_000), (SLOWDOWN, 5_000), (1.0, 1_500)];
+    for (slowdown, length) in phases {
+        for &site in &sites {
+            fleet.target(site).slowdown = slowdown;
+        }
+        let end = fleet.now + Millis(length);
+        while fleet.now < end {
+            for &site in &sites {
+                fleet.send(site, Request::get("/search", "garage-1.secret"));
+            }
+            fleet.run_for(Millis(100));
+        }
+    }
+    let expected = |&site| fleet.world_at(site).tables().demand.slot_time("search");
+    sites.iter().filter_map(expected).max().expect("the route has run")
+}
+
+#[test]
+fn a_large_fleet_learns_as_fast_as_a_small_one_that_its_targets_are_fast_again() {
+    let [small, large] = [SMALL, LARGE].map(expected_slot_time);
+    assert!(large.0 * 2 <= small.0 * 3, "{small} at {SMALL} nodes, {large} at {LARGE}");
+}
--- a/crates/mustardpin-world/src/system/shedding/route_cost.rs
+++ b/crates/mustardpin-world/src/system/shedding/route_cost.rs
@@ -22,9 +22,13 @@
 const UPDATE_INTERVAL: Millis = Millis(200);
 /// The time between two messages with costs to peers.
 const SEND_INTERVAL: Millis = Millis(1_000);
-/// The maximum number of peers to which one message is sent. In a larger fleet, peers get costs in
-/// turn.
-const MAX_RECIPIENTS: usize = 24;
+/// The maximum number of peers to which unchanged costs are sent at once. In a larger fleet, peers get
+/// them in turn.
+const MAX_RECIPIENTS: usize = 16;
+/// The change of a route's slot time, as a percentage, that is sent to all peers.
+const SENT_CHANGE_PERCENT: u64 = 25;
+/// A smaller change of a slot time is not sent to all peers, whatever its percentage.
+const MIN_SENT_CHANGE: Millis = Millis(10);
 /// The forgetting factor: the weight of past intervals is multiplied by this at each update.
 const FORGETTING_FACTOR: f64 = 0.97;
 /// The variance of the estimated calls of a route before its first run.
@@ -57,6 +61,8 @@
     next_send: Millis,
     /// The number of messages sent, by which peers take turns.
     sent: usize,
+    /// The costs that were last sent to all peers.
+    known_to_all: Vec<shedding::Cost>,
     runs: Vec<RouteRuns>,
     /// Calls in this interval, by the name of the called route.
     called: BTreeMap<CompactString, f64>,
@@ -204,13 +210,30 @@
     let peers: Vec<_> = peers.map(|(key, _)| key).collect();
     let state = &mut world.systems.shedding.route_cost;
     let first = state.sent % peers.len().max(1);
-    let count = peers.len().min(MAX_RECIPIENTS);
+    let count = match is_changed(&state.known_to_all, &costs) {
+        true => {
+            state.known_to_all.clone_from(&costs);
+            peers.len()
+        }
+        false => peers.len().min(MAX_RECIPIENTS),
+    };
     state.sent += count;
     for &peer in peers.iter().cycle().skip(first).take(count) {
         world.send(tick, peer, Message::Costs(costs.clone()));
     }
 }
 
+/// Whether costs differ so much from those known to all peers that all must know them.
+fn is_changed(known: &[shedding::Cost], costs: &[shedding::Cost]) -> bool {
+    costs.iter().any(|cost| {
+        let known = known.iter().find(|known| known.route == cost.route);
+        known.is_none_or(|known| {
+            let change = known.slot_time.0.abs_diff(cost.slot_time.0);
+            change > MIN_SENT_CHANGE.0 && change * 100 > known.slot_time.0 * SENT_CHANGE_PERCENT
+        })
+    })
+}
+
 /// Merges a node's report of a route's cost into the table.
 fn merge_cost(world: &mut World, reported: shedding::Cost, weight: f64) {
     let costs = &mut world.tables.demand.costs;
