Give the shared long polls a module of their own

Cause: freshness.rs had grown by half with the fleet's sharing of long polls. Change: sharing.rs holds its constants, state and decisions; no behaviour changes.

--- a/crates/mustardpin-node/src/traffic/caller/writing.rs
+++ b/crates/mustardpin-node/src/traffic/caller/writing.rs
@@ -99,8 +99,8 @@
         self.is_truncated
     }
 
-    /// Whether the connection must be reset, since the caller would take its regular end for the end
-    /// of a truncated response.
+    /// Whether the connection must be reset, since the caller would take its regular end for the
+    /// end of a truncated response.
     pub(super) fn must_reset(&self) -> bool {
         self.must_reset
     }
--- a/crates/mustardpin-node/src/traffic/link/outgoing.rs
+++ b/crates/mustardpin-node/src/traffic/link/outgoing.rs
@@ -40,8 +40,8 @@
 const LIVENESS_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// A peer is pinged after nothing has been received from it for this long, at least.
 const IDLE_PING_TIMEOUT: Millis = Millis(700);
-/// The least time between two pings of this node to idle peers. With many peers, each is pinged less
-/// often; the keep-alive probes of TCP still show a dead instance.
+/// The least time between two pings of this node to idle peers. With many peers, each is pinged
+/// less often; the keep-alive probes of TCP still show a dead instance.
 const PING_SPACING: Millis = Millis(30);
 /// Like `IDLE_PING_TIMEOUT`, while requests wait for the peer.
 const BUSY_PING_TIMEOUT: Millis = Millis(250);
@@ -362,8 +362,8 @@
     }
 }
 
-/// How long a connection to a peer may be idle before the peer is pinged, if the node maintains this
-/// number of connections. The pings of a node do not grow with the fleet.
+/// How long a connection to a peer may be idle before the peer is pinged, if the node maintains
+/// this number of connections. The pings of a node do not grow with the fleet.
 ///
 /// ```
 /// use mustardpin_node::traffic::idle_ping_timeout;
--- a/crates/mustardpin-virtual/tests/testsuite/growth.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/growth.rs
@@ -123,8 +123,8 @@
     assert!(large <= small * growth * 1.2, "{small} bytes a node at {SMALL}, {large} at {LARGE}");
 }
 
-/// All processes are killed and start again within a second, so most read rows of processes that are
-/// gone.
+/// All processes are killed and start again within a second, so most read rows of processes that
+/// are gone.
 #[test]
 fn a_large_fleet_that_restarts_at_once_is_connected_soon() {
     const MAX_CONNECT_TIME: Millis = Millis::from_secs(4);
@@ -147,9 +147,9 @@
     assert_eq!(least, Some(LARGE - 1));
 }
 
-/// The largest slot time that a node expects of a route, 1.5 s after all targets were slow, as after
-/// a restart of the whole fleet. Nodes that still expect slow runs refuse requests for which there is
-/// room.
+/// The largest slot time that a node expects of a route, 1.5 s after all targets were slow, as
+/// after a restart of the whole fleet. Nodes that still expect slow runs refuse requests for which
+/// there is room.
 fn expected_slot_time(nodes: usize) -> Millis {
     const SLOWDOWN: f64 = 20.0;
     let mut fleet = rested_fleet(nodes);
--- a/crates/mustardpin-world/src/system/freshness.rs
+++ b/crates/mustardpin-world/src/system/freshness.rs
@@ -5,6 +5,7 @@
 //! [`store_clock`].
 
 mod relay;
+mod sharing;
 mod store_clock;
 
 use smallvec::SmallVec;
@@ -14,7 +15,7 @@
     id::StoreVersion,
     log::{Entry, Level},
     store::{Area, Changes, Operation, Refused, Reply, Ticket},
-    table::{latency::Step, peer::Link},
+    table::latency::Step,
     world::{Tick, World},
 };
 
@@ -36,32 +37,6 @@
 
 /// Maximum number of pending queries of one watch.
 const MAX_PENDING_QUERIES: usize = 3;
-/// The time between two replies of the store to the fleet as a whole, if nothing changes. The long
-/// polls of a large fleet are held for longer, and its nodes refresh each other's data.
-const FLEET_REPLY_INTERVAL: Millis = Millis(100);
-/// Nodes rely on each other once that makes their long polls this many times as long.
-const MIN_SHARED_WAIT_FACTOR: u64 = 2;
-/// The least pause of a large fleet's node after a change of the configuration.
-const CONFIGURATION_PAUSE: Millis = Millis(350);
-/// The least pause of a large fleet's node after a change of the rows of nodes. New nodes connect to
-/// their peers by themselves, so their rows are not urgent.
-const FLEET_PAUSE: Millis = Millis(2_500);
-/// The time after its start in which a node follows the rows of nodes without a pause. Nodes that
-/// started together know only old rows of each other, by which neither can connect.
-const START_PERIOD: Millis = Millis(10_000);
-/// The longest time for which the store holds a long poll for the configuration of a large fleet.
-const MAX_SHARED_WAIT: Millis = Millis(20_000);
-/// The time between two updates of whether the nodes of the fleet rely on each other.
-const SHARED_WAIT_UPDATE_INTERVAL: Millis = Millis(500);
-/// The reply delay, without the time for which the store holds the query, up to which a node relies
-/// on its peers for recent data.
-const MAX_SHARED_DELAY: Millis = Millis(200);
-/// The least age, as a percentage of the window, at which a node asks the store itself though it
-/// relies on its peers.
-const DIRECT_QUERY_PERCENT: u64 = 35;
-/// The range, as a percentage of the window, of the random addition to that age, so that few nodes
-/// ask and the others learn from them.
-const DIRECT_QUERY_JITTER_PERCENT: u64 = 25;
 
 /// A query to the store that has no reply yet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -89,15 +64,6 @@
     catch_up: Watch,
     /// Upper bound of the time that the last reply took to arrive.
     reply_delay: Millis,
-    /// Time of the first tick.
-    started: Option<Millis>,
-    /// How long the store may hold a query for the configuration if the fleet is so large that its
-    /// nodes rely on each other for recent data; `None` if this node relies on its own queries.
-    shared_wait: Option<Millis>,
-    /// When `shared_wait` is next updated.
-    next_update: Millis,
-    /// The age of the data at which the node asks the store though it relies on its peers.
-    direct_query_age: Millis,
     /// Whether the store has reached a later version than the one up to which the rows of nodes
     /// were read.
     fleet_is_behind: bool,
@@ -105,6 +71,7 @@
     was_fresh: Option<bool>,
     store_clock: store_clock::StoreClock,
     relay: relay::State,
+    sharing: sharing::State,
 }
 
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
@@ -122,8 +89,7 @@
         let area = if watch_index == 0 { Area::Configuration } else { Area::Fleet };
         handle_reply(world, tick, index, area, watch_index, sent);
     }
-    world.systems.freshness.started.get_or_insert(tick.now);
-    update_shared_wait(world, tick.now);
+    sharing::run(world, tick.now);
     relay::run(world, tick);
     send_due_queries(world, tick);
     update_freshness(world, tick);
@@ -145,16 +111,7 @@
             world.systems.freshness.reply_delay = tick.now - as_of;
             world.tables.latencies.record_step(Step::Store, tick.now - as_of);
             record_update(world, tick, area, up_to, as_of);
-            let window = world.options.freshness.window.0;
-            if world.systems.freshness.shared_wait.is_some() {
-                let jitter = world.jitter(Millis(window * DIRECT_QUERY_JITTER_PERCENT / 100));
-                let age = Millis(window * DIRECT_QUERY_PERCENT / 100) + jitter;
-                world.systems.freshness.direct_query_age = age;
-            }
-            let pause = match is_empty {
-                true => Millis::ZERO,
-                false => pause_after_change(world, tick.now, area),
-            };
+            let pause = sharing::handle_reply(world, tick.now, area, is_empty);
             let state = &mut world.systems.freshness;
             let watch = watch_at(state, watch_index);
             watch.failures = 0;
@@ -228,7 +185,7 @@
 
 /// Sends the queries that are due, so that each watch has one in flight.
 fn send_due_queries(world: &mut World, tick: &mut Tick) {
-    let is_urgent = needs_direct_query(world, tick);
+    let is_urgent = sharing::needs_direct_query(world, tick);
     if is_due(&world.systems.freshness.configuration, tick, is_urgent) {
         let wait = if is_urgent { Millis::ZERO } else { configuration_wait(world) };
         let (operation, wait) = match world.tables.configuration.read {
@@ -250,7 +207,11 @@
         world.systems.freshness.fleet.pending.push(query);
     }
     let Some(after) = world.systems.fleet.read_up_to else { return };
-    if must_catch_up(world, tick) && is_due(&world.systems.freshness.catch_up, tick, false) {
+    let is_behind = world.systems.freshness.fleet_is_behind;
+    if is_behind
+        && sharing::needs_catch_up(world, tick)
+        && is_due(&world.systems.freshness.catch_up, tick, false)
+    {
         let operation = Operation::Watch { area: Area::Fleet, after, wait: Millis::ZERO };
         let query = send_query(world, tick, operation, Millis::ZERO);
         world.systems.freshness.catch_up.pending.push(query);
@@ -271,71 +232,9 @@
     options.watch.min(options.window - REPLY_MARGIN - Millis(delay.0 * 3))
 }
 
-/// How long a node of a large fleet waits after a change before it asks for the next one, so that
-/// changes in quick succession are answered together.
-fn pause_after_change(world: &mut World, now: Millis, area: Area) -> Millis {
-    let state = &world.systems.freshness;
-    let is_starting = state.started.is_none_or(|started| now - started < START_PERIOD);
-    let pause = match area {
-        _ if state.shared_wait.is_none() => return Millis::ZERO,
-        Area::Configuration => CONFIGURATION_PAUSE,
-        Area::Fleet if is_starting => return Millis::ZERO,
-        Area::Fleet => FLEET_PAUSE,
-    };
-    pause + world.jitter(pause)
-}
-
 /// How long the store may hold the next query for the configuration.
 fn configuration_wait(world: &mut World) -> Millis {
-    match world.systems.freshness.shared_wait {
-        // Nodes that started together would otherwise ask together.
-        Some(wait) => Millis(wait.0 / 2) + world.jitter(Millis(wait.0 / 2)),
-        None => max_wait(world),
-    }
-}
-
-/// Whether the node asks at once for the rows of nodes, since the configuration was read at a later
-/// version. In a large fleet it first waits for its peers to refresh its data.
-fn must_catch_up(world: &World, tick: &mut Tick) -> bool {
-    if !world.systems.freshness.fleet_is_behind {
-        return false;
-    }
-    if world.systems.freshness.shared_wait.is_none() {
-        return true;
-    }
-    let (age, max_age) =
-        (world.tables.freshness.fleet_age(tick.now), world.systems.freshness.direct_query_age);
-    if age < max_age {
-        tick.wake(tick.now + (max_age - age));
-    }
-    age >= max_age
-}
-
-/// Updates whether the nodes of the fleet rely on each other for recent data.
-fn update_shared_wait(world: &mut World, now: Millis) {
-    if now < world.systems.freshness.next_update {
-        return;
-    }
-    let peers = world.tables.peers.iter().filter(|(_, peer)| peer.link == Link::Up).count();
-    let wait = Millis(FLEET_REPLY_INTERVAL.0 * (peers as u64 + 1)).min(MAX_SHARED_WAIT);
-    let state = &mut world.systems.freshness;
-    let is_long = wait.0 >= world.options.freshness.watch.0 * MIN_SHARED_WAIT_FACTOR;
-    let is_shared = is_long && state.reply_delay <= MAX_SHARED_DELAY;
-    state.next_update = now + SHARED_WAIT_UPDATE_INTERVAL;
-    state.shared_wait = is_shared.then_some(wait);
-}
-
-/// Whether the node must ask the store itself, since its peers do not refresh its data.
-fn needs_direct_query(world: &World, tick: &mut Tick) -> bool {
-    if world.systems.freshness.shared_wait.is_none() {
-        return false;
-    }
-    let max_age = world.systems.freshness.direct_query_age;
-    let age = world.tables.freshness.configuration_age(tick.now);
-    if age < max_age {
-        tick.wake(tick.now + (max_age - age));
-    }
-    age >= max_age
+    sharing::wait(world).unwrap_or_else(|| max_wait(world))
 }
 
 /// Whether a query may be sent: none is pending, or the last one is overdue.
--- a/crates/mustardpin-world/src/system/freshness/relay.rs
+++ b/crates/mustardpin-world/src/system/freshness/relay.rs
@@ -10,6 +10,7 @@
     clock::Millis,
     id::{NodeId, PeerKey},
     message::freshness::Message,
+    system::freshness::sharing,
     table::peer::Link,
     world::{Tick, World},
 };
@@ -78,9 +79,9 @@
 fn send_query(world: &mut World, tick: &mut Tick) {
     let freshness = &world.tables.freshness;
     let age = freshness.configuration_age(tick.now).max(freshness.fleet_age(tick.now));
-    let (min_age, interval) = match world.systems.freshness.shared_wait {
-        Some(_) => (SHARED_MIN_QUERY_AGE, SHARED_QUERY_INTERVAL),
-        None => (MIN_QUERY_AGE, QUERY_INTERVAL),
+    let (min_age, interval) = match sharing::is_active(world) {
+        true => (SHARED_MIN_QUERY_AGE, SHARED_QUERY_INTERVAL),
+        false => (MIN_QUERY_AGE, QUERY_INTERVAL),
     };
     if age < min_age {
         return tick.wake(tick.now + (min_age - age));
--- a/crates/mustardpin-world/src/system/rate_limit/leasing.rs
+++ b/crates/mustardpin-world/src/system/rate_limit/leasing.rs
@@ -134,8 +134,8 @@
     }
 }
 
-/// Admits all waiting calls of a team that has no limit or no longer exists; for the latter, a later
-/// stage checks the key again.
+/// Admits all waiting calls of a team that has no limit or no longer exists; for the latter, a
+/// later stage checks the key again.
 fn admit_all(world: &mut World, now: Millis, team: TeamKey) {
     let Some(cache) = world.tables.rate_limits.token_caches.remove(team) else { return };
     for call in cache.waiting {
--- a/crates/mustardpin-world/src/system/shedding/route_cost.rs
+++ b/crates/mustardpin-world/src/system/shedding/route_cost.rs
@@ -22,8 +22,8 @@
 const UPDATE_INTERVAL: Millis = Millis(200);
 /// The time between two messages with costs to peers.
 const SEND_INTERVAL: Millis = Millis(1_000);
-/// The maximum number of peers to which unchanged costs are sent at once. In a larger fleet, peers get
-/// them in turn.
+/// The maximum number of peers to which unchanged costs are sent at once. In a larger fleet, peers
+/// get them in turn.
 const MAX_RECIPIENTS: usize = 16;
 /// The change of a route's slot time, as a percentage, that is sent to all peers.
 const SENT_CHANGE_PERCENT: u64 = 25;
@@ -60,7 +60,7 @@
     next_update: Millis,
     next_send: Millis,
     /// The number of messages sent, by which peers take turns.
-    sent: usize,
+    sent_messages: usize,
     /// The costs that were last sent to all peers.
     known_to_all: Vec<shedding::Cost>,
     runs: Vec<RouteRuns>,
@@ -197,7 +197,8 @@
     }
 }
 
-/// Sends the costs of runs here to the peers whose turn it is, and merges them into the table as the peers do.
+/// Sends the costs of runs here to all peers if they changed, else to the peers whose turn it is,
+/// and merges them into the table as the peers do.
 fn send_costs(world: &mut World, tick: &mut Tick) {
     let costs = world.systems.shedding.route_cost.costs();
     if costs.is_empty() {
@@ -209,7 +210,7 @@
     let peers = world.tables.peers.iter().filter(|(_, peer)| peer.link == Link::Up);
     let peers: Vec<_> = peers.map(|(key, _)| key).collect();
     let state = &mut world.systems.shedding.route_cost;
-    let first = state.sent % peers.len().max(1);
+    let first = state.sent_messages % peers.len().max(1);
     let count = match is_changed(&state.known_to_all, &costs) {
         true => {
             state.known_to_all.clone_from(&costs);
@@ -217,7 +218,7 @@
         }
         false => peers.len().min(MAX_RECIPIENTS),
     };
-    state.sent += count;
+    state.sent_messages += count;
     for &peer in peers.iter().cycle().skip(first).take(count) {
         world.send(tick, peer, Message::Costs(costs.clone()));
     }
--- a/crates/mustardpin-world/src/table/rate_limit.rs
+++ b/crates/mustardpin-world/src/table/rate_limit.rs
@@ -25,8 +25,8 @@
 /// Maximum number of shards of a team's rate. A power of two.
 pub const MAX_SHARDS: u8 = 8;
 
-/// The minimum capacity of a shard, in tokens. A fleet that spends tokens at many nodes finds smaller
-/// ones empty by chance.
+/// The minimum capacity of a shard, in tokens. A fleet that spends tokens at many nodes finds
+/// smaller ones empty by chance.
 const MIN_SHARD_CAPACITY: u64 = 4;
 
 /// Maximum time between the lease of a token and its expiry.
