Give the liveness of peers a module of its own

Change: liveness.rs holds the monitor of a connection, its times and idle_ping_timeout; no behaviour changes.

--- a/crates/mustardpin-node/src/traffic/link.rs
+++ b/crates/mustardpin-node/src/traffic/link.rs
@@ -7,6 +7,7 @@
 //! together.
 
 mod incoming;
+mod liveness;
 mod outgoing;
 mod wire;
 
@@ -25,7 +26,7 @@
 
 use crate::traffic::{exchanges::Exchanges, sender::Sender};
 
-pub use self::outgoing::idle_ping_timeout;
+pub use self::liveness::idle_ping_timeout;
 pub(super) use self::{
     incoming::accept,
     outgoing::{OutgoingLink, SendResult, query_seed},
--- a/crates/mustardpin-node/src/traffic/link/outgoing.rs
+++ b/crates/mustardpin-node/src/traffic/link/outgoing.rs
@@ -14,8 +14,8 @@
 use bytes::Bytes;
 use mustardpin_wire::frame::{self, Head};
 use mustardpin_world::{
-    Event, Millis,
-    id::Revision,
+    Event,
+    id::{NodeId, Revision},
     request::{Forward, ForwardEnd, Ticket},
     store::Announcement,
 };
@@ -25,7 +25,10 @@
     body::{self, Body, Piece, Writer},
     exchange::{Outbound, Payload},
     exchanges::Exchanges,
-    link::wire::{Error, Wire},
+    link::{
+        liveness::Monitor,
+        wire::{Error, Wire},
+    },
     response::CallerResponse,
     sender::Sender,
 };
@@ -38,17 +41,6 @@
 const MAX_RECONNECT_BACKOFF: Duration = Duration::from_millis(800);
 /// The interval between two liveness checks of the peer.
 const LIVENESS_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// A peer is pinged after nothing has been received from it for this long, at least.
-const IDLE_PING_TIMEOUT: Millis = Millis(700);
-/// The least time between two pings of this node to idle peers. With many peers, each is pinged
-/// less often; the keep-alive probes of TCP still show a dead instance.
-const PING_SPACING: Millis = Millis(30);
-/// Like `IDLE_PING_TIMEOUT`, while requests wait for the peer.
-const BUSY_PING_TIMEOUT: Millis = Millis(250);
-/// A peer counts as silent if it has sent nothing for this long after a ping.
-const SILENT_TIMEOUT: Millis = Millis(500);
-/// The connection is closed if the peer has sent nothing for this long after a ping.
-const LOST_TIMEOUT: Millis = Millis(1_500);
 /// The interval between two queries to a seed address.
 const SEED_QUERY_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -157,6 +149,16 @@
         self.closed.notify_one();
     }
 
+    /// The peer.
+    pub(super) fn node(&self) -> NodeId {
+        self.announcement.node
+    }
+
+    /// Whether requests wait for the peer.
+    pub(super) fn has_streams(&self) -> bool {
+        !self.streams().is_empty()
+    }
+
     fn is_closed(&self) -> bool {
         self.is_closed.load(Ordering::Relaxed)
     }
@@ -274,7 +276,7 @@
     wire: &mut Wire,
     sender: &Sender,
 ) -> Error {
-    let mut monitor = LivenessMonitor::new(exchanges.clock.now());
+    let mut monitor = Monitor::new(exchanges.clock.now());
     let mut checks = time::interval(LIVENESS_CHECK_INTERVAL);
     checks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     loop {
@@ -307,75 +309,6 @@
     }
 }
 
-/// Monitors whether a peer is alive.
-struct LivenessMonitor {
-    last_received: Millis,
-    pinged_at: Option<Millis>,
-    is_silent: bool,
-}
-
-impl LivenessMonitor {
-    fn new(now: Millis) -> LivenessMonitor {
-        LivenessMonitor { last_received: now, pinged_at: None, is_silent: false }
-    }
-
-    /// Records that bytes were received from the peer.
-    fn record_received(&mut self, exchanges: &Exchanges, link: &OutgoingLink) {
-        self.last_received = exchanges.clock.now();
-        self.pinged_at = None;
-        if self.is_silent {
-            self.is_silent = false;
-            let peer = link.announcement.node;
-            exchanges.outbox.push(Event::LinkSilent { peer, silent: false });
-        }
-    }
-
-    fn check(
-        &mut self,
-        exchanges: &Exchanges,
-        link: &OutgoingLink,
-        sender: &Sender,
-    ) -> Result<(), Error> {
-        let now = exchanges.clock.now();
-        let Some(pinged_at) = self.pinged_at else {
-            let is_waiting = !link.streams().is_empty();
-            let timeout_before_ping = match is_waiting {
-                true => BUSY_PING_TIMEOUT,
-                false => idle_ping_timeout(exchanges.links.count()),
-            };
-            if now - self.last_received >= timeout_before_ping {
-                self.pinged_at = Some(now);
-                sender.send(&Head::Ping, &[]);
-            }
-            return Ok(());
-        };
-        let since_ping = now - pinged_at;
-        if since_ping >= LOST_TIMEOUT {
-            return Err(Error::PingTimeout);
-        }
-        if since_ping >= SILENT_TIMEOUT && !self.is_silent {
-            self.is_silent = true;
-            let peer = link.announcement.node;
-            exchanges.outbox.push(Event::LinkSilent { peer, silent: true });
-        }
-        Ok(())
-    }
-}
-
-/// How long a connection to a peer may be idle before the peer is pinged, if the node maintains
-/// this number of connections. The pings of a node do not grow with the fleet.
-///
-/// ```
-/// use mustardpin_node::traffic::idle_ping_timeout;
-/// use mustardpin_world::Millis;
-///
-/// assert_eq!(idle_ping_timeout(13), Millis(700));
-/// assert_eq!(idle_ping_timeout(300), Millis(9_000));
-/// ```
-pub fn idle_ping_timeout(links: usize) -> Millis {
-    IDLE_PING_TIMEOUT.max(Millis(PING_SPACING.0 * links as u64))
-}
-
 /// Processes a received frame.
 async fn process_frame(
     exchanges: &Arc<Exchanges>,
