--- a/crates/mustardpin-virtual/tests/testsuite/rate_limit.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/rate_limit.rs
@@ -317,3 +317,19 @@
     let share = refused_by_rate_limit(&fleet) as f64 / fleet.received.len() as f64;
     assert!(share < 0.001, "{share} of {}", fleet.received.len());
 }
+
+/// A team whose burst is the smallest that a configuration may have, spread thinly over a large
+/// fleet.
+#[test]
+fn a_team_with_the_smallest_burst_is_served_at_all_nodes() {
+    const SITES: usize = 48;
+    let mut fleet = fleet(1, Options::default(), &Service::leaf("search", 200, 2.0), SITES / 3);
+    put(&mut fleet, vec![team("garage", 2, 2), key("garage"), Row::Route(route("search"))]);
+    fleet.run_for(Millis::from_secs(10));
+    for site in 0..SITES {
+        fleet.send(Site(site), Request::get("/search", "garage-1.secret"));
+        fleet.run_for(Millis(1_000));
+    }
+    let refused = refused_by_rate_limit(&fleet);
+    assert!(refused * 20 <= SITES, "{refused} of {SITES}");
+}
