Log the requests and connections that a stopping node aborts

The log says how many calls were in progress at the end, but not which, so the hypotheses of docs/incidents/requests-cut-by-a-stop.md could not be told apart. A node now logs each call that it leaves behind (`aborted`) and how many connections were still open (`connections_aborted`).

No decision changes.

--- a/crates/mustardpin-node/src/node.rs
+++ b/crates/mustardpin-node/src/node.rs
@@ -9,7 +9,12 @@
 
 use compact_str::ToCompactString as _;
 use derive_more::{Display, Error, From};
-use mustardpin_world::{Event, World, id::NodeId, store::Announcement};
+use mustardpin_world::{
+    Event, World,
+    id::NodeId,
+    log::{Entry, Level},
+    store::Announcement,
+};
 use tokio::{
     net::TcpListener,
     runtime,
@@ -149,7 +154,9 @@
         }
         listeners.serve(&exchanges, &connections);
         let (finished_sender, finished) = mpsc::channel();
-        handle.spawn(shut_down(exchanges, connections, launch.limits, finished_sender));
+        let shutdown =
+            Shutdown { exchanges, connections, limits: launch.limits, control: control.clone() };
+        handle.spawn(shutdown.run(finished_sender));
         let (traffic, stop_receiver) = oneshot::channel::<()>();
         let traffic_thread = thread::Builder::new()
             .name("traffic".into())
@@ -237,24 +244,33 @@
         .build()
 }
 
-/// Waits until the node has finished all requests, and then for connections to end.
-async fn shut_down(
+/// The end of a draining node.
+struct Shutdown {
     exchanges: Arc<Exchanges>,
     connections: TaskTracker,
     limits: Limits,
-    finished: mpsc::Sender<()>,
-) {
-    let mut stage = exchanges.stage();
-    // Fails only if `exchanges` is dropped, which this task holds.
-    let _ = stage.wait_for(|stage| *stage != Stage::Serving).await;
-    let min_drain_time = time::sleep(limits.drain_idle_timeout);
-    let _ = stage.wait_for(|stage| *stage == Stage::Exiting).await;
-    min_drain_time.await;
-    connections.close();
-    // Connections that are still open after this time are aborted.
-    let _ = time::timeout(limits.exit_grace, connections.wait()).await;
-    // Fails if the `Node` was dropped.
-    let _ = finished.send(());
+    control: Handle,
+}
+
+impl Shutdown {
+    /// Waits until the node has finished all requests, and then for connections to end.
+    async fn run(self, finished: mpsc::Sender<()>) {
+        let mut stage = self.exchanges.stage();
+        // Fails only if `exchanges` is dropped, which this task holds.
+        let _ = stage.wait_for(|stage| *stage != Stage::Serving).await;
+        let min_drain_time = time::sleep(self.limits.drain_idle_timeout);
+        let _ = stage.wait_for(|stage| *stage == Stage::Exiting).await;
+        min_drain_time.await;
+        self.connections.close();
+        // Connections that are still open after this time are aborted.
+        if time::timeout(self.limits.exit_grace, self.connections.wait()).await.is_err() {
+            let count = self.connections.len();
+            let entry = Entry::new(Level::Warn, "connections_aborted").with("count", count);
+            self.control.write_log(entry);
+        }
+        // Fails if the `Node` was dropped.
+        let _ = finished.send(());
+    }
 }
 
 struct Listeners {
--- a/crates/mustardpin-world/src/system/stop.rs
+++ b/crates/mustardpin-world/src/system/stop.rs
@@ -88,12 +88,30 @@
         refuse_waiting(world, tick);
     }
     if world.tables.calls.is_empty() || tick.now >= end {
-        tick.log(Entry::new(Level::Info, "stopped").with("calls", world.tables.calls.len()));
+        log_exit(world, tick);
         return tick.commands.push(Command::Exit);
     }
     tick.wake(if tick.now < refuse_from { refuse_from } else { end });
 }
 
+/// Logs that the node exits, and each call that it aborts.
+fn log_exit(world: &World, tick: &mut Tick) {
+    let since_leaving = tick.now - world.systems.stop.leaving_since;
+    for (_, call) in world.tables.calls.iter() {
+        let entry = Entry::new(Level::Warn, "aborted")
+            .on(&call.id)
+            .with("stage", call.stage.name())
+            .with("held", tick.now - call.arrived)
+            .with("left", call.deadline - tick.now)
+            .with("since_leaving", since_leaving);
+        tick.log(entry);
+    }
+    let entry = Entry::new(Level::Info, "stopped")
+        .with("calls", world.tables.calls.len())
+        .with("since_leaving", since_leaving);
+    tick.log(entry);
+}
+
 /// Refuses calls that have been sent neither to the target nor to a peer.
 fn refuse_waiting(world: &mut World, tick: &mut Tick) {
     let is_waiting = |stage| !matches!(stage, Stage::Running | Stage::Forwarded);
