Test what callers see while a node drains

Cause: no test watches a draining node over the whole time from its stop signal to the end of its process, which is where accepted requests were lost.

--- /dev/null
+++ b/crates/mustardpin-node/tests/testsuite/drain.rs
@@ -0,0 +1,211 @@
+//! What callers see of a node from its stop signal to the end of its process.
+
+mod start;
+
+use std::{
+    io::Write as _,
+    net::{SocketAddr, TcpStream},
+    sync::{Arc, mpsc},
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+use mustardpin_node::{Launch, Node, launch::Limits};
+use mustardpin_world::{Millis, Options, options::Stop};
+
+use crate::fake::{Fleet, Http2, KEY, RawResponse, Script, Step, read_all, text};
+
+/// The minimum time that the nodes drain.
+const STAY: Duration = Duration::from_millis(500);
+/// The time from the stop signal within which the process must have ended.
+const GRACE: Duration = Duration::from_secs(2);
+
+/// Returns start parameters with short times for draining.
+fn with_short_times(launch: Launch) -> Launch {
+    Launch {
+        limits: Limits {
+            drain_idle_timeout: Duration::from_millis(200),
+            exit_grace: Duration::from_millis(300),
+            ..launch.limits
+        },
+        options: Options {
+            stop: Stop { stay: millis(STAY), grace: millis(GRACE) },
+            ..launch.options
+        },
+        ..launch
+    }
+}
+
+fn millis(length: Duration) -> Millis {
+    Millis(length.as_millis() as u64)
+}
+
+/// Starts nodes 0 and 2 in front of the service `slots`, and node 1 in front of `ledger`.
+fn start_fleet() -> Fleet {
+    let services = [("slots", script()), ("ledger", script()), ("slots", script())];
+    Fleet::start_with(&services, with_short_times)
+}
+
+/// A target that waits as many milliseconds as the path says after `wait/`, and then sends a body
+/// of as many bytes as it says after `bytes/`.
+fn script() -> Script {
+    Arc::new(|request| {
+        let path = request.split(' ').nth(1).unwrap_or_default();
+        let number = |name: &str| {
+            let value = path.split_once(name).map(|(_, rest)| rest.split('/').next());
+            value.flatten().and_then(|number| number.parse().ok())
+        };
+        let length = number("bytes/").unwrap_or(5) as usize;
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+        let wait = Duration::from_millis(number("wait/").unwrap_or(0));
+        let body = Step::Send(vec![b'x'; length]);
+        [vec![Step::Wait(wait)], text(&head), vec![body]].concat()
+    })
+}
+
+/// A node that is draining.
+struct Draining {
+    since: Instant,
+    ended: mpsc::Receiver<Instant>,
+}
+
+impl Draining {
+    /// Stops a node as a signal does.
+    fn begin(fleet: &mut Fleet, node: usize) -> Draining {
+        Draining::begin_node(fleet.nodes.remove(node))
+    }
+
+    fn begin_node(node: Node) -> Draining {
+        let since = Instant::now();
+        node.stop();
+        let (sender, ended) = mpsc::channel();
+        thread::spawn(move || {
+            node.wait();
+            sender.send(Instant::now())
+        });
+        Draining { since, ended }
+    }
+
+    /// Sleeps until this time after the stop signal.
+    fn sleep_until(&self, after: Duration) {
+        thread::sleep(after.saturating_sub(self.since.elapsed()));
+    }
+
+    /// Waits for the end of the process. Returns its time since the stop signal.
+    fn wait(&self) -> Duration {
+        let ended = self.ended.recv_timeout(4 * GRACE).expect("the process ends");
+        ended - self.since
+    }
+}
+
+/// Returns the head of a request without a body, which keeps its connection open.
+fn head(method: &str, path: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: fleet\r\nauthorization: Bearer {KEY}\r\n\
+         idempotency-key: {path}\r\n\r\n"
+    )
+}
+
+/// A caller that has sent something and reads until its connection ends.
+struct Caller {
+    stream: TcpStream,
+    reader: JoinHandle<(RawResponse, Instant)>,
+}
+
+impl Caller {
+    fn send(address: SocketAddr, text: &str) -> Caller {
+        let mut stream = TcpStream::connect(address).expect("the node listens");
+        stream.write_all(text.as_bytes()).expect("the node reads");
+        let reading = stream.try_clone().expect("a second handle of the socket");
+        let reader = thread::spawn(move || (read_all(reading), Instant::now()));
+        Caller { stream, reader }
+    }
+
+    /// Sends more on the same connection, which the node may have closed.
+    fn send_more(&mut self, text: &str) {
+        let _ = self.stream.write_all(text.as_bytes());
+    }
+
+    /// Waits until the connection has ended. Returns the responses, and when it ended.
+    fn finish(self) -> (Vec<String>, Instant) {
+        let (response, at) = self.reader.join().expect("the reader ends");
+        (outcomes(&response.text), at)
+    }
+}
+
+/// Describes the responses of one connection in order, by status, reason of a refusal and what
+/// follows. A response that is incomplete is described as `cut`.
+fn outcomes(mut text: &str) -> Vec<String> {
+    let mut outcomes = Vec::new();
+    while !text.is_empty() {
+        let Some((head, rest)) = text.split_once("\r\n\r\n") else {
+            outcomes.push("cut".to_owned());
+            break;
+        };
+        let status = head.split(' ').nth(1).unwrap_or_default();
+        let header = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
+        let length = header("content-length: ").and_then(|length| length.parse().ok());
+        let length = length.unwrap_or(usize::MAX);
+        if rest.len() < length {
+            outcomes.push(format!("{status} cut"));
+            break;
+        }
+        let reason = header("mustardpin-reason: ").map(|reason| format!(" {reason}"));
+        let retry = header("retry-after: ").map(|_| ", retry later");
+        let close = header("connection: close").map(|_| ", closes");
+        let parts = [Some(status.to_owned()), reason, retry.map(Into::into), close.map(Into::into)];
+        outcomes.push(parts.into_iter().flatten().collect());
+        text = &rest[length..];
+    }
+    outcomes
+}
+
+/// Describes the response to a GET request of an HTTP/2 caller, like [`outcomes`].
+async fn http2_outcome(caller: &mut Http2, path: &str) -> String {
+    let Ok(response) = caller.get(path).await else { return "no response".to_owned() };
+    let header = |name| response.headers().get(name).and_then(|value| value.to_str().ok());
+    let reason = header("mustardpin-reason").map(|reason| format!(" {reason}"));
+    let retry = header("retry-after").map(|_| ", retry later".to_owned());
+    let status = response.status().as_u16().to_string();
+    let outcome: String = [Some(status), reason, retry].into_iter().flatten().collect();
+    match http_body_util::BodyExt::collect(response.into_body()).await {
+        Ok(_) => outcome,
+        Err(_) => format!("{outcome} cut"),
+    }
+}
+
+/// Whether a target has begun to run the request with this path.
+fn has_run(fleet: &Fleet, path: &str) -> bool {
+    let line = format!(" {path} ");
+    fleet.targets.iter().any(|target| target.seen().iter().any(|seen| seen.contains(&line)))
+}
+
+/// Cases whose outcome is not among the accepted ones.
+#[derive(Default)]
+struct Failures(Vec<String>);
+
+impl Failures {
+    fn check(&mut self, case: &str, outcomes: &[String], accepted: &[&str]) {
+        let found = outcomes.join("; ");
+        if !accepted.contains(&found.as_str()) {
+            self.0.push(format!("{case}: `{found}`, not {accepted:?}"));
+        }
+    }
+
+    /// Checks that an explicit response, or the end of a process, comes within the grace time.
+    fn check_time(&mut self, case: &str, after: Duration) {
+        if after > GRACE {
+            self.0.push(format!("{case}: {after:?} after the stop signal"));
+        }
+    }
+
+    fn require(&mut self, case: &str, holds: bool) {
+        if !holds {
+            self.0.push(case.to_owned());
+        }
+    }
+
+    fn assert_none(&self) {
+        assert!(self.0.is_empty(), "{:#?}", self.0);
+    }
+}
--- a/crates/mustardpin-node/tests/testsuite/fake.rs
+++ b/crates/mustardpin-node/tests/testsuite/fake.rs
@@ -7,8 +7,8 @@
 mod target;
 
 pub use self::{
-    caller::{End, RawResponse, call, exchange, get, http2, read_all, read_response},
-    fleet::{Fleet, KEY},
+    caller::{End, Http2, RawResponse, call, exchange, get, http2, read_all, read_response},
+    fleet::{Fleet, KEY, launch},
     platform::Platform,
     side::{TrafficSide, run},
     target::{Script, Step, Target, text},
--- a/crates/mustardpin-node/tests/testsuite/main.rs
+++ b/crates/mustardpin-node/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 
 mod admin;
 mod control;
+mod drain;
 mod endless;
 mod fake;
 mod input;
