Serve the first request of an HTTP/2 connection made to a draining node

What callers saw: of 20 HTTP/2 callers that connected to a draining node, 7 to 14 were turned away before their first request was read.

Cause: the connection was told to shut down as soon as it was accepted, so hyper sent GOAWAY at once.

Evidence: drain::stay::new_http2_connections_are_served_during_the_stay failed before with `HTTP/2, 1: "no response", not ["200"]` for 8 of 20, and passes.

--- a/crates/mustardpin-node/src/traffic/http2.rs
+++ b/crates/mustardpin-node/src/traffic/http2.rs
@@ -25,7 +25,7 @@
     io::{AsyncReadExt as _, join},
     net::TcpStream,
     select,
-    sync::watch,
+    sync::{Notify, watch},
     time,
 };
 
@@ -64,7 +64,12 @@
     let (reader, writer) = stream.into_split();
     let io = TokioIo::new(join(Cursor::new(buffer).chain(reader), writer));
     let header_size = exchanges.caller_limits().header_size;
-    let service = service_fn(move |request| respond(Arc::clone(&exchanges), kind, request));
+    let drain_idle_timeout = exchanges.limits.drain_idle_timeout;
+    let first_request = Arc::new(Notify::new());
+    let service = service_fn(|request| {
+        first_request.notify_one();
+        respond(Arc::clone(&exchanges), kind, request)
+    });
     let connection = http2::Builder::new(TokioExecutor::new())
         .timer(TokioTimer::new())
         .initial_stream_window_size(STREAM_WINDOW_BYTES)
@@ -79,6 +84,12 @@
         _ = connection.as_mut() => return,
         _ = stage.wait_for(|stage| *stage != Stage::Serving) => {}
     }
+    // The first request of a connection that was made while the node drains is on its way.
+    select! {
+        _ = connection.as_mut() => return,
+        () = first_request.notified() => {}
+        () = time::sleep(drain_idle_timeout) => {}
+    }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
--- a/crates/mustardpin-node/tests/testsuite/drain.rs
+++ b/crates/mustardpin-node/tests/testsuite/drain.rs
@@ -1,6 +1,7 @@
 //! What callers see of a node from its stop signal to the end of its process.
 
 mod start;
+mod stay;
 
 use std::{
     io::Write as _,
