Refuse callers' requests at a draining node once they had time to leave

What callers saw: a request that arrived long after SIGTERM was taken, passed on to a target, and its connection closed without an answer when the process ended.

Cause: a draining node accepted callers' requests until its process ended. As long as callers kept using it, some call was always in progress, so it never drained, and whatever it had accepted last was cut at the end of the grace. The class: work is accepted by a process that cannot be sure to finish it.

Change: from the end of `stop.stay` on, a draining node refuses new requests of callers with `leaving` (not run, with a time to come back). Calls of its target are accepted while the target runs a request, until half a second before the end of the grace.

--- a/crates/mustardpin-node/tests/testsuite/drain.rs
+++ b/crates/mustardpin-node/tests/testsuite/drain.rs
@@ -1,5 +1,6 @@
 //! What callers see of a node from its stop signal to the end of its process.
 
+mod refusal;
 mod start;
 mod stay;
 
@@ -210,3 +211,6 @@
         assert!(self.0.is_empty(), "{:#?}", self.0);
     }
 }
+
+/// The response to a new request after the stay.
+const LEAVING: &str = "503 leaving, retry later, closes";
--- a/crates/mustardpin-virtual/tests/testsuite/drain.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/drain.rs
@@ -1,18 +1,27 @@
 //! Draining targets and nodes get no new requests after 3 s, and no request is aborted.
 
-use std::{collections::BTreeSet, fmt::Write as _};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt::Write as _,
+};
 
 use mustardpin_virtual::Site;
 use mustardpin_world::{Millis, config::CutOffPolicy};
 
-use crate::scenario::{Scenario, for_seeds};
+use crate::scenario::{self, Scenario, for_seeds};
 
 /// The maximum time from the start of draining until the target gets no new requests.
 const MAX_EXCLUSION_DELAY: Millis = Millis::from_secs(3);
 /// The maximum duration of a graceful shutdown, which waits until all requests have responses.
 const MAX_STOP_DURATION: Millis = Millis::from_secs(12);
+/// How long a stopping node accepts requests of callers.
+const STAY: Millis = Millis::from_secs(3);
+/// Longer than a node may take to exit, whatever it does.
+const LONG_GRACE: Millis = Millis::from_secs(40);
 /// Slows targets down so that a request takes 100 ms on average and targets are half busy.
 const HALF_BUSY_SLOWDOWN: f64 = 20.0;
+/// Slows targets down so that each node always has requests in progress.
+const BUSY_SLOWDOWN: f64 = 35.0;
 /// Slows a target down so that requests still run when its node could otherwise exit.
 const SLOW_TARGET_SLOWDOWN: f64 = 160.0;
 /// Slows targets down so that they get more than twice the requests they can run.
@@ -159,3 +168,46 @@
         assert_eq!(violations_of(&scenario), [""; 0], "seed {seed}");
     });
 }
+
+/// Guards against a node that accepts requests until its process ends, so that callers who keep
+/// using it hold it back and lose what it accepted last.
+#[test]
+fn a_stopping_node_whose_callers_stay_refuses_them_and_exits() {
+    let mut report = String::new();
+    for_seeds(|seed| {
+        let mut scenario = start_half_busy(seed);
+        for site in scenario.fleet.sites() {
+            scenario.fleet.target(site).slowdown = BUSY_SLOWDOWN;
+        }
+        scenario.load_for(Millis::from_secs(1));
+        let site = Site((seed as usize + 2) % 9);
+        let start = scenario.fleet.now;
+        scenario.fleet.stop(site);
+        while !scenario.fleet.has_exited(site) && scenario.fleet.now < start + LONG_GRACE {
+            scenario.load_for(Millis(50));
+        }
+        let took = scenario.fleet.now - start;
+        scenario.fleet.run_for(Millis::from_secs(12));
+        assert_eq!(violations_of(&scenario), [""; 0], "seed {seed}");
+        assert!(took <= MAX_STOP_DURATION, "seed {seed}: exited after {took}");
+        if seed < REPORTED_SEEDS {
+            writeln!(report, "seed {seed}, sent within 3 s of the stop").unwrap();
+            writeln!(report, "  {}", results(&scenario, site, start, start + STAY)).unwrap();
+            writeln!(report, "seed {seed}, sent later").unwrap();
+            writeln!(report, "  {}", results(&scenario, site, start + STAY, Millis::MAX)).unwrap();
+        }
+    });
+    insta::assert_snapshot!(report);
+}
+
+/// Counts the results of requests that were sent to a node in a period.
+fn results(scenario: &Scenario, site: Site, from: Millis, to: Millis) -> String {
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    for received in &scenario.fleet.received {
+        if received.site == site && received.sent >= from && received.sent < to {
+            *counts.entry(scenario::outcome(received)).or_default() += 1;
+        }
+    }
+    let counts = counts.into_iter().map(|(outcome, count)| format!("{count} {outcome}"));
+    counts.collect::<Vec<_>>().join(", ")
+}
--- a/crates/mustardpin-virtual/tests/testsuite/main.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/main.rs
@@ -18,4 +18,5 @@
 mod scenario;
 mod schedule;
 mod shedding;
+mod stop;
 mod support;
--- a/crates/mustardpin-virtual/tests/testsuite/scenario.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/scenario.rs
@@ -194,7 +194,7 @@
 }
 
 /// A short description of what a caller received.
-fn outcome(received: &Received) -> String {
+pub fn outcome(received: &Received) -> String {
     match &received.verdict {
         None => "broken".to_owned(),
         Some(Verdict::Pass) => "whole".to_owned(),
--- a/crates/mustardpin-world/src/options.rs
+++ b/crates/mustardpin-world/src/options.rs
@@ -363,6 +363,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Stop {
     /// The minimum time that a node drains, so that peers and callers learn of it before it exits.
+    /// Callers' requests that arrive later are refused.
     pub stay: Millis,
     /// The maximum time that a node drains. It then exits, even with requests in progress.
     pub grace: Millis,
--- a/crates/mustardpin-world/src/system/intake.rs
+++ b/crates/mustardpin-world/src/system/intake.rs
@@ -11,7 +11,7 @@
     log::{self, Entry, Level},
     refusal::{Reason, Refusal},
     request::{CallToken, Forwarded, Nesting, Origin, Request, Verdict},
-    system::{finish, permission, resend, retry, shedding},
+    system::{finish, permission, resend, retry, shedding, stop},
     table::{
         call::{Call, Stage},
         counter::Work,
@@ -80,6 +80,7 @@
 }
 
 fn from_caller(world: &mut World, now: Millis, request: &Request) -> Result<Arrival, Refusal> {
+    stop::check(world, now, &request.origin)?;
     let tables = &world.tables;
     if tables.configuration.revision.0 == 0 {
         return Err(Refusal::not_run(Reason::Starting).after(RETRY_AFTER_START));
--- a/crates/mustardpin-world/src/system/stop.rs
+++ b/crates/mustardpin-world/src/system/stop.rs
@@ -6,7 +6,7 @@
     command::Command,
     log::{Entry, Level},
     refusal::{Reason, Refusal},
-    request::Verdict,
+    request::{Origin, Verdict},
     system::{finish, fleet},
     table::call::Stage,
     world::{Tick, World},
@@ -16,6 +16,9 @@
 /// callers get a response.
 const REFUSE_BEFORE_END: Millis = Millis(500);
 
+/// How long a caller should wait before it retries a request that a draining node refused.
+const RETRY_AFTER: Millis = Millis(300);
+
 /// State of the system between ticks.
 #[derive(Debug, Default)]
 pub(crate) struct State {
@@ -45,6 +48,27 @@
     }
 }
 
+/// Refuses a new request that a draining node might not finish before it exits. Callers have had
+/// the time to use other nodes by the end of [`crate::options::Stop::stay`]; calls of the target
+/// are accepted for as long as it runs a request.
+pub(super) fn check(world: &World, now: Millis, origin: &Origin) -> Result<(), Refusal> {
+    let tables = &world.tables;
+    if !tables.leaving {
+        return Ok(());
+    }
+    let options = &world.options.stop;
+    let since = world.systems.stop.leaving_since;
+    let is_nested = matches!(origin, Origin::Target { .. }) && tables.target.running > 0;
+    let refuses_from = match is_nested {
+        true => since + options.grace - REFUSE_BEFORE_END,
+        false => since + options.stay,
+    };
+    match now < refuses_from {
+        true => Ok(()),
+        false => Err(Refusal::not_run(Reason::Leaving).after(RETRY_AFTER)),
+    }
+}
+
 /// Publishes whether the node is ready, if that has changed.
 pub(super) fn update_readiness(world: &mut World, tick: &mut Tick) {
     let started = world.systems.stop.started.unwrap_or(tick.now);
@@ -119,7 +143,7 @@
     let waiting: Vec<_> =
         calls.filter(|(_, call)| is_waiting(call.stage)).map(|(key, _)| key).collect();
     for key in waiting {
-        let refusal = Refusal::not_run(Reason::Leaving).after(REFUSE_BEFORE_END);
+        let refusal = Refusal::not_run(Reason::Leaving).after(RETRY_AFTER);
         finish::run(world, tick, key, Verdict::Refuse(refusal));
     }
 }
