Answer pipelined requests that a node has passed on when it starts to drain

What callers saw: of several pipelined requests, only the first got a response after the node was stopped; the others ran and their connection was closed.

Cause: the first response after the stop announced the end of the connection and cancelled the requests behind it, whether or not they had been passed on. The class: a connection is ended by its oldest request while the node is still responsible for later ones.

Change: while a node drains, the next request of a connection is the last one that is read, and only the response to the last request announces the end.

--- a/crates/mustardpin-node/src/traffic/caller.rs
+++ b/crates/mustardpin-node/src/traffic/caller.rs
@@ -147,7 +147,8 @@
             is_first &= buffer.is_empty();
             while !self.is_closing && self.slots.len() < MAX_PIPELINED_REQUESTS {
                 let has_ended = reading.take(self, buffer, &mut writing);
-                self.is_closing |= has_ended && self.is_last;
+                // While the node drains, the next request of a connection is its last.
+                self.is_closing |= has_ended && (self.is_last || self.is_draining());
                 if !has_ended {
                     break;
                 }
@@ -204,8 +205,9 @@
         response: CallerResponse,
         options: ResponseOptions,
     ) {
-        let is_serving = *self.stage.borrow() == Stage::Serving;
-        let closes = !options.is_persistent || !is_serving;
+        // Requests behind this one that have been accepted get their responses first.
+        let drains = self.is_draining() && self.slots.is_empty();
+        let closes = !options.is_persistent || drains;
         let closes = writing.start_response(response, options.accepts_chunked, closes);
         self.idle_since = Instant::now();
         if closes {
@@ -215,6 +217,11 @@
         }
     }
 
+    /// Whether the node closes its callers' connections since it is about to exit.
+    fn is_draining(&self) -> bool {
+        *self.stage.borrow() != Stage::Serving
+    }
+
     /// Cancels the requests behind a response that closes the connection, since their responses
     /// cannot be sent.
     fn cancel_pending(&mut self) {
@@ -245,7 +252,7 @@
         if may_read {
             buffer.reserve(READ_BYTES);
         }
-        let is_leaving = *self.stage.borrow() != Stage::Serving;
+        let is_draining = self.is_draining();
         let response = match self.slots.front_mut() {
             Some(ResponseSlot::Open { response, .. }) if writing.is_idle() => Some(response),
             _ => None,
@@ -270,7 +277,7 @@
             ready = writer.writable(), if writing.is_blocked() => ready?,
             () = writing.advance(), if writing.awaits_piece() => {}
             () = reading.advance(), if reading.awaits_capacity() => {}
-            _ = self.stage.changed(), if !is_leaving => {}
+            _ = self.stage.changed(), if !is_draining => {}
             () = deadline => self.time_out(reading),
         }
         Ok(())
@@ -290,8 +297,7 @@
         if !self.slots.is_empty() || !writing.is_idle() {
             return far_future;
         }
-        let is_leaving = *self.stage.borrow() != Stage::Serving;
-        let max_idle_time = match is_leaving {
+        let max_idle_time = match self.is_draining() {
             true => self.exchanges.limits.drain_idle_timeout,
             false => duration(callers.idle_timeout),
         };
