End a draining node's process within its grace time, with a response to all

What callers saw: requests that ran for longer than the grace time, and uploads that did not end, got no response; a caller that read a large response slowly got a part of it.

Cause: a node drained for all of `stop.grace` and then waited up to `limits.exit-grace` for its connections, so a supervisor that kills at the end of the grace came first; calls still in progress had no verdict by then. A node that had drained early gave its connections only `limits.exit-grace`, however much of the grace was left. The class: an end that no one plans back from the time at which the process is killed.

Change: the drain has a schedule, planned back from the end of the grace. Calls that wait are refused and calls in progress are cancelled before `limits.exit-grace` begins (at most a sixth of the grace), with a response that says whether they may have run; connections may end until 200 ms before the end. A peer that gets such a refusal of a repeatable request tries it elsewhere. `limits.exit-grace` is now a part of `stop.grace`.

--- a/crates/mustardpin-node/src/control/thread.rs
+++ b/crates/mustardpin-node/src/control/thread.rs
@@ -131,7 +131,7 @@
             Command::CallerLimits(callers) => TrafficCommand::CallerLimits(callers),
             Command::Ready(ready) => TrafficCommand::Ready(ready),
             Command::CloseIdle => TrafficCommand::CloseIdle,
-            Command::Exit => TrafficCommand::Exit,
+            Command::Exit { by } => TrafficCommand::Exit { by },
             Command::Store(ticket, operation) => {
                 return self.interfaces.store.submit(ticket, operation);
             }
--- a/crates/mustardpin-node/src/launch.rs
+++ b/crates/mustardpin-node/src/launch.rs
@@ -109,7 +109,6 @@
             body_timeout: duration(limits.body_timeout),
             idle_timeout: duration(limits.idle_timeout),
             drain_idle_timeout: duration(limits.close_linger),
-            exit_grace: duration(limits.exit_grace),
             traffic_threads: limits.traffic_threads,
         }
     }
@@ -180,8 +179,6 @@
     pub idle_timeout: Duration,
     /// While the node is draining, the time after which an idle connection is closed.
     pub drain_idle_timeout: Duration,
-    /// The time that connections have to end after the node has finished all requests.
-    pub exit_grace: Duration,
     /// The number of traffic threads.
     pub traffic_threads: usize,
 }
@@ -212,7 +209,6 @@
             body_timeout: Duration::from_secs(10),
             idle_timeout: Duration::from_secs(60),
             drain_idle_timeout: Duration::from_secs(1),
-            exit_grace: Duration::from_secs(5),
             traffic_threads: 2,
         }
     }
--- a/crates/mustardpin-node/src/node.rs
+++ b/crates/mustardpin-node/src/node.rs
@@ -5,12 +5,13 @@
     net::SocketAddr,
     sync::{Arc, mpsc},
     thread::{self, JoinHandle},
+    time::Duration,
 };
 
 use compact_str::ToCompactString as _;
 use derive_more::{Display, Error, From};
 use mustardpin_world::{
-    Event, World,
+    Event, Millis, World,
     id::NodeId,
     log::{Entry, Level},
     store::Announcement,
@@ -26,7 +27,7 @@
 
 use crate::{
     admin,
-    clock::BootClock,
+    clock::{BootClock, Clock as _},
     control::{self, Handle, Interfaces},
     launch::{Addresses, Launch, Limits},
     log, metrics,
@@ -142,7 +143,8 @@
             handle.spawn(server::serve(listener, Arc::new(service), server::Limits::default()));
         }
         if let Some(listener) = listeners.metrics.take() {
-            let metrics_service = metrics::MetricsService::new(control.clone(), clock);
+            let metrics_service =
+                metrics::MetricsService::new(control.clone(), Arc::clone(&clock) as _);
             handle.spawn(server::serve(
                 listener,
                 Arc::new(metrics_service),
@@ -154,8 +156,13 @@
         }
         listeners.serve(&exchanges, &connections);
         let (finished_sender, finished) = mpsc::channel();
-        let shutdown =
-            Shutdown { exchanges, connections, limits: launch.limits, control: control.clone() };
+        let shutdown = Shutdown {
+            exchanges,
+            connections,
+            limits: launch.limits,
+            clock,
+            control: control.clone(),
+        };
         handle.spawn(shutdown.run(finished_sender));
         let (traffic, stop_receiver) = oneshot::channel::<()>();
         let traffic_thread = thread::Builder::new()
@@ -199,7 +206,7 @@
     }
 
     /// Waits until the node has shut down: no request is in progress, and all connections have
-    /// ended or [`Limits::exit_grace`] has passed.
+    /// ended or the grace time is over.
     pub fn wait(self) {
         // Fails only if the traffic threads have already ended.
         let _ = self.finished.recv();
@@ -249,6 +256,7 @@
     exchanges: Arc<Exchanges>,
     connections: TaskTracker,
     limits: Limits,
+    clock: Arc<BootClock>,
     control: Handle,
 }
 
@@ -259,11 +267,14 @@
         // Fails only if `exchanges` is dropped, which this task holds.
         let _ = stage.wait_for(|stage| *stage != Stage::Serving).await;
         let min_drain_time = time::sleep(self.limits.drain_idle_timeout);
-        let _ = stage.wait_for(|stage| *stage == Stage::Exiting).await;
+        let exiting = stage.wait_for(|stage| stage.is_exiting()).await.map(|stage| *stage);
         min_drain_time.await;
         self.connections.close();
-        // Connections that are still open after this time are aborted.
-        if time::timeout(self.limits.exit_grace, self.connections.wait()).await.is_err() {
+        let left = match exiting {
+            Ok(Stage::Exiting { by }) => by - self.clock.now(),
+            _ => Millis::ZERO,
+        };
+        if time::timeout(Duration::from_millis(left.0), self.connections.wait()).await.is_err() {
             let count = self.connections.len();
             let entry = Entry::new(Level::Warn, "connections_aborted").with("count", count);
             self.control.write_log(entry);
--- a/crates/mustardpin-node/src/traffic.rs
+++ b/crates/mustardpin-node/src/traffic.rs
@@ -24,6 +24,7 @@
 use std::time::Duration;
 
 use mustardpin_world::{
+    Millis,
     command::TargetAddress,
     config::CallerLimits,
     id::NodeId,
@@ -87,7 +88,10 @@
     /// Begin draining: close callers' connections as they become idle.
     CloseIdle,
     /// Exit the process once all connections have ended.
-    Exit,
+    Exit {
+        /// Connections that are still open at this point in time are aborted.
+        by: Millis,
+    },
 }
 
 /// The interface of the traffic side to the control thread.
--- a/crates/mustardpin-node/src/traffic/dispatch.rs
+++ b/crates/mustardpin-node/src/traffic/dispatch.rs
@@ -67,7 +67,7 @@
         TrafficCommand::CallerLimits(callers) => exchanges.set_caller_limits(callers),
         TrafficCommand::Ready(ready) => exchanges.set_ready(ready),
         TrafficCommand::CloseIdle => exchanges.advance_stage(Stage::Leaving),
-        TrafficCommand::Exit => exchanges.advance_stage(Stage::Exiting),
+        TrafficCommand::Exit { by } => exchanges.advance_stage(Stage::Exiting { by }),
     }
 }
 
--- a/crates/mustardpin-node/src/traffic/listener.rs
+++ b/crates/mustardpin-node/src/traffic/listener.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use futures::FutureExt as _;
+use mustardpin_world::Millis;
 use tokio::{
     net::{TcpListener, TcpStream},
     select,
@@ -22,7 +23,23 @@
     /// The process is draining: it finishes the requests in progress.
     Leaving,
     /// All requests have finished and the process is about to exit.
-    Exiting,
+    Exiting {
+        /// Connections that are still open at this point in time are aborted.
+        by: Millis,
+    },
+}
+
+impl Stage {
+    /// Whether the process is about to exit.
+    ///
+    /// ```
+    /// use mustardpin_node::traffic::Stage;
+    /// use mustardpin_world::Millis;
+    /// assert!(Stage::Exiting { by: Millis(500) }.is_exiting() && !Stage::Leaving.is_exiting());
+    /// ```
+    pub const fn is_exiting(self) -> bool {
+        matches!(self, Stage::Exiting { .. })
+    }
 }
 
 /// The kind of clients that a listener serves.
@@ -60,7 +77,7 @@
     loop {
         let accepted = select! {
             accepted = listener.accept() => accepted,
-            _ = stage.wait_for(|stage| *stage == Stage::Exiting) => break,
+            _ = stage.wait_for(|stage| stage.is_exiting()) => break,
         };
         match accepted {
             Ok((stream, _)) => acceptor.accept(stream),
--- a/crates/mustardpin-node/tests/testsuite/drain.rs
+++ b/crates/mustardpin-node/tests/testsuite/drain.rs
@@ -1,9 +1,12 @@
 //! What callers see of a node from its stop signal to the end of its process.
 
+mod grace;
 mod pipelined;
 mod refusal;
+mod slow_reader;
 mod start;
 mod stay;
+mod upload;
 
 use std::{
     io::Write as _,
@@ -26,13 +29,9 @@
 /// Returns start parameters with short times for draining.
 fn with_short_times(launch: Launch) -> Launch {
     Launch {
-        limits: Limits {
-            drain_idle_timeout: Duration::from_millis(200),
-            exit_grace: Duration::from_millis(300),
-            ..launch.limits
-        },
+        limits: Limits { drain_idle_timeout: Duration::from_millis(200), ..launch.limits },
         options: Options {
-            stop: Stop { stay: millis(STAY), grace: millis(GRACE) },
+            stop: Stop { stay: millis(STAY), grace: millis(GRACE), closing: Millis(300) },
             ..launch.options
         },
         ..launch
--- a/crates/mustardpin-settings/src/settings.rs
+++ b/crates/mustardpin-settings/src/settings.rs
@@ -177,8 +177,6 @@
     pub idle_timeout: Millis,
     /// How long a draining node accepts requests on idle connections before it closes them.
     pub close_linger: Millis,
-    /// How long connections may take to close once a draining node has finished all requests.
-    pub exit_grace: Millis,
     /// The number of threads that carry traffic.
     pub traffic_threads: usize,
 }
@@ -327,11 +325,6 @@
             Millis::from_secs(1),
             Millis::ZERO..=Millis::from_secs(60),
         ),
-        exit_grace: reader.duration(
-            "limits.exit-grace",
-            Millis::from_secs(5),
-            Millis(100)..=Millis::from_secs(600),
-        ),
         traffic_threads: reader.count("limits.traffic-threads", 2, 1..=64) as usize,
     }
 }
@@ -372,6 +365,7 @@
     duration("roster.spread", &mut roster.spread, 0, 60_000);
     duration("stop.stay", &mut stop.stay, 0, 60_000);
     duration("stop.grace", &mut stop.grace, 100, 3_600_000);
+    duration("limits.exit-grace", &mut stop.closing, 100, 600_000);
     duration("target.lost-after", &mut target.lost_after, 100, 600_000);
 }
 
--- a/crates/mustardpin-virtual/src/fleet/step.rs
+++ b/crates/mustardpin-virtual/src/fleet/step.rs
@@ -104,7 +104,7 @@
                 }
             }
             Command::Target(_) | Command::CallerLimits(_) | Command::CloseIdle => {}
-            Command::Exit => {
+            Command::Exit { .. } => {
                 let node = &mut self.nodes[site.0];
                 node.exited = true;
                 node.up = false;
--- a/crates/mustardpin-virtual/tests/testsuite/stop.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/stop.rs
@@ -7,7 +7,7 @@
     Event, Millis, Options,
     config::{Route, Row},
     options::{Queueing, Stop},
-    refusal::Reason,
+    refusal::{Outcome, Reason},
     request::Verdict,
 };
 
@@ -15,6 +15,7 @@
 
 const STAY: Millis = Millis(1_000);
 const GRACE: Millis = Millis(4_000);
+const CLOSING: Millis = Millis(500);
 /// When load begins before the stop signal.
 const LOAD_BEFORE: Millis = Millis(1_500);
 /// The time between two requests to a node.
@@ -100,7 +101,7 @@
 ];
 
 fn options() -> Options {
-    Options { stop: Stop { stay: STAY, grace: GRACE }, ..Options::default() }
+    Options { stop: Stop { stay: STAY, grace: GRACE, closing: CLOSING }, ..Options::default() }
 }
 
 /// Three nodes in front of `search`, which calls `ledger`, and two in front of `ledger`.
@@ -130,6 +131,7 @@
 /// What broke the contract, by the part that it broke.
 #[derive(Default)]
 struct Violations {
+    unanswered: Vec<String>,
     late: Vec<String>,
     end: Vec<String>,
 }
@@ -179,6 +181,9 @@
         Some(ended) if ended <= GRACE => {}
         _ => violations.end.push(format!("{case}: exited after {ended:?}")),
     }
+    let exit =
+        fleet.log.iter().find(|(_, site, entry)| *site == STOPPED && entry.event == "stopped");
+    let exit = exit.map(|(at, ..)| *at);
     let begun: BTreeSet<u64> = fleet.ran.iter().map(|record| record.root).collect();
     for Sent { root, at } in sent {
         let received = fleet.response_to(root);
@@ -187,6 +192,15 @@
         let case = format!("{case}: sent at {} of the stop, begun {has_begun}: {verdict:?}", {
             at.0 as i64 - stopped.0 as i64
         });
+        let is_answered = match verdict {
+            // Before the exit, it is a server error of the target.
+            None => received.is_some_and(|received| Some(received.at) < exit),
+            Some(Verdict::Pass) => true,
+            Some(Verdict::Refuse(refusal)) => refusal.outcome != Outcome::NotRun || !has_begun,
+        };
+        if !is_answered {
+            violations.unanswered.push(case.clone());
+        }
         let is_leaving = matches!(verdict, Some(Verdict::Refuse(refusal))
             if refusal.reason == Reason::Leaving && refusal.retry_after.is_some());
         if at >= stopped + STAY + REQUEST_INTERVAL && (has_begun || !is_leaving) {
@@ -208,6 +222,12 @@
     assert!(failures.is_empty(), "{failures:#?}");
 }
 
+/// A request that a node has accepted gets a response before the node exits.
+#[test]
+fn every_accepted_request_gets_a_response() {
+    check(|violations| violations.unanswered);
+}
+
 #[test]
 fn new_requests_after_the_stay_are_refused() {
     check(|violations| violations.late);
--- a/crates/mustardpin-world/src/command.rs
+++ b/crates/mustardpin-world/src/command.rs
@@ -73,7 +73,10 @@
     /// other nodes.
     CloseIdle,
     /// Exit: the node has drained, or the time for that is over.
-    Exit,
+    Exit {
+        /// Connections that are still open at this point in time are aborted.
+        by: Millis,
+    },
     /// Run the next tick at this point in time at the latest.
     Wake(Millis),
 }
--- a/crates/mustardpin-world/src/options.rs
+++ b/crates/mustardpin-world/src/options.rs
@@ -365,13 +365,21 @@
     /// The minimum time that a node drains, so that peers and callers learn of it before it exits.
     /// Callers' requests that arrive later are refused.
     pub stay: Millis,
-    /// The maximum time that a node drains. It then exits, even with requests in progress.
+    /// The time within which the process of a draining node has ended, even with requests in
+    /// progress.
     pub grace: Millis,
+    /// The last part of the grace time, in which connections end. Requests in progress are
+    /// cancelled before it.
+    pub closing: Millis,
 }
 
 impl Default for Stop {
     fn default() -> Stop {
-        Stop { stay: Millis::from_secs(3), grace: Millis::from_secs(30) }
+        Stop {
+            stay: Millis::from_secs(3),
+            grace: Millis::from_secs(30),
+            closing: Millis::from_secs(5),
+        }
     }
 }
 
--- a/crates/mustardpin-world/src/system/deadline.rs
+++ b/crates/mustardpin-world/src/system/deadline.rs
@@ -1,11 +1,10 @@
 //! Ends calls whose deadline has passed.
 
 use crate::{
-    command::Command,
     refusal::{Reason, Refusal},
     request::Verdict,
     system::finish,
-    table::{call::Stage, counter::Work},
+    table::call::Stage,
     world::{Tick, World},
 };
 
@@ -15,16 +14,9 @@
 
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
     for key in world.tables.calls.take_due(tick.now) {
-        let Some(call) = world.tables.calls.get_mut(key) else { continue };
+        let Some(call) = world.tables.calls.get(key) else { continue };
         match call.stage {
-            // The event that ends the attempt follows; it determines the outcome.
-            Stage::Running | Stage::Forwarded => {
-                if !call.cancelling {
-                    call.cancelling = true;
-                    world.tables.counters.count_work(Work::Cancelled);
-                    tick.commands.push(Command::Cancel(call.ticket));
-                }
-            }
+            Stage::Running | Stage::Forwarded => finish::cancel(world, tick, key),
             _ => {
                 let refusal = Refusal::not_run(Reason::DeadlineBeforeRun).after(RETRY_AFTER);
                 finish::run(world, tick, key, Verdict::Refuse(refusal));
--- a/crates/mustardpin-world/src/system/ending.rs
+++ b/crates/mustardpin-world/src/system/ending.rs
@@ -1,6 +1,7 @@
 //! Ends calls whose run or forwarded request has ended.
 
 use crate::{
+    clock::Millis,
     id::CallKey,
     log::{Entry, Level},
     refusal::{Outcome, Reason, Refusal},
@@ -11,7 +12,7 @@
 
 /// How long a caller should wait before it retries a request that neither a target nor a peer has
 /// run.
-const RETRY_AFTER_DECLINED: crate::Millis = crate::Millis(300);
+const RETRY_AFTER_DECLINED: Millis = Millis(300);
 
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
     for ticket in std::mem::take(&mut tick.inbox.callers_gone) {
@@ -37,7 +38,7 @@
             Refusal::not_run(Reason::TargetFailed).after(RETRY_AFTER_DECLINED)
         }
         RunEnd::Broken => Refusal::unknown(Reason::TargetFailed),
-        RunEnd::Cancelled => cancellation(world, key),
+        RunEnd::Cancelled => cancellation(world, tick.now, key),
     };
     finish::run(world, tick, key, Verdict::Refuse(refusal));
 }
@@ -49,7 +50,7 @@
         ForwardEnd::Refused(refusal) => refusal,
         ForwardEnd::NotSent => Refusal::not_run(Reason::PeerFailed).after(RETRY_AFTER_DECLINED),
         ForwardEnd::Broken => Refusal::unknown(Reason::PeerFailed),
-        ForwardEnd::Cancelled => cancellation(world, key),
+        ForwardEnd::Cancelled => cancellation(world, tick.now, key),
     };
     finish::run(world, tick, key, Verdict::Refuse(refusal));
 }
@@ -78,8 +79,12 @@
     }
 }
 
-fn cancellation(world: &World, key: CallKey) -> Refusal {
-    let abandoned = world.tables.calls.get(key).is_some_and(|call| call.abandoned);
-    let reason = if abandoned { Reason::CallerGone } else { Reason::DeadlineDuringRun };
+fn cancellation(world: &World, now: Millis, key: CallKey) -> Refusal {
+    let call = world.tables.calls.get(key);
+    let reason = match call {
+        Some(call) if call.abandoned => Reason::CallerGone,
+        Some(call) if now < call.deadline => Reason::Leaving,
+        _ => Reason::DeadlineDuringRun,
+    };
     Refusal { reason, outcome: Outcome::Unknown, retry_after: None }
 }
--- a/crates/mustardpin-world/src/system/finish.rs
+++ b/crates/mustardpin-world/src/system/finish.rs
@@ -141,14 +141,22 @@
     call.abandoned = true;
     match call.stage {
         Stage::Running if !call.repeatable => {}
-        Stage::Running | Stage::Forwarded => {
-            call.cancelling = true;
-            world.tables.counters.count_work(Work::Cancelled);
-            tick.commands.push(Command::Cancel(call.ticket));
-        }
+        Stage::Running | Stage::Forwarded => cancel(world, tick, key),
         _ => {
             let refusal = Refusal::not_run(crate::refusal::Reason::CallerGone);
             run(world, tick, key, Verdict::Refuse(refusal));
         }
     }
 }
+
+/// Cancels the attempt of a call, unless that has been done. The event that ends the attempt follows
+/// and determines the outcome.
+pub(super) fn cancel(world: &mut World, tick: &mut Tick, key: CallKey) {
+    let Some(call) = world.tables.calls.get_mut(key) else { return };
+    if call.cancelling || !matches!(call.stage, Stage::Running | Stage::Forwarded) {
+        return;
+    }
+    call.cancelling = true;
+    world.tables.counters.count_work(Work::Cancelled);
+    tick.commands.push(Command::Cancel(call.ticket));
+}
--- a/crates/mustardpin-world/src/system/retry.rs
+++ b/crates/mustardpin-world/src/system/retry.rs
@@ -189,7 +189,9 @@
             | Reason::QueueFull
             | Reason::InProgressLimit,
         ) => Cause::free(Retry::Refused),
-        (_, Reason::TargetFailed) if call.repeatable => Cause::paid(Retry::Broken),
+        (_, Reason::TargetFailed | Reason::Leaving) if call.repeatable => {
+            Cause::paid(Retry::Broken)
+        }
         _ => None,
     }
 }
--- a/crates/mustardpin-world/src/system/stop.rs
+++ b/crates/mustardpin-world/src/system/stop.rs
@@ -5,6 +5,7 @@
     clock::Millis,
     command::Command,
     log::{Entry, Level},
+    options,
     refusal::{Reason, Refusal},
     request::{Origin, Verdict},
     system::{finish, fleet},
@@ -12,10 +13,13 @@
     world::{Tick, World},
 };
 
-/// Requests that still wait this long before the end of the grace time are refused, so that their
-/// callers get a response.
-const REFUSE_BEFORE_END: Millis = Millis(500);
-
+/// From this long before requests in progress are cancelled, no request is accepted, and those that
+/// wait are refused.
+const REFUSE_BEFORE_CANCEL: Millis = Millis(500);
+/// The process exits this long before the end of the grace time, when a supervisor may kill it.
+const EXIT_MARGIN: Millis = Millis(200);
+/// Connections get at most this fraction of the grace time to end.
+const MIN_CLOSING_DIVISOR: u64 = 6;
 /// How long a caller should wait before it retries a request that a draining node refused.
 const RETRY_AFTER: Millis = Millis(300);
 
@@ -25,6 +29,46 @@
     started: Option<Millis>,
     leaving_since: Millis,
     ready: Option<bool>,
+    /// Whether the node was told to exit.
+    exiting: bool,
+}
+
+/// What a draining node does from which point in time on.
+#[derive(Debug, Clone, Copy)]
+struct Schedule {
+    /// It refuses callers' requests, and exits once no request is in progress.
+    refuse_callers: Millis,
+    /// It refuses all new requests and those that wait.
+    refuse_all: Millis,
+    /// It cancels the requests in progress, so that their callers get a response.
+    cancel: Millis,
+    /// It exits.
+    exit: Millis,
+}
+
+impl Schedule {
+    fn new(since: Millis, options: &options::Stop) -> Schedule {
+        let closing = options.closing.min(Millis(options.grace.0 / MIN_CLOSING_DIVISOR));
+        let end = since + options.grace;
+        let cancel = end - closing;
+        let refuse_all = (cancel - REFUSE_BEFORE_CANCEL).max(since);
+        Schedule {
+            refuse_callers: (since + options.stay).min(refuse_all),
+            refuse_all,
+            cancel,
+            exit: (end - EXIT_MARGIN).max(cancel),
+        }
+    }
+
+    /// The first point in time after `now` at which the node does something else.
+    fn next(self, now: Millis) -> Millis {
+        let times = [self.refuse_callers, self.refuse_all, self.cancel, self.exit];
+        times.into_iter().find(|&time| time > now).unwrap_or(Millis::MAX)
+    }
+}
+
+fn schedule(world: &World) -> Schedule {
+    Schedule::new(world.systems.stop.leaving_since, &world.options.stop)
 }
 
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
@@ -49,20 +93,16 @@
 }
 
 /// Refuses a new request that a draining node might not finish before it exits. Callers have had
-/// the time to use other nodes by the end of [`crate::options::Stop::stay`]; calls of the target
-/// are accepted for as long as it runs a request.
+/// the time to use other nodes by the end of [`options::Stop::stay`]; calls of the target are
+/// accepted for as long as it runs a request.
 pub(super) fn check(world: &World, now: Millis, origin: &Origin) -> Result<(), Refusal> {
     let tables = &world.tables;
     if !tables.leaving {
         return Ok(());
     }
-    let options = &world.options.stop;
-    let since = world.systems.stop.leaving_since;
+    let schedule = schedule(world);
     let is_nested = matches!(origin, Origin::Target { .. }) && tables.target.running > 0;
-    let refuses_from = match is_nested {
-        true => since + options.grace - REFUSE_BEFORE_END,
-        false => since + options.stay,
-    };
+    let refuses_from = if is_nested { schedule.refuse_all } else { schedule.refuse_callers };
     match now < refuses_from {
         true => Ok(()),
         false => Err(Refusal::not_run(Reason::Leaving).after(RETRY_AFTER)),
@@ -95,27 +135,26 @@
 }
 
 /// Exits once a draining node has waited for peers and callers to notice and has finished all
-/// calls, or once its grace time ends.
+/// calls. Calls that its grace time does not suffice for are refused or cancelled before it ends.
 pub(super) fn drain(world: &mut World, tick: &mut Tick) {
     update_readiness(world, tick);
-    if !world.tables.leaving {
+    if !world.tables.leaving || world.systems.stop.exiting {
         return;
     }
-    let options = &world.options.stop;
-    let since = world.systems.stop.leaving_since;
-    let (earliest, end) = (since + options.stay, since + options.grace);
-    if tick.now < earliest {
-        return tick.wake(earliest);
-    }
-    let refuse_from = end - REFUSE_BEFORE_END;
-    if tick.now >= refuse_from {
+    let schedule = schedule(world);
+    if tick.now >= schedule.refuse_all {
         refuse_waiting(world, tick);
     }
-    if world.tables.calls.is_empty() || tick.now >= end {
+    if tick.now >= schedule.cancel {
+        cancel_all(world, tick);
+    }
+    let is_drained = tick.now >= schedule.refuse_callers && world.tables.calls.is_empty();
+    if is_drained || tick.now >= schedule.exit {
+        world.systems.stop.exiting = true;
         log_exit(world, tick);
-        return tick.commands.push(Command::Exit);
+        return tick.commands.push(Command::Exit { by: schedule.exit });
     }
-    tick.wake(if tick.now < refuse_from { refuse_from } else { end });
+    tick.wake(schedule.next(tick.now));
 }
 
 /// Logs that the node exits, and each call that it aborts.
@@ -147,3 +186,11 @@
         finish::run(world, tick, key, Verdict::Refuse(refusal));
     }
 }
+
+/// Cancels the attempts of all calls.
+fn cancel_all(world: &mut World, tick: &mut Tick) {
+    let calls: Vec<_> = world.tables.calls.iter().map(|(key, _)| key).collect();
+    for key in calls {
+        finish::cancel(world, tick, key);
+    }
+}
