Test requests that arrive while a drained node ends

Failed on: the rest of a request that came 100 or 250 ms after the node had told its connections to end was run and then cut without a response. Holds since callers' requests are refused from the end of the stay on.

--- a/crates/mustardpin-node/tests/testsuite/drain.rs
+++ b/crates/mustardpin-node/tests/testsuite/drain.rs
@@ -1,5 +1,6 @@
 //! What callers see of a node from its stop signal to the end of its process.
 
+mod exiting;
 mod grace;
 mod pipelined;
 mod refusal;
