Wait for responses to peers before a draining node's process ends

What callers saw: a caller of a node that was not stopped got a part of its response, or none, when the node beside the target was stopped: of 1, 2 and 4 MB read late over HTTP/2, 0 bytes arrived.

Cause: a node did not wait for the connections of its peers when it ended. A call is over once its response is queued, so frames that were not written yet, and chunks that waited for the peer's credit, were lost with the process. The class: work counts as done before it has left the process.

Change: the connections of peers are waited for like those of callers. Each ends once all responses and their bodies have been written, after its output was shut down, so that unread data of the peer does not reset it.

Evidence: drain::slow_reader::callers_that_read_late_get_complete_responses_of_a_target_whose_node_is_stopped failed before with `1000000 bytes, HTTP/2 true: 0 bytes read`, and passes.

--- a/crates/mustardpin-node/src/traffic/link/incoming.rs
+++ b/crates/mustardpin-node/src/traffic/link/incoming.rs
@@ -18,7 +18,7 @@
     request::{Origin, Request},
     store::Announcement,
 };
-use tokio::{net::TcpStream, time};
+use tokio::{net::TcpStream, select, time};
 
 use crate::traffic::{
     body::{self, Body, Piece, Writer},
@@ -30,6 +30,8 @@
 
 /// The timeout of the exchange of hello frames.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long to wait for a peer to close its side when the node exits.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 static NEXT_CONNECTION_ID: AtomicU64 = AtomicU64::new(0);
 
@@ -81,11 +83,23 @@
     sender: &Arc<Sender>,
 ) -> Result<(), Error> {
     let mut bodies = Bodies::default();
+    let mut stage = exchanges.stage();
     loop {
         while let Some((head, payload)) = wire.take()? {
             process_frame(exchanges, from, sender, &mut bodies, head, payload).await?;
         }
-        wire.advance(sender).await?;
+        let is_exiting = stage.borrow().is_exiting();
+        if is_exiting && sender.is_idle() && wire.is_flushed() {
+            // Closing a socket with unread data would reset the connection, and the peer could
+            // lose the last responses.
+            return time::timeout(CLOSE_TIMEOUT, wire.close()).await?;
+        }
+        select! {
+            advanced = wire.advance(sender) => {
+                advanced?;
+            }
+            _ = stage.wait_for(|stage| stage.is_exiting()), if !is_exiting => {}
+        }
     }
 }
 
--- a/crates/mustardpin-node/src/traffic/link/outgoing.rs
+++ b/crates/mustardpin-node/src/traffic/link/outgoing.rs
@@ -128,7 +128,7 @@
         streams.insert(stream, Stream { ticket: forward.ticket, frame_offset, response: None });
         drop(streams);
         if let Some(streamed) = streamed {
-            tokio::spawn(sender.send_chunks(stream, streamed));
+            sender.send_body(stream, streamed);
         }
         SendResult::Sent
     }
--- a/crates/mustardpin-node/src/traffic/link/wire.rs
+++ b/crates/mustardpin-node/src/traffic/link/wire.rs
@@ -136,6 +136,20 @@
         }
     }
 
+    /// Whether all bytes that were taken from the sender have been written.
+    pub(super) fn is_flushed(&self) -> bool {
+        self.written == self.out.len()
+    }
+
+    /// Ends the output, and waits until the peer has ended its own.
+    pub(super) async fn close(&mut self) -> Result<(), Error> {
+        self.stream.shutdown().await?;
+        loop {
+            self.buffer.clear();
+            self.read().await?;
+        }
+    }
+
     /// Writes as much as the socket accepts.
     pub(super) fn write(&mut self, sender: &Sender) -> Result<(), Error> {
         loop {
--- a/crates/mustardpin-node/src/traffic/listener.rs
+++ b/crates/mustardpin-node/src/traffic/listener.rs
@@ -103,8 +103,7 @@
         let Ok(permit) = Arc::clone(&self.permits).try_acquire_owned() else { return };
         let (exchanges, kind) = (Arc::clone(&self.exchanges), self.kind);
         if kind == ListenerKind::Peers {
-            // Peer links stay open until the process ends; a draining node does not wait for them.
-            tokio::spawn(async move {
+            self.connections.spawn(async move {
                 link::accept(exchanges, stream).await;
                 drop(permit);
             });
--- a/crates/mustardpin-node/src/traffic/sender.rs
+++ b/crates/mustardpin-node/src/traffic/sender.rs
@@ -106,14 +106,24 @@
         let head = frame::Response { stream, status, retries, load, fields: length, body: kind };
         self.send(&Head::Answer(head), &[&header_lines, &complete_body]);
         if let Some(streamed) = streamed {
-            tokio::spawn(Arc::clone(self).send_chunks(stream, streamed));
+            self.send_body(stream, streamed);
         }
     }
 
-    /// Sends the rest of a body, one chunk for each credit.
-    pub(super) async fn send_chunks(self: Arc<Sender>, stream: u32, mut streamed: Stream) {
+    /// Starts sending a body in chunks.
+    pub(super) fn send_body(self: &Arc<Sender>, stream: u32, streamed: Stream) {
         let credits = Arc::new(Semaphore::new(body::MAX_QUEUED_PIECES));
         self.credits().insert(stream, Arc::clone(&credits));
+        tokio::spawn(Arc::clone(self).send_chunks(stream, streamed, credits));
+    }
+
+    /// Sends a body, one chunk for each credit.
+    async fn send_chunks(
+        self: Arc<Sender>,
+        stream: u32,
+        mut streamed: Stream,
+        credits: Arc<Semaphore>,
+    ) {
         loop {
             match streamed.next().await {
                 Some(Piece::Data(bytes)) => {
@@ -132,6 +142,15 @@
             }
         }
         self.credits().remove(&stream);
+        // The connection's task may wait for the last body.
+        self.queued.notify_one();
+    }
+
+    /// Whether all responses were taken by the connection's task, with their bodies.
+    pub(super) fn is_idle(&self) -> bool {
+        self.open_requests().is_empty()
+            && self.credits().is_empty()
+            && self.queue().bytes.is_empty()
     }
 
     /// Grants the peer a credit for one more chunk.
--- a/crates/mustardpin-node/tests/testsuite/drain/slow_reader.rs
+++ b/crates/mustardpin-node/tests/testsuite/drain/slow_reader.rs
@@ -112,6 +112,11 @@
     check(1, 1);
 }
 
+#[test]
+fn callers_that_read_late_get_complete_responses_of_a_target_whose_node_is_stopped() {
+    check(1, 0);
+}
+
 /// Responses that the node holds while the caller reads the one before.
 #[test]
 fn callers_that_read_pipelined_responses_late_get_all_of_them() {
