Keep the schedule of a drain when the settings are reloaded

What callers saw: when `stop.grace` was raised while a node drained, it stayed longer than the supervisor waits; when it was lowered, requests were cut.

Cause: each tick read the times from the current settings, not from those at the stop signal, with which the supervisor's grace began.

Change: the schedule is made at the stop signal and kept.

--- a/crates/mustardpin-virtual/tests/testsuite/stop.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/stop.rs
@@ -79,6 +79,21 @@
             fleet.inject(STOPPED, Event::Reloaded(Options { queueing, ..options() }));
         }
     }),
+    ("its settings are reloaded with a longer drain", |fleet, since| {
+        fleet.target(STOPPED).slowdown = 40.0;
+        if since.is_some_and(|since| since >= Millis(STAY.0 / 2)) {
+            let stop =
+                Stop { stay: Millis(2 * GRACE.0), grace: Millis(3 * GRACE.0), closing: CLOSING };
+            fleet.inject(STOPPED, Event::Reloaded(Options { stop, ..options() }));
+        }
+    }),
+    ("its settings are reloaded with a shorter drain", |fleet, since| {
+        fleet.target(STOPPED).slowdown = 40.0;
+        if since.is_some_and(|since| since >= Millis(STAY.0 / 2)) {
+            let stop = Stop { stay: Millis(0), grace: Millis(100), closing: CLOSING };
+            fleet.inject(STOPPED, Event::Reloaded(Options { stop, ..options() }));
+        }
+    }),
     ("the configuration changes", |fleet, since| {
         if since.is_some() {
             let rate = 1_000 + fleet.now.0 as u32 % 7;
--- a/crates/mustardpin-world/src/system/stop.rs
+++ b/crates/mustardpin-world/src/system/stop.rs
@@ -28,6 +28,9 @@
 pub(crate) struct State {
     started: Option<Millis>,
     leaving_since: Millis,
+    /// The schedule of the drain; `None` before the node drains. A reload does not change it, since
+    /// the supervisor's grace time has begun.
+    schedule: Option<Schedule>,
     ready: Option<bool>,
     /// Whether the node was told to exit.
     exiting: bool,
@@ -67,10 +70,6 @@
     }
 }
 
-fn schedule(world: &World) -> Schedule {
-    Schedule::new(world.systems.stop.leaving_since, &world.options.stop)
-}
-
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
     if world.systems.stop.started.is_none() {
         world.systems.stop.started = Some(tick.now);
@@ -85,7 +84,9 @@
     }
     if tick.inbox.stop && !world.tables.leaving {
         world.tables.leaving = true;
+        let schedule = Schedule::new(tick.now, &world.options.stop);
         world.systems.stop.leaving_since = tick.now;
+        world.systems.stop.schedule = Some(schedule);
         let calls = world.tables.calls.len();
         tick.log(Entry::new(Level::Info, "leaving").with("calls", calls));
         tick.commands.push(Command::CloseIdle);
@@ -96,12 +97,8 @@
 /// the time to use other nodes by the end of [`options::Stop::stay`]; calls of the target are
 /// accepted for as long as it runs a request.
 pub(super) fn check(world: &World, now: Millis, origin: &Origin) -> Result<(), Refusal> {
-    let tables = &world.tables;
-    if !tables.leaving {
-        return Ok(());
-    }
-    let schedule = schedule(world);
-    let is_nested = matches!(origin, Origin::Target { .. }) && tables.target.running > 0;
+    let Some(schedule) = world.systems.stop.schedule else { return Ok(()) };
+    let is_nested = matches!(origin, Origin::Target { .. }) && world.tables.target.running > 0;
     let refuses_from = if is_nested { schedule.refuse_all } else { schedule.refuse_callers };
     match now < refuses_from {
         true => Ok(()),
@@ -138,10 +135,10 @@
 /// calls. Calls that its grace time does not suffice for are refused or cancelled before it ends.
 pub(super) fn drain(world: &mut World, tick: &mut Tick) {
     update_readiness(world, tick);
-    if !world.tables.leaving || world.systems.stop.exiting {
+    let Some(schedule) = world.systems.stop.schedule else { return };
+    if world.systems.stop.exiting {
         return;
     }
-    let schedule = schedule(world);
     if tick.now >= schedule.refuse_all {
         refuse_waiting(world, tick);
     }
