Install the handlers of signals before a node listens

What callers saw: SIGTERM, SIGINT or SIGHUP that came when a node had begun to listen ended its process at once, with the requests that callers had sent; after SIGHUP, which only asks for a reload, the process was gone.

Cause: the node listened before its handlers were installed, and that of SIGHUP was installed by a task of its own.

Change: all handlers are installed before the first listener is opened.

--- a/crates/mustardpin-node/src/node.rs
+++ b/crates/mustardpin-node/src/node.rs
@@ -19,7 +19,7 @@
 use tokio::{
     net::TcpListener,
     runtime,
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
     sync::oneshot,
     time,
 };
@@ -82,8 +82,11 @@
 ///
 /// If the node could not start.
 pub fn run(launch: Launch) -> Result<(), Error> {
-    let node = Node::start(launch)?;
-    node.stop_on_signal()?;
+    let runtime = build_runtime(&launch.limits)?;
+    // A signal without a handler would end the process with whatever callers have sent.
+    let signals = StopSignals::install(&runtime)?;
+    let node = Node::start_on(runtime, launch)?;
+    node.runtime.spawn(signals.stop_node(node.control.clone()));
     node.wait();
     Ok(())
 }
@@ -96,7 +99,17 @@
     /// If listening on an address fails, or a thread cannot be created.
     pub fn start(launch: Launch) -> Result<Node, Error> {
         let runtime = build_runtime(&launch.limits)?;
+        Node::start_on(runtime, launch)
+    }
+
+    fn start_on(runtime: runtime::Runtime, launch: Launch) -> Result<Node, Error> {
         let handle = runtime.handle().clone();
+        let _guard = handle.enter();
+        let (control, inputs) = Handle::channel();
+        let watcher = match launch.settings_file {
+            Some(file) => Some(SettingsWatcher::new(file, control.clone())?),
+            None => None,
+        };
         let mut listeners = runtime.block_on(Listeners::open(&launch.addresses))?;
         let addresses = listeners.addresses()?;
         let announcement = Announcement {
@@ -107,7 +120,6 @@
             address: addresses.announced.unwrap_or(addresses.peers).to_compact_string(),
         };
         let clock = Arc::new(BootClock::start());
-        let (control, inputs) = Handle::channel();
         let exchanges = Exchanges::new(Setup {
             control: control.clone(),
             clock: Arc::clone(&clock) as _,
@@ -120,7 +132,6 @@
             },
         });
         let (dispatcher, dispatching) = Dispatcher::new(Arc::clone(&exchanges));
-        let _guard = handle.enter();
         let interfaces = Interfaces {
             clock: Arc::clone(&clock) as _,
             store: (launch.store)(control.clone()),
@@ -151,8 +162,8 @@
                 server::Limits::default(),
             ));
         }
-        if let Some(file) = launch.settings_file {
-            handle.spawn(SettingsWatcher::new(file, control.clone()).run());
+        if let Some(watcher) = watcher {
+            handle.spawn(watcher.run());
         }
         listeners.serve(&exchanges, &connections);
         let (finished_sender, finished) = mpsc::channel();
@@ -221,19 +232,36 @@
         let _ = self.traffic_thread.join();
         let _ = self.control_thread.join();
     }
+}
+
+/// The signals that stop a node.
+struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    /// Installs the handlers of the signals.
+    fn install(runtime: &runtime::Runtime) -> io::Result<StopSignals> {
+        let _guard = runtime.enter();
+        Ok(StopSignals {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
 
-    fn stop_on_signal(&self) -> Result<(), Error> {
-        let _guard = self.runtime.enter();
-        for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
-            let mut signal = signal(kind)?;
-            let control = self.control.clone();
-            self.runtime.spawn(async move {
-                while signal.recv().await.is_some() {
-                    control.event(Event::Stop);
-                }
-            });
+    /// Stops the node at each signal.
+    async fn stop_node(mut self, control: Handle) {
+        loop {
+            let received = tokio::select! {
+                received = self.terminate.recv() => received,
+                received = self.interrupt.recv() => received,
+            };
+            if received.is_none() {
+                return;
+            }
+            control.event(Event::Stop);
         }
-        Ok(())
     }
 }
 
--- a/crates/mustardpin-node/src/reload.rs
+++ b/crates/mustardpin-node/src/reload.rs
@@ -1,11 +1,11 @@
 //! Reloads the settings when their file changes, or on SIGHUP.
 
-use std::{path::PathBuf, time::Duration};
+use std::{io, path::PathBuf, time::Duration};
 
 use mustardpin_settings::Settings;
 use mustardpin_world::log::{Entry, Level};
 use tokio::{
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
     time,
 };
 
@@ -21,26 +21,33 @@
     text: String,
     /// The number of consecutive reads that failed.
     failed_reads: u32,
+    hangups: Signal,
     control: Handle,
 }
 
 impl SettingsWatcher {
-    /// Creates a watcher of the file from which the current settings were read.
-    pub fn new(file: PathBuf, control: Handle) -> SettingsWatcher {
+    /// Creates a watcher of the file from which the current settings were read, and installs the
+    /// handler of SIGHUP.
+    ///
+    /// # Errors
+    ///
+    /// If the handler cannot be installed.
+    ///
+    /// # Panics
+    ///
+    /// If it is called outside of a tokio runtime.
+    pub fn new(file: PathBuf, control: Handle) -> io::Result<SettingsWatcher> {
+        let hangups = signal(SignalKind::hangup())?;
         // If the file cannot be read now, it counts as changed as soon as it can.
         let text = std::fs::read_to_string(&file).unwrap_or_default();
-        SettingsWatcher { file, text, failed_reads: 0, control }
+        Ok(SettingsWatcher { file, text, failed_reads: 0, hangups, control })
     }
 
     /// Polls the file until the runtime ends.
     pub async fn run(mut self) {
-        let mut signals = match signal(SignalKind::hangup()) {
-            Ok(signals) => signals,
-            Err(error) => return self.refuse(&error),
-        };
         loop {
             let is_requested = tokio::select! {
-                signal = signals.recv() => signal.is_some(),
+                signal = self.hangups.recv() => signal.is_some(),
                 () = time::sleep(POLL_INTERVAL) => false,
             };
             self.check(is_requested);
--- a/tests/testsuite/process.rs
+++ b/tests/testsuite/process.rs
@@ -106,6 +106,18 @@
         );
     }
 
+    /// Sends the process a signal as soon as an address accepts connections.
+    pub fn signal_once_listening(&self, signal: &str, address: SocketAddr) {
+        let (ip, port) = (address.ip(), address.port());
+        // The shell's own `kill` needs no new process.
+        let script = format!(
+            "until (: </dev/tcp/{ip}/{port}) 2>/dev/null; do :; done; kill -{signal} {}",
+            self.child.id()
+        );
+        let status = spawn(Command::new("bash").args(["-c", &script])).wait();
+        assert!(status.expect("bash runs").success(), "cannot send a signal to {}", self.name);
+    }
+
     /// Waits until the process exits; panics after [`EXIT_TIMEOUT`].
     pub fn wait(&mut self) -> ExitStatus {
         let started = Instant::now();
