Close a draining node's connections without a reset

What callers saw: a caller that had pipelined requests behind the last one that a draining node read lost the end of the responses before them: `200 cut`.

Cause: closing a socket with unread data resets the connection, and what the caller has not received yet is discarded. Connections that were closed after a refusal read on for a moment; those closed because the node drains did not.

Change: these read on, too, until the caller has closed its side or a second has passed.

--- a/crates/mustardpin-node/src/traffic/caller.rs
+++ b/crates/mustardpin-node/src/traffic/caller.rs
@@ -213,6 +213,7 @@
         if closes {
             // Pipelined requests after this one are treated as not read.
             self.is_closing = true;
+            self.has_unread_request |= options.is_persistent;
             self.cancel_pending();
         }
     }
