Refuse requests without a call token that a draining node may have to cancel

What callers would see: a request without a key that reaches a draining node after the stay, while its target still runs any other request, is accepted until half a second before the node cancels what is in progress, and then cut: 502 and not its response.

Cause: a dialect whose targets send no call token cannot tell the target's calls from callers' requests without a key. Both are accepted for as long as the target runs something, whatever time they have.

Failure of the new test before the change (grace 6 s, target running one request):

-after the stay, 9 s: refuse 3: leaving, not-run -after the stay, no timeout: refuse 4: leaving, not-run +after the stay, 9 s: forward 3 +after the stay, no timeout: forward 4 -end: cancel 1; cancel 2 +end: cancel 1; cancel 2; cancel 3; cancel 4

Change: after the stay, such a request is accepted only if its deadline is not later than the time at which requests are cancelled. Calls with a token are accepted as before. The price: a call without a token whose parent may last longer than the grace is refused too.

--- a/crates/mustardpin-world/src/system/intake.rs
+++ b/crates/mustardpin-world/src/system/intake.rs
@@ -116,6 +116,7 @@
     let (timeout, objective, repeatable, retries) = route_parameters(row);
     let timeout = timeout.min(request.timeout.unwrap_or(world.options.routing.default_timeout));
     let deadline = now + timeout;
+    stop::check_unlinked(world, now, &request.origin, deadline)?;
     let fleet_allowance = world.tables.configuration.fleet.retry_allowance;
     let allowance = retries.map_or(fleet_allowance, |retries| fleet_allowance.min(retries));
     let mut arrival = Arrival {
--- a/crates/mustardpin-world/src/system/stop.rs
+++ b/crates/mustardpin-world/src/system/stop.rs
@@ -102,10 +102,30 @@
     let refuses_from = if is_nested { schedule.refuse_all } else { schedule.refuse_callers };
     match now < refuses_from {
         true => Ok(()),
-        false => Err(Refusal::not_run(Reason::Leaving).after(RETRY_AFTER)),
+        false => Err(leaving()),
     }
 }
 
+/// Refuses a new request without a call token that a draining node might have to cancel. It may
+/// be a caller's, since not every dialect can tell the target's calls from those.
+pub(super) fn check_unlinked(
+    world: &World,
+    now: Millis,
+    origin: &Origin,
+    deadline: Millis,
+) -> Result<(), Refusal> {
+    let Some(schedule) = world.systems.stop.schedule else { return Ok(()) };
+    let is_unlinked = matches!(origin, Origin::Target { token: None });
+    match is_unlinked && now >= schedule.refuse_callers && deadline > schedule.cancel {
+        true => Err(leaving()),
+        false => Ok(()),
+    }
+}
+
+fn leaving() -> Refusal {
+    Refusal::not_run(Reason::Leaving).after(RETRY_AFTER)
+}
+
 /// Publishes whether the node is ready, if that has changed.
 pub(super) fn update_readiness(world: &mut World, tick: &mut Tick) {
     let started = world.systems.stop.started.unwrap_or(tick.now);
@@ -179,8 +199,7 @@
     let waiting: Vec<_> =
         calls.filter(|(_, call)| is_waiting(call.stage)).map(|(key, _)| key).collect();
     for key in waiting {
-        let refusal = Refusal::not_run(Reason::Leaving).after(RETRY_AFTER);
-        finish::run(world, tick, key, Verdict::Refuse(refusal));
+        finish::run(world, tick, key, Verdict::Refuse(leaving()));
     }
 }
 
--- /dev/null
+++ b/crates/mustardpin-world/tests/testsuite/drain.rs
@@ -0,0 +1,43 @@
+//! Which requests a draining node accepts.
+
+use mustardpin_world::{Event, Millis, Options, options::Stop, request::Origin};
+
+use crate::node::{Node, describe};
+
+/// Guards against requests without a key that a node accepts after the stay, for as long as its
+/// target still runs another one, and cancels at the end of the grace. A caller's cannot be told
+/// from those of the target.
+#[test]
+fn requests_without_a_key_that_may_outlive_the_grace_are_refused_after_the_stay() {
+    let stop = Stop { stay: Millis(2_500), grace: Millis(6_000), closing: Millis(600) };
+    let mut node = Node::start(Options { stop, ..Options::default() });
+    let mut report = String::new();
+    let mut step = |name: &str, commands: &[_]| {
+        report.push_str(&format!("{name}: {}\n", describe(commands)));
+    };
+    node.now = Millis(1_000);
+    step("before", &node.send(1, Origin::Caller { key: None }, None));
+    node.connect(2);
+    let stopped = node.now;
+    node.tick(vec![Event::Stop]);
+    let unlinked = || Origin::Target { token: None };
+    node.now = stopped + Millis(2_400);
+    step("in the stay", &node.send(2, unlinked(), None));
+    node.now = stopped + Millis(2_600);
+    step("after the stay, 9 s", &node.send(3, unlinked(), Some(Millis(9_000))));
+    step("after the stay, no timeout", &node.send(4, unlinked(), None));
+    step("after the stay, 2 s", &node.send(5, unlinked(), Some(Millis(2_000))));
+    node.now = stopped + Millis(4_600);
+    step("timeout", &node.tick(Vec::new()));
+    node.now = stopped + Millis(5_400);
+    step("end", &node.tick(Vec::new()));
+    insta::assert_snapshot!(report, @r"
+    before: run 1
+    in the stay: forward 2
+    after the stay, 9 s: refuse 3: leaving, not-run
+    after the stay, no timeout: refuse 4: leaving, not-run
+    after the stay, 2 s: forward 5
+    timeout: cancel 5
+    end: cancel 1; cancel 2
+    ");
+}
--- /dev/null
+++ b/crates/mustardpin-world/tests/testsuite/node.rs
@@ -0,0 +1,114 @@
+//! The world of one node, with the test in the role of its traffic side and of the store.
+
+use mustardpin_world::{
+    Command, Event, Identity, Millis, Options, World,
+    config::{Route, Update},
+    event::TargetReport,
+    id::{NodeId, Revision, StoreVersion},
+    request::{Load, Origin, Request, Ticket, Verdict},
+    store::{self, Announcement, Area, Changes, Reply, Row, RowKey, Value},
+};
+
+/// A node of the service `slots`, with one open route to the service, which times out after ten
+/// seconds.
+pub struct Node {
+    pub now: Millis,
+    world: World,
+}
+
+impl Node {
+    /// Starts a node with a target and a configuration.
+    pub fn start(options: Options) -> Node {
+        let identity = Identity { announcement: announcement(1) };
+        let mut node = Node { now: Millis::ZERO, world: World::new(identity, options, 1) };
+        let route = Route::new("slots", "/", "slots", Millis::from_secs(10));
+        let route = mustardpin_world::config::Row::Route(Route { open: true, ..route });
+        let update = Update::Whole { revision: Revision(1), rows: vec![route] };
+        let report = TargetReport {
+            address: "127.0.0.1:1".into(),
+            instance: "target-1".into(),
+            started: Millis(1),
+            sequence: 1,
+            slots: Some(8),
+            healthy: true,
+            draining: false,
+            warm_up: Millis::ZERO,
+            running: None,
+        };
+        node.tick(vec![
+            changes(Area::Configuration, 1, Changes::Document(update)),
+            Event::Target(report),
+        ]);
+        node
+    }
+
+    /// Runs one tick.
+    pub fn tick(&mut self, events: Vec<Event>) -> Vec<Command> {
+        self.world.tick(self.now, events)
+    }
+
+    /// Runs a tick with a new request without a key.
+    pub fn send(&mut self, ticket: u64, origin: Origin, timeout: Option<Millis>) -> Vec<Command> {
+        let request = Request {
+            ticket: Ticket(ticket),
+            origin,
+            id: ticket.to_string().into(),
+            host: Default::default(),
+            method: "POST".into(),
+            path: "/".into(),
+            fingerprint: mustardpin_world::request::Fingerprint(ticket),
+            timeout,
+        };
+        self.tick(vec![Event::Arrived(request)])
+    }
+
+    /// Connects a peer of the same service that has a row in the store and an open target.
+    pub fn connect(&mut self, number: u64) -> Vec<Command> {
+        let peer = announcement(number);
+        let (key, value) = (RowKey::Node(peer.name.clone()), Value::Node(peer.clone()));
+        let row = Row { key, version: StoreVersion(number), value: Some(value) };
+        let load = Load { open: true, limit: 8, ..Load::default() };
+        self.tick(vec![
+            changes(Area::Fleet, number, Changes::Rows(vec![row])),
+            Event::LinkUp { peer, revision: Revision(1) },
+            Event::Load { from: NodeId(number), load },
+        ])
+    }
+}
+
+/// Node `number` of the service.
+pub fn announcement(number: u64) -> Announcement {
+    Announcement {
+        node: NodeId(number),
+        name: format!("node-{number}").into(),
+        data_centre: "north".into(),
+        service: "slots".into(),
+        address: format!("127.0.0.1:{number}").into(),
+    }
+}
+
+/// The changes of an area up to a version of the store.
+pub fn changes(area: Area, up_to: u64, changes: Changes) -> Event {
+    let up_to = StoreVersion(up_to);
+    let reply = Reply::Changes { area, whole: false, up_to, clock: None, changes };
+    Event::Store(store::Ticket::default(), reply)
+}
+
+/// What the commands do with requests, and the connections that they close.
+pub fn describe(commands: &[Command]) -> String {
+    let described: Vec<String> = commands
+        .iter()
+        .filter_map(|command| match command {
+            Command::Run(run) => Some(format!("run {}", run.ticket.0)),
+            Command::Forward(forward) => Some(format!("forward {}", forward.ticket.0)),
+            Command::Cancel(ticket) => Some(format!("cancel {}", ticket.0)),
+            Command::Finish { ticket, verdict: Verdict::Refuse(refusal), .. } => {
+                Some(format!("refuse {}: {}, {}", ticket.0, refusal.reason, refusal.outcome))
+            }
+            Command::Finish { ticket, .. } => Some(format!("finish {}", ticket.0)),
+            Command::CloseLink(node) => Some(format!("close link {}", node.0)),
+            _ => None,
+        })
+        .collect();
+    if described.is_empty() { "nothing".to_owned() } else { described.join("; ") }
+}
