Keep the connection to a silent peer whose row is removed

What callers would see: 502 for requests that a draining peer is about to answer, or a second run of the repeatable ones.

Cause: a draining node whose target is gone removes its row. Its peers keep connections that are up until they end, but one that has been silent for half a second (a busy machine, a congested link) counted as ended: it was closed, with the requests in progress over it.

Change: only connections that have ended or were never established are given up when the row is removed. A silent one becomes up or ends within the ping timeout, which is handled already.

--- a/crates/mustardpin-world/src/system/fleet.rs
+++ b/crates/mustardpin-world/src/system/fleet.rs
@@ -185,13 +185,13 @@
     let Some(peer) = world.tables.peers.get_mut(key) else { return };
     peer.row = None;
     let node = peer.announcement.node;
-    let is_up = peer.link == Link::Up;
+    let is_connected = matches!(peer.link, Link::Up | Link::Silent);
     let removed = &mut world.systems.fleet.removed;
     removed.push_back(node);
     if removed.len() > MAX_REMOVED {
         removed.pop_front();
     }
-    if !is_up {
+    if !is_connected {
         remove_peer(world, tick, key, "row_removed");
     }
 }
--- a/crates/mustardpin-world/tests/testsuite/node.rs
+++ b/crates/mustardpin-world/tests/testsuite/node.rs
@@ -2,11 +2,11 @@
 
 use mustardpin_world::{
     Command, Event, Identity, Millis, Options, World,
-    config::{Route, Update},
+    config::{self, Route, Update},
     event::TargetReport,
     id::{NodeId, Revision, StoreVersion},
-    request::{Load, Origin, Request, Ticket, Verdict},
-    store::{self, Announcement, Area, Changes, Reply, Row, RowKey, Value},
+    request::{Fingerprint, Load, Origin, Request, Ticket, Verdict},
+    store::{self, Announcement, Area, Changes, Operation, Reply, Row, RowKey, Value},
 };
 
 /// A node of the service `slots`, with one open route to the service, which times out after ten
@@ -14,15 +14,19 @@
 pub struct Node {
     pub now: Millis,
     world: World,
+    /// The tickets of the last read of each area of the store.
+    reads: Vec<(Area, store::Ticket)>,
 }
 
 impl Node {
     /// Starts a node with a target and a configuration.
     pub fn start(options: Options) -> Node {
         let identity = Identity { announcement: announcement(1) };
-        let mut node = Node { now: Millis::ZERO, world: World::new(identity, options, 1) };
+        let world = World::new(identity, options, 1);
+        let mut node = Node { now: Millis::ZERO, world, reads: Vec::new() };
+        node.tick(Vec::new());
         let route = Route::new("slots", "/", "slots", Millis::from_secs(10));
-        let route = mustardpin_world::config::Row::Route(Route { open: true, ..route });
+        let route = config::Row::Route(Route { open: true, ..route });
         let update = Update::Whole { revision: Revision(1), rows: vec![route] };
         let report = TargetReport {
             address: "127.0.0.1:1".into(),
@@ -35,16 +39,32 @@
             warm_up: Millis::ZERO,
             running: None,
         };
-        node.tick(vec![
-            changes(Area::Configuration, 1, Changes::Document(update)),
-            Event::Target(report),
-        ]);
+        node.change(Area::Configuration, 1, Changes::Document(update));
+        node.tick(vec![Event::Target(report)]);
         node
     }
 
     /// Runs one tick.
     pub fn tick(&mut self, events: Vec<Event>) -> Vec<Command> {
-        self.world.tick(self.now, events)
+        let commands = self.world.tick(self.now, events);
+        for command in &commands {
+            if let Command::Store(ticket, Operation::Read(area) | Operation::Watch { area, .. }) =
+                command
+            {
+                self.reads.retain(|(other, _)| other != area);
+                self.reads.push((*area, *ticket));
+            }
+        }
+        commands
+    }
+
+    /// Runs a tick with the changes of an area up to a version of the store.
+    pub fn change(&mut self, area: Area, up_to: u64, changes: Changes) -> Vec<Command> {
+        let read = self.reads.iter().find(|(other, _)| *other == area);
+        let (_, ticket) = *read.expect("the node reads the area");
+        let up_to = StoreVersion(up_to);
+        let reply = Reply::Changes { area, whole: false, up_to, clock: None, changes };
+        self.tick(vec![Event::Store(ticket, reply)])
     }
 
     /// Runs a tick with a new request without a key.
@@ -56,7 +76,7 @@
             host: Default::default(),
             method: "POST".into(),
             path: "/".into(),
-            fingerprint: mustardpin_world::request::Fingerprint(ticket),
+            fingerprint: Fingerprint(ticket),
             timeout,
         };
         self.tick(vec![Event::Arrived(request)])
@@ -68,8 +88,8 @@
         let (key, value) = (RowKey::Node(peer.name.clone()), Value::Node(peer.clone()));
         let row = Row { key, version: StoreVersion(number), value: Some(value) };
         let load = Load { open: true, limit: 8, ..Load::default() };
+        self.change(Area::Fleet, number, Changes::Rows(vec![row]));
         self.tick(vec![
-            changes(Area::Fleet, number, Changes::Rows(vec![row])),
             Event::LinkUp { peer, revision: Revision(1) },
             Event::Load { from: NodeId(number), load },
         ])
@@ -87,13 +107,6 @@
     }
 }
 
-/// The changes of an area up to a version of the store.
-pub fn changes(area: Area, up_to: u64, changes: Changes) -> Event {
-    let up_to = StoreVersion(up_to);
-    let reply = Reply::Changes { area, whole: false, up_to, clock: None, changes };
-    Event::Store(store::Ticket::default(), reply)
-}
-
 /// What the commands do with requests, and the connections that they close.
 pub fn describe(commands: &[Command]) -> String {
     let described: Vec<String> = commands
