Finish the requests over a connection to a peer before it is closed

What callers would see: 502, or a second run, for requests that a peer is running, at the moment at which another process announces itself under the peer's name.

Cause: when a peer is replaced, its connection was closed at once and the requests in progress over it counted as broken, although the earlier process may be draining and about to answer them.

Failure of the new test before the change:

left: ForwardEnded { ticket: Ticket, end: Broken, retries: 0 } right: ForwardEnded { ticket: Ticket, end: Answered { status: 200 }, retries: 0 }

Change: a closed connection takes no new request and ends with its last one. Pings go on, so that a process that is gone fails its requests as before.

--- a/crates/mustardpin-node/src/traffic.rs
+++ b/crates/mustardpin-node/src/traffic.rs
@@ -70,7 +70,8 @@
     },
     /// Maintain a connection to this peer.
     OpenLink(Announcement),
-    /// Close the connection to this peer and stop reconnecting.
+    /// Close the connection to this peer, once no request is in progress over it, and stop
+    /// reconnecting.
     CloseLink(NodeId),
     /// Set the address of the local target; `None` if there is no target.
     Target(Option<TargetAddress>),
--- a/crates/mustardpin-node/src/traffic/link.rs
+++ b/crates/mustardpin-node/src/traffic/link.rs
@@ -89,7 +89,8 @@
         tokio::spawn(outgoing::maintain(Arc::clone(exchanges), link));
     }
 
-    /// Closes the connection to a peer and stops reconnecting.
+    /// Closes the connection to a peer, once no request is in progress over it, and stops
+    /// reconnecting.
     pub(super) fn disconnect(&self, node: NodeId) {
         if let Some(link) = self.outgoing().remove(&node) {
             link.close();
--- a/crates/mustardpin-node/src/traffic/link/outgoing.rs
+++ b/crates/mustardpin-node/src/traffic/link/outgoing.rs
@@ -143,7 +143,7 @@
         was_open
     }
 
-    /// Closes the connection permanently.
+    /// Closes the connection permanently, once no request is in progress over it.
     pub(super) fn close(&self) {
         self.is_closed.store(true, Ordering::Relaxed);
         self.closed.notify_one();
@@ -208,7 +208,8 @@
     })
 }
 
-/// Maintains the connection to a peer until it is closed by `OutgoingLink::close`.
+/// Maintains the connection to a peer until `OutgoingLink::close` was called and no request is in
+/// progress over it.
 pub(super) async fn maintain(exchanges: Arc<Exchanges>, link: Arc<OutgoingLink>) {
     let node = link.announcement.node;
     let mut backoff = MIN_RECONNECT_BACKOFF;
@@ -292,6 +293,9 @@
                 Err(error) => return error,
             }
         }
+        if link.is_closed() && !link.has_streams() {
+            return Error::Closed;
+        }
         tokio::select! {
             advanced = wire.advance(sender) => match advanced {
                 Ok(true) => monitor.record_received(exchanges, link),
@@ -304,7 +308,7 @@
                     return error;
                 }
             }
-            () = link.closed.notified() => return Error::Closed,
+            () = link.closed.notified() => {}
         }
     }
 }
--- a/crates/mustardpin-node/tests/testsuite/link.rs
+++ b/crates/mustardpin-node/tests/testsuite/link.rs
@@ -278,3 +278,36 @@
     }
     assert_ne!(read_all(peer).end, End::LeftOpen);
 }
+
+/// Guards against requests that fail because their peer is replaced by another process while it
+/// drains: the connection to it is closed under them.
+#[test]
+fn requests_in_progress_get_their_responses_over_a_connection_that_is_closed() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
+    let target = Target::start(Arc::new(move |_| text(answer)));
+    let (one, two) = (TrafficSide::start(target.address, Limits::default()), node(2, "fleet"));
+    two.dispatch(TrafficCommand::OpenLink(one.announcement.clone()));
+    next_event(&two, is_link_up);
+    let callers = two.callers;
+    let caller = thread::spawn(move || crate::fake::get(callers, "/slots"));
+    let arrival = |node: &TrafficSide| {
+        let event = next_event(node, |event| matches!(event, Event::Arrived(_)));
+        let Event::Arrived(request) = event else { panic!("not an arrival: {event:?}") };
+        request.ticket
+    };
+    let ticket = arrival(&two);
+    two.dispatch(TrafficCommand::Forward(forward(ticket)));
+    let at_peer = arrival(&one);
+    two.dispatch(TrafficCommand::CloseLink(NodeId(1)));
+    thread::sleep(Duration::from_millis(100));
+    one.dispatch(TrafficCommand::Run(run(at_peer)));
+    let end = next_event(&two, |event| matches!(event, Event::ForwardEnded { .. }));
+    let answered = ForwardEnd::Answered { status: 200 };
+    assert_eq!(end, Event::ForwardEnded { ticket, end: answered, retries: 0 });
+    assert_eq!(caller.join().expect("no panic").body(), "hello");
+    // The connection ends once no request uses it.
+    let one_more = Forward { ticket: Ticket(ticket.0 + 1), ..forward(ticket) };
+    two.dispatch(TrafficCommand::Forward(one_more));
+    let end = next_event(&two, |event| matches!(event, Event::ForwardEnded { .. }));
+    assert!(matches!(end, Event::ForwardEnded { end: ForwardEnd::NotSent, .. }), "{end:?}");
+}
--- a/crates/mustardpin-world/src/command.rs
+++ b/crates/mustardpin-world/src/command.rs
@@ -48,7 +48,8 @@
     },
     /// Connect to this peer, and reconnect whenever the connection ends.
     OpenLink(Announcement),
-    /// Close the connection to this peer and stop reconnecting.
+    /// Close the connection to this peer, once no request is in progress over it, and stop
+    /// reconnecting.
     CloseLink(NodeId),
     /// Send an operation to the store. Its reply follows as an event with the same ticket.
     Store(store::Ticket, store::Operation),
