Parse the requests that are left when many responses start at once

What callers see: a caller that pipelines more than 64 short requests waits for the responses to the later ones until the idle timeout, and then its connection is closed without them.

Cause: a connection takes at most 64 requests from its buffer, and then starts all responses that are ready. If these are all 64, for example refusals while the limit of requests in progress is reached, it waits for more bytes although the buffer still holds complete requests.

Failure of the new test before the change (400 requests):

left: 192 right: 400

Change: the connection goes on parsing if responses have made room.

--- a/crates/mustardpin-node/src/traffic/caller.rs
+++ b/crates/mustardpin-node/src/traffic/caller.rs
@@ -145,7 +145,7 @@
                 return Ok(Protocol::Http2);
             }
             is_first &= buffer.is_empty();
-            while !self.is_closing && self.slots.len() < MAX_PIPELINED_REQUESTS {
+            while self.may_take() {
                 let has_ended = reading.take(self, buffer, &mut writing);
                 // While the node drains, the next request of a connection is its last.
                 self.is_closing |= has_ended && (self.is_last || self.is_draining());
@@ -153,7 +153,12 @@
                     break;
                 }
             }
+            let was_full = !self.may_take();
             self.start_ready_responses(&mut writing);
+            if was_full && self.may_take() {
+                // The buffer may hold more requests.
+                continue;
+            }
             if writing.write(&mut writer)? && self.can_close(&writing) {
                 self.has_unread_request |= reading.is_in_body();
                 if writing.must_reset() {
@@ -167,6 +172,11 @@
         }
     }
 
+    /// Whether the next request may be taken from the buffer.
+    fn may_take(&self) -> bool {
+        !self.is_closing && self.slots.len() < MAX_PIPELINED_REQUESTS
+    }
+
     /// Whether the connection can be closed.
     fn can_close(&self, writing: &Writing) -> bool {
         writing.is_truncated() || (self.is_closing && self.slots.is_empty() && writing.is_idle())
--- a/crates/mustardpin-node/tests/testsuite/main.rs
+++ b/crates/mustardpin-node/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod log;
 mod metrics;
 mod path;
+mod pipeline;
 mod reload;
 mod run;
 mod stream;
