Pass no request on behind a response that may end with the connection

What callers see: with HTTP/1.0 and kept connections, a request that was sent without waiting for the response before it runs at a target, and the connection is closed without its response.

Cause: an HTTP/1.0 caller gets a response of unknown length without chunks, so the end of the connection is the end of the response. The requests behind it had been accepted and passed on by then.

Change: the next request of an HTTP/1.0 connection is taken once the response before it has begun.

--- a/crates/mustardpin-node/src/traffic/caller.rs
+++ b/crates/mustardpin-node/src/traffic/caller.rs
@@ -52,6 +52,14 @@
     Ready(CallerResponse, ResponseOptions),
 }
 
+impl ResponseSlot {
+    fn options(&self) -> ResponseOptions {
+        match self {
+            ResponseSlot::Open { options, .. } | ResponseSlot::Ready(_, options) => *options,
+        }
+    }
+}
+
 /// How a response is sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct ResponseOptions {
@@ -145,7 +153,7 @@
                 return Ok(Protocol::Http2);
             }
             is_first &= buffer.is_empty();
-            while self.may_take() {
+            while self.may_take(&reading) {
                 let has_ended = reading.take(self, buffer, &mut writing);
                 // While the node drains, the next request of a connection is its last.
                 self.is_closing |= has_ended && (self.is_last || self.is_draining());
@@ -153,9 +161,9 @@
                     break;
                 }
             }
-            let was_full = !self.may_take();
+            let was_full = !self.may_take(&reading);
             self.start_ready_responses(&mut writing);
-            if was_full && self.may_take() {
+            if was_full && self.may_take(&reading) {
                 // The buffer may hold more requests.
                 continue;
             }
@@ -172,9 +180,14 @@
         }
     }
 
-    /// Whether the next request may be taken from the buffer.
-    fn may_take(&self) -> bool {
-        !self.is_closing && self.slots.len() < MAX_PIPELINED_REQUESTS
+    /// Whether more may be taken from the buffer: the next request, or more of a body.
+    fn may_take(&self, reading: &Reading) -> bool {
+        // Without chunked transfer coding, a response may end with the connection. The next request
+        // could then not be answered.
+        let may_end = self.slots.back().is_some_and(|slot| !slot.options().accepts_chunked);
+        !self.is_closing
+            && self.slots.len() < MAX_PIPELINED_REQUESTS
+            && (reading.is_in_body() || !may_end)
     }
 
     /// Whether the connection can be closed.
