Give the connections of a draining node time to end, however short

What callers would see: no response to requests that a draining node cancels at the end of its grace, where `stop.grace` is under 1.2 s or `limits.exit-grace` under 200 ms, which the settings allow.

Cause: the node cancels requests a sixth of the grace, or the exit grace, before the end, and exits 200 ms before the end. The shorter of these left no time between the two: both fell into one tick.

Failure of the new test before the change:

grace 6000, closing 100: 5900 ms cancel 1; exit by 5900; grace 1000, closing 600: 834 ms cancel 1; exit by 834;

Change: the process exits at most half of the closing time before the end of the grace. Nothing changes for a closing time of 400 ms or more.

--- a/crates/mustardpin-world/src/system/stop.rs
+++ b/crates/mustardpin-world/src/system/stop.rs
@@ -17,7 +17,8 @@
 /// wait are refused.
 const REFUSE_BEFORE_CANCEL: Millis = Millis(500);
 /// The process exits this long before the end of the grace time, when a supervisor may kill it.
-const EXIT_MARGIN: Millis = Millis(200);
+/// Connections get at least as long to end.
+const MAX_EXIT_MARGIN: Millis = Millis(200);
 /// Connections get at most this fraction of the grace time to end.
 const MIN_CLOSING_DIVISOR: u64 = 6;
 /// How long a caller should wait before it retries a request that a draining node refused.
@@ -59,7 +60,7 @@
             refuse_callers: (since + options.stay).min(refuse_all),
             refuse_all,
             cancel,
-            exit: (end - EXIT_MARGIN).max(cancel),
+            exit: end - MAX_EXIT_MARGIN.min(Millis(closing.0 / 2)),
         }
     }
 
--- a/crates/mustardpin-world/tests/testsuite/drain.rs
+++ b/crates/mustardpin-world/tests/testsuite/drain.rs
@@ -41,3 +41,32 @@
     end: cancel 1; cancel 2
     ");
 }
+
+/// Guards against a process that ends in the tick in which it cancels requests: their callers get
+/// no response.
+#[test]
+fn cancelled_requests_have_time_to_be_answered_however_short_the_grace() {
+    let mut report = String::new();
+    for (grace, closing) in [(30_000, 5_000), (6_000, 600), (6_000, 100), (1_000, 600)] {
+        let stop = Stop { stay: Millis(500), grace: Millis(grace), closing: Millis(closing) };
+        let mut node = Node::start(Options { stop, ..Options::default() });
+        let stopped = node.now;
+        node.send(1, Origin::Caller { key: None }, Some(Millis(60_000)));
+        node.tick(vec![Event::Stop]);
+        report.push_str(&format!("grace {grace}, closing {closing}:"));
+        while node.now <= stopped + Millis(grace) {
+            node.now = node.now + Millis(1);
+            let described = describe(&node.tick(Vec::new()));
+            if described != "nothing" {
+                report.push_str(&format!(" {} {described};", node.now - stopped));
+            }
+        }
+        report.push('\n');
+    }
+    insta::assert_snapshot!(report, @r"
+    grace 30000, closing 5000: 10000 ms cancel 1; 29800 ms exit by 29800;
+    grace 6000, closing 600: 5400 ms cancel 1; 5800 ms exit by 5800;
+    grace 6000, closing 100: 5900 ms cancel 1; 5950 ms exit by 5950;
+    grace 1000, closing 600: 834 ms cancel 1; 917 ms exit by 917;
+    ");
+}
--- a/crates/mustardpin-world/tests/testsuite/node.rs
+++ b/crates/mustardpin-world/tests/testsuite/node.rs
@@ -108,6 +108,7 @@
 }
 
 /// What the commands do with requests, and the connections that they close.
+/// An exit is described with the time by which connections must have ended.
 pub fn describe(commands: &[Command]) -> String {
     let described: Vec<String> = commands
         .iter()
@@ -119,6 +120,7 @@
                 Some(format!("refuse {}: {}, {}", ticket.0, refusal.reason, refusal.outcome))
             }
             Command::Finish { ticket, .. } => Some(format!("finish {}", ticket.0)),
+            Command::Exit { by } => Some(format!("exit by {}", by.0)),
             Command::CloseLink(node) => Some(format!("close link {}", node.0)),
             _ => None,
         })
