Keep the body of an upload whose attempt was not sent

What callers see: 502 for an upload of more than `limits.replay-size` whose first attempt could not connect to its target, for example one that has just ended, although no target has received any of it.

Cause: an attempt takes the streamed body before it has a connection. An attempt that is not sent is rerouted for free, but the next one found the body consumed and ended as broken.

Failure of the new test before the change:

left: RunEnded(Ticket, Broken) right: RunEnded(Ticket, Answered { status: 201, report: None })

Change: an attempt that has taken no piece of a streamed body gives it back. What remains: a body that was handed to a connection between nodes that ended before the request was written is still lost.

--- a/crates/mustardpin-node/src/traffic/exchange.rs
+++ b/crates/mustardpin-node/src/traffic/exchange.rs
@@ -86,6 +86,13 @@
             _ => Payload::Consumed,
         }
     }
+
+    /// Keeps the streamed body of an attempt for the next one, if no piece of it was taken.
+    pub(super) fn keep_unused(&self, stream: crate::traffic::body::Stream) {
+        if !stream.is_started() {
+            *self.body.lock().unwrap_or_else(PoisonError::into_inner) = Body::Stream(stream);
+        }
+    }
 }
 
 /// Where the response to a request is sent.
--- a/crates/mustardpin-node/src/traffic/link/outgoing.rs
+++ b/crates/mustardpin-node/src/traffic/link/outgoing.rs
@@ -123,6 +123,9 @@
         let Some(frame_offset) =
             sender.send(&head, &[&request.header_lines, entry, &complete_body])
         else {
+            if let Some(streamed) = streamed {
+                request.keep_unused(streamed);
+            }
             return SendResult::NotSent;
         };
         streams.insert(stream, Stream { ticket: forward.ticket, frame_offset, response: None });
--- a/crates/mustardpin-node/src/traffic/target/run.rs
+++ b/crates/mustardpin-node/src/traffic/target/run.rs
@@ -103,27 +103,43 @@
         Payload::Stream(streamed) => (Bytes::new(), Some(streamed)),
         Payload::Consumed => return RunEnd::Broken.into(),
     };
+    let outcome = send(exchanges, run, request, &endpoint, &complete_body, &mut streamed).await;
+    if let Some(stream) = streamed {
+        request.keep_unused(stream);
+    }
+    outcome
+}
+
+/// Sends a request over an idle connection, or over a new one if there is none.
+async fn send(
+    exchanges: &Arc<Exchanges>,
+    run: &Run,
+    request: &Outbound,
+    endpoint: &Endpoint,
+    complete_body: &[u8],
+    streamed: &mut Option<Stream>,
+) -> Outcome {
     let kind = match &streamed {
-        None => BodyFraming::Complete(&complete_body),
+        None => BodyFraming::Complete(complete_body),
         Some(streamed) => streamed.length.map_or(BodyFraming::Chunked, BodyFraming::Length),
     };
-    let out = encode(exchanges, run, request, &endpoint, kind);
+    let out = encode(exchanges, run, request, endpoint, kind);
     while exchanges.clock.now() < run.start_by
         && let Some(connection) = exchanges.target.take_idle(endpoint.generation, run.repeatable)
     {
         let mut exchange = TargetExchange::new(exchanges, run, request, connection);
-        let end = exchange.perform(&out, &mut streamed).await;
+        let end = exchange.perform(&out, streamed).await;
         match end {
-            Err(_) if exchange.was_stale() && is_complete(&streamed) => {}
+            Err(_) if exchange.was_stale() && is_complete(streamed) => {}
             end => return exchange.finish(end),
         }
     }
     if exchanges.clock.now() >= run.start_by {
         return RunEnd::NotSent.into();
     }
-    let Ok(connection) = Connection::open(&endpoint).await else { return RunEnd::NotSent.into() };
+    let Ok(connection) = Connection::open(endpoint).await else { return RunEnd::NotSent.into() };
     let mut exchange = TargetExchange::new(exchanges, run, request, connection);
-    let end = exchange.perform(&out, &mut streamed).await;
+    let end = exchange.perform(&out, streamed).await;
     exchange.finish(end)
 }
 
--- a/crates/mustardpin-node/tests/testsuite/run.rs
+++ b/crates/mustardpin-node/tests/testsuite/run.rs
@@ -4,17 +4,21 @@
     io::Write as _,
     net::{Shutdown, TcpStream},
     sync::Arc,
+    thread,
     time::Duration,
 };
 
 use mustardpin_node::{launch::Limits, traffic::TrafficCommand};
 use mustardpin_world::{
     Event, Millis,
+    command::TargetAddress,
     refusal::{Reason, Refusal},
     request::{Run, RunEnd, Verdict},
 };
 
-use crate::fake::{KEY, Script, Step, Target, TrafficSide, read_all, run, text, wait_until};
+use crate::fake::{
+    KEY, Script, Step, Target, TrafficSide, read_all, read_response, run, text, wait_until,
+};
 
 const COMPLETE: &str = "HTTP/1.1 201 Created\r\ncontent-length: 5\r\nx-own: 1\r\n\r\nhello";
 const ANSWERED: RunEnd = RunEnd::Answered { status: 201, report: None };
@@ -70,6 +74,36 @@
     }
 }
 
+/// Guards against an upload that fails for good because one target could not be reached: its body
+/// was given to the attempt that has sent none of it.
+#[test]
+fn an_upload_that_was_not_sent_is_sent_by_the_next_attempt() {
+    const BODY_BYTES: usize = 200_000;
+    let (side, target) = start(text(COMPLETE), Limits::default());
+    let set_target = |address: &str| {
+        let address = TargetAddress { address: address.into(), instance: "".into() };
+        side.dispatch(TrafficCommand::Target(Some(address)));
+    };
+    let mut caller = TcpStream::connect(side.callers).expect("the node listens");
+    let request = format!(
+        "POST /bookings HTTP/1.1\r\nhost: fleet\r\nconnection: close\r\n\
+         authorization: Bearer {KEY}\r\nidempotency-key: one\r\n\
+         content-length: {BODY_BYTES}\r\n\r\n{}",
+        "x".repeat(BODY_BYTES)
+    );
+    let sending = caller.try_clone().expect("a second handle of the socket");
+    thread::spawn(move || (&sending).write_all(request.as_bytes()));
+    let ticket = side.accept().ticket;
+    set_target("127.0.0.1:1");
+    side.dispatch(TrafficCommand::Run(run(ticket)));
+    assert_eq!(side.event(), Event::RunEnded(ticket, RunEnd::NotSent));
+    set_target(&target.address.to_string());
+    side.dispatch(TrafficCommand::Run(run(ticket)));
+    assert_eq!(side.event(), Event::RunEnded(ticket, ANSWERED));
+    assert_eq!(read_response(&mut caller).body(), "hello");
+    assert!(target.seen()[0].ends_with(&"x".repeat(BODY_BYTES)));
+}
+
 #[test]
 fn the_complete_response_goes_to_the_caller_at_once_and_its_end_is_reported() {
     let (side, _target) = start(text(COMPLETE), Limits::default());
