Count a peer's request as done once its response is queued

What callers see: 502, or a second run, for the last request that a node runs for a peer before it exits, where the node has more than one traffic thread.

Cause: a request was removed from those without a response before its response was queued. In between, the connection's task could find that nothing was left to send, and end its output.

Failure of the new test before the change, in two of three runs:

left: 299 right: 300

Change: the response is queued first, and the task is woken afterwards. The test then passed in nine of nine runs.

--- a/crates/mustardpin-node/src/traffic/sender.rs
+++ b/crates/mustardpin-node/src/traffic/sender.rs
@@ -72,16 +72,16 @@
         self.open_requests().insert(stream, ticket);
     }
 
-    /// Removes a request that has its response or was cancelled.
+    /// Removes a request that was cancelled or whose response has been queued.
     pub(super) fn remove_request(&self, stream: u32) -> Option<Ticket> {
         self.open_requests().remove(&stream)
     }
 
     /// Queues a refusal instead of a response.
     pub(super) fn refuse(&self, stream: u32, refusal: &Refusal, retries: u32, load: LoadReport) {
-        self.remove_request(stream);
         let refused = frame::Refused::new(stream, refusal, retries, load);
         self.send(&Head::Refused(refused), &[]);
+        self.end_request(stream);
     }
 
     /// Queues a response. A streamed body is sent by a separate task.
@@ -92,7 +92,6 @@
         retries: u32,
         load: LoadReport,
     ) {
-        self.remove_request(stream);
         let CallerResponse { status, header_lines, body } = response;
         let (complete_body, streamed, kind) = match body {
             Body::Empty => (Bytes::new(), None, frame::Body::Empty),
@@ -108,6 +107,15 @@
         if let Some(streamed) = streamed {
             self.send_body(stream, streamed);
         }
+        self.end_request(stream);
+    }
+
+    /// Removes a request whose response has been queued. Before that, the connection's task must
+    /// not count as idle.
+    fn end_request(&self, stream: u32) {
+        self.remove_request(stream);
+        // The task may have written the response already, and wait for the last request.
+        self.queued.notify_one();
     }
 
     /// Starts sending a body in chunks.
--- a/crates/mustardpin-node/tests/testsuite/link.rs
+++ b/crates/mustardpin-node/tests/testsuite/link.rs
@@ -11,13 +11,15 @@
     time::{Duration, Instant},
 };
 
+use bytes::BytesMut;
 use mustardpin_node::{launch::Limits, traffic::TrafficCommand};
 use mustardpin_wire::frame::{self, Head, Hello};
 use mustardpin_world::{
     Event, Millis,
     id::{KeyDigest, NodeId, Revision},
     message::{Message, configuration},
-    request::{Forward, ForwardEnd, Forwarded, Load, Nesting, Ticket},
+    refusal::{Reason, Refusal},
+    request::{Forward, ForwardEnd, Forwarded, Load, Nesting, Ticket, Verdict},
     store::Announcement,
 };
 
@@ -223,6 +225,49 @@
     }
 }
 
+/// The first frame of a peer that connects to a node.
+fn hello(to: &TrafficSide) -> Vec<u8> {
+    encode(&Head::Hello(Hello {
+        version: frame::PROTOCOL_VERSION,
+        credential: KeyDigest::of("fleet").0,
+        announcement: Announcement { node: NodeId(9), ..to.announcement.clone() }.into(),
+        to: 1,
+        revision: 0,
+    }))
+}
+
+/// The frame of a request without a body.
+fn request(stream: u32, id: &str) -> Vec<u8> {
+    encode(&Head::Request(frame::Request {
+        stream,
+        id: id.into(),
+        method: "GET".into(),
+        target: "/slots".into(),
+        timeout_ms: 10_000,
+        fingerprint: 0,
+        revision: 0,
+        key_id: None,
+        team: None,
+        route: "slots".into(),
+        service: "slots".into(),
+        rank: (0, 0),
+        nesting: Nesting::Root.into(),
+        repeatable: true,
+        objective_ms: 0,
+        retry_allowance: 0,
+        depth: 0,
+        hops: 0,
+        fields: 0,
+        body: frame::Body::Empty,
+    }))
+}
+
+fn encode(head: &Head) -> Vec<u8> {
+    let mut frames = Vec::new();
+    frame::encode(&mut frames, head, &[]).expect("the frame is small");
+    frames
+}
+
 /// A peer that reads nothing for a while must not get responses with parts missing.
 #[test]
 fn a_connection_whose_queue_is_full_is_closed() {
@@ -233,39 +278,9 @@
     let target = Target::start(Arc::new(move |_| text(&answer)));
     let one = TrafficSide::start(target.address, Limits::default());
     let mut peer = TcpStream::connect(&*one.announcement.address).expect("the node listens");
-    let hello = Hello {
-        version: frame::PROTOCOL_VERSION,
-        credential: KeyDigest::of("fleet").0,
-        announcement: Announcement { node: NodeId(9), ..one.announcement.clone() }.into(),
-        to: 1,
-        revision: 0,
-    };
-    let mut frames = Vec::new();
-    frame::encode(&mut frames, &Head::Hello(hello), &[]).expect("the frame is small");
+    let mut frames = hello(&one);
     for stream in 1..=REQUESTS {
-        let head = Head::Request(frame::Request {
-            stream,
-            id: "one".into(),
-            method: "GET".into(),
-            target: "/slots".into(),
-            timeout_ms: 10_000,
-            fingerprint: 0,
-            revision: 0,
-            key_id: None,
-            team: None,
-            route: "slots".into(),
-            service: "slots".into(),
-            rank: (0, 0),
-            nesting: Nesting::Root.into(),
-            repeatable: true,
-            objective_ms: 0,
-            retry_allowance: 0,
-            depth: 0,
-            hops: 0,
-            fields: 0,
-            body: frame::Body::Empty,
-        });
-        frame::encode(&mut frames, &head, &[]).expect("the frame is small");
+        frames.extend(request(stream, "one"));
     }
     peer.write_all(&frames).expect("the node reads");
     for _ in 0..REQUESTS {
@@ -311,3 +326,38 @@
     let end = next_event(&two, |event| matches!(event, Event::ForwardEnded { .. }));
     assert!(matches!(end, Event::ForwardEnded { end: ForwardEnd::NotSent, .. }), "{end:?}");
 }
+
+/// Guards against a connection that is closed in the moment between the end of its last request
+/// and the queueing of the response.
+#[test]
+fn a_node_that_exits_sends_the_last_response_of_each_connection() {
+    const CONNECTIONS: usize = 300;
+    let one = node(1, "fleet");
+    let connect = |number: usize| {
+        let mut peer = TcpStream::connect(&*one.announcement.address).expect("the node listens");
+        let frames = [hello(&one), request(1, &number.to_string())].concat();
+        peer.write_all(&frames).expect("the node reads");
+        let arrived = next_event(&one, |event| matches!(event, Event::Arrived(_)));
+        let Event::Arrived(request) = arrived else { panic!("not an arrival: {arrived:?}") };
+        (peer, request.ticket)
+    };
+    let connections: Vec<_> = (0..CONNECTIONS).map(connect).collect();
+    one.dispatch(TrafficCommand::Exit { by: Millis::from_secs(60) });
+    let is_answered = |(peer, ticket): (TcpStream, Ticket)| {
+        let mut flooding = peer.try_clone().expect("a second handle of the socket");
+        let load = encode(&Head::Load(Load::default().into()));
+        let flood = thread::spawn(move || while flooding.write_all(&load).is_ok() {});
+        thread::sleep(Duration::from_millis(2));
+        let refusal = Refusal::not_run(Reason::Leaving);
+        one.finish(ticket, Verdict::Refuse(refusal));
+        let mut bytes = Vec::new();
+        let _ = (&peer).read_to_end(&mut bytes);
+        drop(peer.shutdown(std::net::Shutdown::Both));
+        flood.join().expect("no panic");
+        let mut bytes = BytesMut::from(&*bytes);
+        let mut frames = std::iter::from_fn(|| frame::decode(&mut bytes).ok().flatten());
+        frames.any(|(head, _)| matches!(head, Head::Refused(_)))
+    };
+    let answered = connections.into_iter().filter_map(|row| is_answered(row).then_some(())).count();
+    assert_eq!(answered, CONNECTIONS);
+}
