End a draining node's process in time whatever its idle connections do

What callers would see: the node is killed by its supervisor, with connections still open, where `limits.close-linger` is longer than `stop.grace`.

Cause: the node waits for the linger time of idle connections before it looks at the time by which it must exit.

Failure of the new test before the change (grace 2 s, linger 4 s):

"the end of the process: 4.001808847s after the stop signal"

Change: both waits end at the time by which connections must have ended.

--- a/crates/mustardpin-node/src/node.rs
+++ b/crates/mustardpin-node/src/node.rs
@@ -296,13 +296,16 @@
         let _ = stage.wait_for(|stage| *stage != Stage::Serving).await;
         let min_drain_time = time::sleep(self.limits.drain_idle_timeout);
         let exiting = stage.wait_for(|stage| stage.is_exiting()).await.map(|stage| *stage);
-        min_drain_time.await;
-        self.connections.close();
         let left = match exiting {
             Ok(Stage::Exiting { by }) => by - self.clock.now(),
             _ => Millis::ZERO,
         };
-        if time::timeout(Duration::from_millis(left.0), self.connections.wait()).await.is_err() {
+        let all_ended = async {
+            min_drain_time.await;
+            self.connections.close();
+            self.connections.wait().await;
+        };
+        if time::timeout(Duration::from_millis(left.0), all_ended).await.is_err() {
             let count = self.connections.len();
             let entry = Entry::new(Level::Warn, "connections_aborted").with("count", count);
             self.control.write_log(entry);
--- a/crates/mustardpin-node/tests/testsuite/drain/grace.rs
+++ b/crates/mustardpin-node/tests/testsuite/drain/grace.rs
@@ -2,9 +2,14 @@
 
 use std::time::Duration;
 
+use mustardpin_node::{Launch, launch::Limits};
+
 use crate::{
-    drain::{Caller, Draining, Failures, GRACE, has_run, head, http2_outcome, start_fleet},
-    fake::{http2, wait_until},
+    drain::{
+        Caller, Draining, Failures, GRACE, has_run, head, http2_outcome, script, start_fleet,
+        with_short_times,
+    },
+    fake::{Fleet, http2, wait_until},
 };
 
 /// Shorter than the route's timeout of three seconds, in milliseconds.
@@ -138,3 +143,19 @@
     }
     failures.assert_none();
 }
+
+/// Guards against a process that is killed with connections open, because it lets idle ones linger
+/// for longer than its grace.
+#[test]
+fn the_process_ends_within_the_grace_though_idle_connections_linger_longer() {
+    let mut fleet = Fleet::start_with(&[("slots", script())], |launch| {
+        let launch = with_short_times(launch);
+        Launch { limits: Limits { drain_idle_timeout: 2 * GRACE, ..launch.limits }, ..launch }
+    });
+    let caller = Caller::send(fleet.callers(0), "");
+    let draining = Draining::begin(&mut fleet, 0);
+    let mut failures = Failures::default();
+    failures.check_time("the end of the process", draining.wait());
+    failures.assert_none();
+    drop(caller);
+}
