Order store versions by the store's epoch

After a restore from an older copy the store assigns versions again. Nodes compared them as numbers, and took the header that counts restores for nothing, so - a change at a version that a node had already passed was never read: the node's long poll asks for later versions only. Found with the virtual store, on the code before: a_change_at_a_version_assigned_again fails with left: [102, 102, 102, 102, 102, 102, 102, 102, 102], right: [103, ..]; - rows and the roster at lower versions than known were ignored, and the proposals of all nodes conflicted for good: the_roster_of_a_restored_store fails with left: [8, 8, 8, 8, 8, 8, 8, 8, 8], right: [9, ..]. Nothing in the logs told a restore from a compaction.

A StoreVersion is now the epoch, which counts restores, and the number, in this order. The world reads everything again on a new epoch, treats replies of earlier epochs as lost, and logs store_restored with both epochs and positions. A connected peer is not replaced by the row of its earlier process, and rows that a restore lost do not count as removed.

The virtual store and the stand-in learn to restore a copy. The virtual store's reply to a long poll that times out now has the changes that a test wrote past it, in place of a position after them.

--- a/crates/mustardpin-node/tests/testsuite/fake/platform.rs
+++ b/crates/mustardpin-node/tests/testsuite/fake/platform.rs
@@ -62,19 +62,19 @@
         let mut table = self.table();
         let holds = |(key, version): &(RowKey, StoreVersion)| {
             let row = table.rows.get(key).filter(|row| row.value.is_some());
-            row.map_or(StoreVersion(0), |row| row.version) == *version
+            row.map_or(StoreVersion::default(), |row| row.version) == *version
         };
         if !expected.iter().all(holds) {
             return Reply::Conflict;
         }
-        table.version.0 += 1;
+        table.version.number += 1;
         let version = table.version;
         let puts = puts.into_iter().map(|(key, value)| (key, Some(value)));
         for (key, value) in puts.chain(removals.into_iter().map(|key| (key, None))) {
             table.rows.insert(key.clone(), Row { key, version, value });
         }
         drop(table);
-        self.version.send_replace(version.0);
+        self.version.send_replace(version.number);
         Reply::Written { version }
     }
 
@@ -116,7 +116,7 @@
         let (platform, control) = (self.platform.clone(), self.control.clone());
         self.runtime.spawn(async move {
             let reply = match operation {
-                Operation::Read(area) => platform.changes(area, StoreVersion(0), true),
+                Operation::Read(area) => platform.changes(area, StoreVersion::default(), true),
                 Operation::Write { expected, puts, removals } => {
                     platform.transact(&expected, puts, removals)
                 }
--- a/crates/mustardpin-standin/src/platform.rs
+++ b/crates/mustardpin-standin/src/platform.rs
@@ -22,6 +22,7 @@
 Changes of behaviour at run time: POST /standin/mode
   {\"mode\": \"up|down|silent|slow|error|busy|lose-answer\", \"delay-ms\": 0}
 Drops the history of changes: POST /standin/compact
+Copies the rows, and restores them from the copy: POST /standin/copy, POST /standin/restore
 Counts of reads and writes: GET /standin/counts";
 
 /// The command-line arguments of the platform's stand-in.
--- a/crates/mustardpin-standin/src/platform/handler.rs
+++ b/crates/mustardpin-standin/src/platform/handler.rs
@@ -11,7 +11,7 @@
 use crate::{
     control::Handle,
     http::{Aborted, Body, Handler, json, read_json, text},
-    platform::table::{Behaviour, Event, HistoryDropped},
+    platform::table::{Answer, Behaviour, Event, HistoryDropped},
 };
 
 /// Handles HTTP requests by queries to the control thread.
@@ -65,7 +65,7 @@
         match (parts.method, parts.uri.path()) {
             (Method::GET, call::GET_PATH) => {
                 let rows = self.query_control(|reply| Event::Get(query, reply)).await?;
-                Ok(json(StatusCode::OK, &rows))
+                Ok(with_epoch(&rows, json(StatusCode::OK, &rows.outcome)))
             }
             (Method::GET, call::FEED_PATH) => self.feed(query).await,
             (Method::POST, call::TRANSACT_PATH) => {
@@ -75,10 +75,11 @@
                 };
                 let result =
                     self.query_control(|reply| Event::Transact(transaction, reply)).await?;
-                Ok(match result {
-                    Ok(written) => json(StatusCode::OK, &written),
-                    Err(rows) => json(StatusCode::PRECONDITION_FAILED, &rows),
-                })
+                let response = match &result.outcome {
+                    Ok(written) => json(StatusCode::OK, written),
+                    Err(rows) => json(StatusCode::PRECONDITION_FAILED, rows),
+                };
+                Ok(with_epoch(&result, response))
             }
             _ => Ok(text(StatusCode::NOT_FOUND, "no such operation")),
         }
@@ -90,11 +91,18 @@
         let wait = Duration::from_millis(query.wait_ms);
         let changes = self.query_control(|reply| Event::Feed(query, reply));
         match tokio::time::timeout(wait, changes).await {
-            Ok(changes) => match changes? {
-                Ok(rows) => Ok(json(StatusCode::OK, &rows)),
-                Err(HistoryDropped) => Ok(text(StatusCode::GONE, "the history is gone")),
-            },
-            Err(_) => Ok(json(StatusCode::OK, &self.query_control(Event::Newest).await?)),
+            Ok(changes) => {
+                let changes = changes?;
+                let response = match &changes.outcome {
+                    Ok(rows) => json(StatusCode::OK, rows),
+                    Err(HistoryDropped) => text(StatusCode::GONE, "the history is gone"),
+                };
+                Ok(with_epoch(&changes, response))
+            }
+            Err(_) => {
+                let newest = self.query_control(Event::Newest).await?;
+                Ok(with_epoch(&newest, json(StatusCode::OK, &newest.outcome)))
+            }
         }
     }
 
@@ -113,6 +121,14 @@
                 self.query_control(Event::Compact).await?;
                 Ok(text(StatusCode::OK, ""))
             }
+            (Method::POST, "/standin/copy") => {
+                self.query_control(Event::Copy).await?;
+                Ok(text(StatusCode::OK, ""))
+            }
+            (Method::POST, "/standin/restore") => {
+                self.query_control(Event::Restore).await?;
+                Ok(text(StatusCode::OK, ""))
+            }
             (Method::GET, "/standin/counts") => {
                 Ok(json(StatusCode::OK, &self.query_control(Event::Counts).await?))
             }
@@ -130,6 +146,12 @@
     }
 }
 
+/// Adds the header with the epoch in which an operation was executed.
+fn with_epoch<T>(answer: &Answer<T>, mut response: Response<Body>) -> Response<Body> {
+    response.headers_mut().insert(call::EPOCH_HEADER, answer.epoch.into());
+    response
+}
+
 /// Returns the value of a parameter in the query part of a URI.
 ///
 /// ```
--- a/crates/mustardpin-standin/src/platform/table.rs
+++ b/crates/mustardpin-standin/src/platform/table.rs
@@ -57,20 +57,43 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HistoryDropped;
 
+/// The outcome of an operation, and the epoch in which the stand-in executed it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Answer<T> {
+    /// How often the store had been restored.
+    pub epoch: u32,
+    /// The outcome.
+    pub outcome: T,
+}
+
+/// The rows at one version.
+#[derive(Debug, Clone, Default)]
+struct Snapshot {
+    version: u64,
+    rows: Table,
+}
+
+/// The value of each row, and the version that wrote or removed it.
+type Table = BTreeMap<RowName, (u64, Option<CompactString>)>;
+
 /// Queries and commands from the HTTP handler. The sender carries the reply.
 #[derive(Debug)]
 pub enum Event {
     /// Reads rows of a table in the order of their keys.
-    Get(Query, oneshot::Sender<Rows>),
+    Get(Query, oneshot::Sender<Answer<Rows>>),
     /// Long poll: replies with the rows of a table that changed after a version, once there are
     /// any.
-    Feed(Query, oneshot::Sender<Result<Rows, HistoryDropped>>),
+    Feed(Query, oneshot::Sender<Answer<Result<Rows, HistoryDropped>>>),
     /// Reads the newest version, without rows.
-    Newest(oneshot::Sender<Rows>),
+    Newest(oneshot::Sender<Answer<Rows>>),
     /// Executes a transaction. If its conditions do not hold, replies with the rows that they name.
-    Transact(Transaction, oneshot::Sender<Result<Written, Rows>>),
+    Transact(Transaction, oneshot::Sender<Answer<Result<Written, Rows>>>),
     /// Drops the history of changes.
     Compact(oneshot::Sender<()>),
+    /// Copies the rows, for a later restore.
+    Copy(oneshot::Sender<()>),
+    /// Replaces the rows by the last copy, and closes the connections of long polls.
+    Restore(oneshot::Sender<()>),
     /// Changes the mode.
     SetMode(Mode, oneshot::Sender<()>),
     /// Reads the mode.
@@ -85,9 +108,12 @@
     version: u64,
     /// The history of changes up to this version was dropped by a compaction.
     compacted_to: u64,
-    /// The value of each row, and the version that wrote or removed it.
-    rows: BTreeMap<RowName, (u64, Option<CompactString>)>,
-    long_polls: Vec<(Query, oneshot::Sender<Result<Rows, HistoryDropped>>)>,
+    rows: Table,
+    /// The copy from which the rows are restored.
+    copy: Snapshot,
+    /// How often they were restored.
+    epoch: u32,
+    long_polls: Vec<(Query, oneshot::Sender<Answer<Result<Rows, HistoryDropped>>>)>,
     mode: Mode,
     counts: Counts,
 }
@@ -118,9 +144,10 @@
     ///
     /// # Errors
     ///
-    /// [`HistoryDropped`] if changes after that version were dropped by a compaction.
+    /// [`HistoryDropped`] if changes after that version were dropped by a compaction, or if the
+    /// store was restored and has not reached that version again.
     pub fn feed(&self, query: &Query) -> Result<Rows, HistoryDropped> {
-        if query.after < self.compacted_to {
+        if query.after < self.compacted_to || query.after > self.version {
             return Err(HistoryDropped);
         }
         let changed = self
@@ -168,6 +195,21 @@
         Ok(Written { version_number: self.version, now_s: 0.0 })
     }
 
+    /// Replaces the rows by the last copy. Transactions since the copy are lost, and their versions
+    /// are assigned again.
+    fn restore(&mut self) {
+        let Snapshot { version, rows } = self.copy.clone();
+        (self.version, self.rows) = (version, rows);
+        self.compacted_to = self.compacted_to.min(version);
+        self.epoch += 1;
+        // Dropping a sender closes the connection of its request.
+        self.long_polls.clear();
+    }
+
+    fn answer<T>(&self, outcome: T) -> Answer<T> {
+        Answer { epoch: self.epoch, outcome }
+    }
+
     fn newest(&self) -> Rows {
         Rows { rows: Vec::new(), has_more: false, version_number: self.version, now_s: 0.0 }
     }
@@ -182,7 +224,7 @@
                     }
                 }
                 result => {
-                    let _receiver_dropped = reply.send(result);
+                    let _receiver_dropped = reply.send(self.answer(result));
                 }
             }
         }
@@ -193,23 +235,32 @@
         match event {
             Event::Get(query, reply) => {
                 self.counts.reads += 1;
-                let _receiver_dropped = reply.send(self.get(&query));
+                let _receiver_dropped = reply.send(self.answer(self.get(&query)));
             }
             Event::Feed(query, reply) => {
                 self.counts.reads += 1;
                 self.long_polls.push((query, reply));
             }
             Event::Newest(reply) => {
-                let _receiver_dropped = reply.send(self.newest());
+                let _receiver_dropped = reply.send(self.answer(self.newest()));
             }
             Event::Transact(transaction, reply) => {
                 self.counts.writes += 1;
-                let _receiver_dropped = reply.send(self.transact(transaction));
+                let outcome = self.transact(transaction);
+                let _receiver_dropped = reply.send(self.answer(outcome));
             }
             Event::Compact(reply) => {
                 self.compacted_to = self.version;
                 let _receiver_dropped = reply.send(());
             }
+            Event::Copy(reply) => {
+                self.copy = Snapshot { version: self.version, rows: self.rows.clone() };
+                let _receiver_dropped = reply.send(());
+            }
+            Event::Restore(reply) => {
+                self.restore();
+                let _receiver_dropped = reply.send(());
+            }
             Event::SetMode(mode, reply) => {
                 self.mode = mode;
                 let _receiver_dropped = reply.send(());
--- a/crates/mustardpin-virtual/src/fleet/message.rs
+++ b/crates/mustardpin-virtual/src/fleet/message.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     fleet::{Fleet, Site, Step},
-    platform::StoreOutcome,
+    platform::{Snapshot, StoreOutcome},
     size,
 };
 
@@ -80,6 +80,16 @@
         self.reply_to_long_polls();
     }
 
+    /// Restores the platform's store from a snapshot. All long polls are lost.
+    pub fn restore_platform(&mut self, snapshot: Snapshot) {
+        self.platform.restore(snapshot);
+        for (site, epoch, ticket, _) in std::mem::take(&mut self.long_polls) {
+            if self.nodes[site.0].epoch == epoch {
+                self.deliver_later(site, STORE_TIMEOUT, Event::Store(ticket, Reply::Lost));
+            }
+        }
+    }
+
     /// Replies to the long polls whose areas have changed.
     pub(super) fn reply_to_long_polls(&mut self) {
         self.platform.clock = self.now;
@@ -91,7 +101,7 @@
         }
     }
 
-    /// Replies to a long poll that timed out without changes.
+    /// Replies to a long poll that timed out.
     pub(super) fn long_poll_timeout(&mut self, site: Site, epoch: u32, ticket: store::Ticket) {
         let is_this = |(in_site, in_epoch, in_ticket, _): &(Site, u32, store::Ticket, _)| {
             (*in_site, *in_epoch, *in_ticket) == (site, epoch, ticket)
@@ -99,7 +109,8 @@
         let Some(index) = self.long_polls.iter().position(is_this) else { return };
         let (_, _, _, long_poll) = self.long_polls.swap_remove(index);
         self.platform.clock = self.now;
-        let reply = self.platform.unchanged_reply(long_poll);
+        let changes = self.platform.changes(long_poll);
+        let reply = changes.unwrap_or_else(|| self.platform.unchanged_reply(long_poll));
         self.reply_to_long_poll(site, epoch, ticket, reply);
     }
 
--- a/crates/mustardpin-virtual/src/lib.rs
+++ b/crates/mustardpin-virtual/src/lib.rs
@@ -14,6 +14,6 @@
 pub use crate::{
     fleet::{Fleet, Received, Request, Site},
     network::{Delay, Network},
-    platform::{Platform, PlatformMode},
+    platform::{Platform, PlatformMode, Snapshot},
     target::{COLD_START_FACTOR, Reports, RunRecord, Service, Target},
 };
--- a/crates/mustardpin-virtual/src/platform.rs
+++ b/crates/mustardpin-virtual/src/platform.rs
@@ -4,7 +4,7 @@
 
 use mustardpin_world::{
     Millis, config,
-    id::StoreVersion,
+    id::{Epoch, Revision, StoreVersion},
     store::{Area, Changes, Operation, Refused, Reply, Row, RowKey, Value},
 };
 
@@ -40,6 +40,14 @@
     Deferred(LongPoll, Millis),
 }
 
+/// The content of the store at one version.
+#[derive(Debug, Clone, Default)]
+pub struct Snapshot {
+    version: StoreVersion,
+    rows: BTreeMap<RowKey, Row>,
+    document: Option<(StoreVersion, config::Update)>,
+}
+
 /// A store in memory.
 #[derive(Debug, Default)]
 pub struct Platform {
@@ -55,6 +63,8 @@
     /// The version up to which the history of changes is dropped.
     compacted_to: StoreVersion,
     rows: BTreeMap<RowKey, Row>,
+    /// The configuration, with the version that wrote it, if operators keep it as one document.
+    document: Option<(StoreVersion, config::Update)>,
 }
 
 fn area_of(key: &RowKey) -> Area {
@@ -98,7 +108,7 @@
 
     /// Writes rows unconditionally, for the set-up of a test.
     pub fn put(&mut self, rows: Vec<(RowKey, Value)>) -> StoreVersion {
-        self.version.0 += 1;
+        self.version.number += 1;
         for (key, value) in rows {
             self.set_row(key, Some(value));
         }
@@ -114,6 +124,34 @@
         )
     }
 
+    /// Writes the configuration as one document, which replaces the rows of the configuration.
+    pub fn put_document(&mut self, revision: Revision, rows: Vec<config::Row>) -> StoreVersion {
+        self.version.number += 1;
+        self.document = Some((self.version, config::Update::Whole { revision, rows }));
+        self.version
+    }
+
+    /// Returns a copy of the store's content.
+    pub fn snapshot(&self) -> Snapshot {
+        let (version, rows, document) = (self.version, self.rows.clone(), self.document.clone());
+        Snapshot { version, rows, document }
+    }
+
+    /// Replaces the store's content by a copy. Transactions since the copy are lost, and their
+    /// versions are assigned again.
+    pub(crate) fn restore(&mut self, snapshot: Snapshot) {
+        let epoch = Epoch(self.version.epoch.0 + 1);
+        let in_epoch = |version: StoreVersion| StoreVersion::new(epoch, version.number);
+        let compacted_to = self.compacted_to.number.min(snapshot.version.number);
+        self.compacted_to = StoreVersion::new(epoch, compacted_to);
+        self.version = in_epoch(snapshot.version);
+        self.rows = snapshot.rows;
+        for row in self.rows.values_mut() {
+            row.version = in_epoch(row.version);
+        }
+        self.document = snapshot.document.map(|(version, update)| (in_epoch(version), update));
+    }
+
     /// Returns the store version of the last transaction.
     pub fn version(&self) -> StoreVersion {
         self.version
@@ -146,16 +184,25 @@
 
     /// Returns the reply to a long poll if there are changes, or if the history was dropped.
     pub(crate) fn changes(&self, poll: LongPoll) -> Option<Reply> {
-        if poll.after < self.compacted_to {
+        let is_known = poll.after.epoch == self.version.epoch && poll.after <= self.version;
+        if !is_known || poll.after < self.compacted_to {
             return Some(Reply::HistoryGone);
         }
+        if let Some(update) = self.document_since(poll.area, poll.after) {
+            return Some(self.reply(poll.area, false, Changes::Document(update.clone())));
+        }
         let rows: Vec<Row> = self.rows_since(poll.area, poll.after).cloned().collect();
-        (!rows.is_empty()).then(|| self.reply(poll.area, false, rows))
+        (!rows.is_empty()).then(|| self.reply(poll.area, false, Changes::Rows(rows)))
     }
 
     /// Returns the reply to a long poll without changes.
     pub(crate) fn unchanged_reply(&self, poll: LongPoll) -> Reply {
-        self.reply(poll.area, false, Vec::new())
+        self.reply(poll.area, false, Changes::Rows(Vec::new()))
+    }
+
+    fn document_since(&self, area: Area, after: StoreVersion) -> Option<&config::Update> {
+        let (version, update) = self.document.as_ref()?;
+        (area == Area::Configuration && *version > after).then_some(update)
     }
 
     fn rows_since(&self, area: Area, after: StoreVersion) -> impl Iterator<Item = &Row> {
@@ -163,19 +210,16 @@
         rows.filter(move |row| area_of(&row.key) == area && row.version > after)
     }
 
-    fn reply(&self, area: Area, whole: bool, rows: Vec<Row>) -> Reply {
-        Reply::Changes {
-            area,
-            whole,
-            up_to: self.version,
-            clock: Some(self.clock),
-            changes: Changes::Rows(rows),
-        }
+    fn reply(&self, area: Area, whole: bool, changes: Changes) -> Reply {
+        Reply::Changes { area, whole, up_to: self.version, clock: Some(self.clock), changes }
     }
 
     fn read(&self, area: Area) -> Reply {
-        let rows = self.rows_since(area, StoreVersion(0)).filter(|row| row.value.is_some());
-        self.reply(area, true, rows.cloned().collect())
+        if let Some(update) = self.document_since(area, StoreVersion::default()) {
+            return self.reply(area, true, Changes::Document(update.clone()));
+        }
+        let rows = self.rows_since(area, StoreVersion::default()).filter(|row| row.value.is_some());
+        self.reply(area, true, Changes::Rows(rows.cloned().collect()))
     }
 
     fn write(
@@ -186,12 +230,13 @@
     ) -> Reply {
         let version_of = |key| {
             let row = self.rows.get(key).filter(|row| row.value.is_some());
-            row.map_or(StoreVersion(0), |row| row.version)
+            row.map_or(StoreVersion::default(), |row| row.version)
         };
-        if expected.iter().any(|(key, version)| version_of(key) != *version) {
+        // The store compares numbers only: it doesn't know in which epoch a caller read them.
+        if expected.iter().any(|(key, version)| version_of(key).number != version.number) {
             return Reply::Conflict;
         }
-        self.version.0 += 1;
+        self.version.number += 1;
         for (key, value) in puts {
             self.set_row(key, Some(value));
         }
--- a/crates/mustardpin-virtual/tests/testsuite/configuration.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/configuration.rs
@@ -290,7 +290,7 @@
         scenario.fleet.run_for(Millis::from_secs(2));
         scenario.propose(Site(5), 2, "withdraw", expected, vec![withdrawal()]);
         scenario.fleet.run_for(Millis::from_secs(2));
-        let written = scenario.fleet.platform.version().0 - before.0;
+        let written = scenario.fleet.platform.version().number - before.number;
         writeln!(report, "{name}: {written} written on asking again").unwrap();
         for (ticket, reply) in &scenario.fleet.proposal_replies {
             writeln!(report, "  {ticket}: {reply:?}").unwrap();
--- /dev/null
+++ b/crates/mustardpin-virtual/tests/testsuite/restore.rs
@@ -0,0 +1,159 @@
+//! After a restore of the store from an older copy, which assigns versions again, the nodes agree
+//! on what the store holds, and none of them steps back to an earlier configuration.
+
+use mustardpin_virtual::{PlatformMode, Site, Snapshot};
+use mustardpin_world::{
+    Millis,
+    config::{CutOffPolicy, Row},
+    id::Revision,
+    store::{Announcement, RowKey, Value},
+};
+
+use crate::{
+    roster::members,
+    scenario::{Scenario, VALID_KEY, WITHDRAWN_KEY, for_seeds, key, route, team},
+};
+
+/// The maximum time from the acceptance of a change until it is in force everywhere.
+const MAX_PROPAGATION_DELAY: Millis = Millis::from_secs(3);
+/// The maximum time from a restore until nodes and store agree on the rows of nodes and the roster.
+const MAX_RECOVERY_DELAY: Millis = Millis::from_secs(25);
+
+/// The operators' document, with the key withdrawn or not.
+fn document(is_withdrawn: bool, extra_rows: &[Row]) -> Vec<Row> {
+    let rows = [
+        Row::Fleet(mustardpin_world::config::Fleet::default()),
+        team("garage"),
+        team("sitter"),
+        key(VALID_KEY, "sitter", false),
+        route("search", false),
+        route("public", true),
+    ];
+    let key = key(WITHDRAWN_KEY, "garage", false);
+    let key = (!is_withdrawn).then_some(key);
+    rows.into_iter().chain(key).chain(extra_rows.to_vec()).collect()
+}
+
+/// A fleet whose operators write one document, of which all nodes have revision 100.
+fn start(seed: u64) -> Scenario {
+    let mut scenario = Scenario::start(seed, CutOffPolicy::Refuse);
+    scenario.fleet.platform.put_document(Revision(100), document(false, &[]));
+    scenario.load_for(Millis::from_secs(2));
+    assert_eq!(revisions(&scenario), [100; 9]);
+    scenario
+}
+
+fn revisions(scenario: &Scenario) -> Vec<u64> {
+    scenario.fleet.sites().map(|site| scenario.revision(site).0).collect()
+}
+
+/// The store goes away for a moment and comes back from a copy.
+fn restore(scenario: &mut Scenario, snapshot: Snapshot, away: Millis) {
+    scenario.fleet.platform.mode = PlatformMode::Down;
+    scenario.load_for(away);
+    scenario.fleet.restore_platform(snapshot);
+    scenario.fleet.platform.mode = PlatformMode::Up;
+}
+
+/// Guards against changes that a node never reads, since the restored store has assigned their
+/// versions before the node asks for later ones.
+#[test]
+fn a_change_at_a_version_assigned_again_reaches_every_node() {
+    for_seeds(|seed| {
+        let mut scenario = start(seed);
+        let snapshot = scenario.fleet.platform.snapshot();
+        scenario.fleet.platform.put_document(Revision(101), document(false, &[]));
+        scenario.fleet.platform.put_document(Revision(102), document(false, &[]));
+        scenario.load_for(Millis::from_secs(2));
+        restore(&mut scenario, snapshot, Millis::from_secs(1));
+        scenario.fleet.platform.put_document(Revision(102), document(false, &[]));
+        scenario.fleet.platform.put_document(Revision(103), document(false, &[team("third")]));
+        scenario.load_for(MAX_PROPAGATION_DELAY);
+        assert_eq!(revisions(&scenario), [103; 9], "seed {seed}");
+    });
+}
+
+/// Guards against a node that ignores the roster and the rows of the restored store because their
+/// versions are lower than those that it knows, and whose own proposals then always conflict.
+#[test]
+fn the_roster_of_a_restored_store_is_followed_and_can_be_changed() {
+    for_seeds(|seed| {
+        let mut scenario = start(seed);
+        let snapshot = scenario.fleet.platform.snapshot();
+        scenario.fleet.kill(Site(4));
+        scenario.load_excluding(Some(Site(4)), Millis::from_secs(30));
+        assert_eq!(stored_members(&scenario), 8, "seed {seed}");
+        scenario.fleet.restart(Site(4));
+        scenario.load_for(Millis(200));
+        restore(&mut scenario, snapshot, Millis::from_secs(1));
+        scenario.load_for(MAX_RECOVERY_DELAY);
+        assert_eq!(stored_members(&scenario), 9, "seed {seed}");
+        assert_eq!(members(&scenario), [9; 9], "seed {seed}");
+        scenario.fleet.kill(Site(7));
+        scenario.load_excluding(Some(Site(7)), Millis::from_secs(30));
+        let mut members = members(&scenario);
+        members.remove(7);
+        assert_eq!((stored_members(&scenario), members), (8, vec![8; 8]), "seed {seed}");
+    });
+}
+
+/// Guards against nodes that are missing from the restored store and that nobody writes again.
+#[test]
+fn rows_that_a_restore_lost_are_written_again() {
+    for_seeds(|seed| {
+        let mut scenario = start(seed);
+        let snapshot = scenario.fleet.platform.snapshot();
+        for site in scenario.fleet.sites().skip(4) {
+            scenario.fleet.restart(site);
+        }
+        scenario.load_for(Millis::from_secs(2));
+        restore(&mut scenario, snapshot, Millis::from_secs(1));
+        scenario.load_for(Millis::from_secs(4));
+        assert_eq!(wrong_rows(&scenario), Vec::<String>::new(), "seed {seed}");
+        let since = scenario.fleet.now;
+        scenario.load_for(Millis::from_secs(10));
+        assert_eq!(forgotten(&scenario, since), 0, "seed {seed}");
+        assert_eq!(members(&scenario), [9; 9], "seed {seed}");
+    });
+}
+
+/// Guards against connections to live processes that end because the restored store names an
+/// earlier process of the same node.
+#[test]
+fn a_row_of_an_earlier_process_does_not_replace_a_connected_peer() {
+    for_seeds(|seed| {
+        let mut scenario = start(seed);
+        let snapshot = scenario.fleet.platform.snapshot();
+        scenario.fleet.restart(Site(4));
+        scenario.load_for(Millis::from_secs(3));
+        let since = scenario.fleet.now;
+        restore(&mut scenario, snapshot, Millis::from_secs(1));
+        scenario.load_for(Millis::from_secs(5));
+        assert_eq!(forgotten(&scenario, since), 0, "seed {seed}");
+    });
+}
+
+/// The number of members of the roster in the store.
+fn stored_members(scenario: &Scenario) -> usize {
+    match scenario.fleet.platform.value(&RowKey::Roster) {
+        Some(Value::Roster(roster)) => roster.members.len(),
+        _ => 0,
+    }
+}
+
+/// The names of nodes whose row in the store is missing or names another process.
+fn wrong_rows(scenario: &Scenario) -> Vec<String> {
+    let identities = scenario.fleet.sites().map(|site| scenario.fleet.world_at(site).identity());
+    let is_stored = |announcement: &Announcement| {
+        let row = scenario.fleet.platform.value(&RowKey::Node(announcement.name.clone()));
+        matches!(row, Some(Value::Node(stored)) if stored == announcement)
+    };
+    let wrong = identities.filter(|identity| !is_stored(&identity.announcement));
+    wrong.map(|identity| identity.name().to_string()).collect()
+}
+
+/// How many peers nodes have forgotten since a time.
+fn forgotten(scenario: &Scenario, since: Millis) -> usize {
+    let log = scenario.fleet.log.iter();
+    log.filter(|(at, _, entry)| *at >= since && entry.event == "peer_forgotten").count()
+}
--- a/crates/mustardpin-virtual/tests/testsuite/roster.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/roster.rs
@@ -84,7 +84,7 @@
     }
 }
 
-fn members(scenario: &Scenario) -> Vec<usize> {
+pub fn members(scenario: &Scenario) -> Vec<usize> {
     let worlds = scenario.fleet.sites().map(|site| scenario.fleet.world_at(site));
     worlds.map(|world| world.tables().roster.len()).collect()
 }
--- a/crates/mustardpin-wire/src/message.rs
+++ b/crates/mustardpin-wire/src/message.rs
@@ -4,7 +4,7 @@
 use derive_more::{Display, Error, From};
 use mustardpin_world::{
     Millis,
-    id::{Revision, StoreVersion},
+    id::{self, Revision},
     message::{self, rate_limit::Shard},
     request::Fingerprint,
 };
@@ -37,15 +37,36 @@
     WantConfiguration { after: u64 },
     HaveConfiguration { revision: u64, rows: Vec<config::Row> },
     AskFreshness { number: u64 },
-    TellFreshness { number: u64, age: u64, revision: u64, fleet_age: u64, roster: u64 },
+    TellFreshness { number: u64, age: u64, revision: u64, fleet_age: u64, roster: StoreVersion },
     Draw { number: u64, draws: Vec<(CompactString, u8, u32)> },
     Grant { number: u64, grants: Vec<(u32, u64)> },
-    Handover { roster: u64, team: CompactString, shard: u8, level: u64 },
+    Handover { roster: StoreVersion, team: CompactString, shard: u8, level: u64 },
     Costs(Vec<Cost>),
     Crashed { crash: u64, requests: Vec<u64>, tried: Option<u64> },
     Cleared(u64),
 }
 
+/// A version of the store's content.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[allow(missing_docs, reason = "mirrors mustardpin_world::id::StoreVersion")]
+pub struct StoreVersion {
+    pub epoch: u32,
+    pub number: u64,
+}
+
+impl From<id::StoreVersion> for StoreVersion {
+    fn from(version: id::StoreVersion) -> StoreVersion {
+        StoreVersion { epoch: version.epoch.0, number: version.number }
+    }
+}
+
+impl From<StoreVersion> for id::StoreVersion {
+    fn from(version: StoreVersion) -> id::StoreVersion {
+        id::StoreVersion::new(id::Epoch(version.epoch), version.number)
+    }
+}
+
 /// The cost of a run of one route.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -115,7 +136,7 @@
                     age: age.0,
                     revision: revision.0,
                     fleet_age: fleet_age.0,
-                    roster: roster.0,
+                    roster: roster.into(),
                 }
             }
         }
@@ -138,7 +159,7 @@
                 Message::Grant { number, grants }
             }
             message::rate_limit::Message::Handover { roster, team, shard, level } => {
-                Message::Handover { roster: roster.0, team, shard: shard.0, level }
+                Message::Handover { roster: roster.into(), team, shard: shard.0, level }
             }
         }
     }
@@ -184,7 +205,7 @@
                     age: Millis(age),
                     revision: Revision(revision),
                     fleet_age: Millis(fleet_age),
-                    roster: StoreVersion(roster),
+                    roster: roster.into(),
                 }
                 .into()
             }
@@ -206,7 +227,7 @@
                 message::rate_limit::Message::Grant { number, grants }.into()
             }
             Message::Handover { roster, team, shard, level } => {
-                let (roster, shard) = (StoreVersion(roster), Shard(shard));
+                let (roster, shard) = (roster.into(), Shard(shard));
                 message::rate_limit::Message::Handover { roster, team, shard, level }.into()
             }
             Message::Costs(costs) => {
--- a/crates/mustardpin-wire/tests/testsuite/message.rs
+++ b/crates/mustardpin-wire/tests/testsuite/message.rs
@@ -3,7 +3,7 @@
 use mustardpin_wire::message::Message;
 use mustardpin_world::{
     Millis,
-    id::{NodeId, Revision, StoreVersion},
+    id::{Epoch, NodeId, Revision, StoreVersion},
     message::{self, configuration, fleet, freshness, quarantine, rate_limit, shedding},
     request::Fingerprint,
     store::Announcement,
@@ -36,7 +36,7 @@
             age: Millis(800),
             revision: Revision(5),
             fleet_age: Millis(900),
-            roster: StoreVersion(3),
+            roster: StoreVersion::new(Epoch(2), 3),
         }
         .into(),
         rate_limit::Message::Request { number: 8, requests: vec![request] }.into(),
@@ -46,7 +46,7 @@
         }
         .into(),
         rate_limit::Message::Handover {
-            roster: StoreVersion(3),
+            roster: StoreVersion::new(Epoch(2), 3),
             team: "garages".into(),
             shard: rate_limit::Shard(1),
             level: 1_500_000,
--- a/crates/mustardpin-world/benches/decision.rs
+++ b/crates/mustardpin-world/benches/decision.rs
@@ -11,7 +11,7 @@
     Command, Event, Identity, Millis, Options, World,
     config::{Importance, Key, Route, Row, Team},
     event::TargetReport,
-    id::{KeyDigest, NodeId, StoreVersion},
+    id::{Epoch, KeyDigest, NodeId, StoreVersion},
     options::{LimitAlgorithm, RateLimitPolicy},
     request::{Fingerprint, ForwardEnd, Load, Origin, Request, RunEnd, Ticket},
     store::{self, Announcement, Area, Changes, Member, Operation, Reply, Roster, RowKey, Value},
@@ -87,8 +87,12 @@
     let own = (RowKey::Node(own.name.clone()), Value::Node(own));
     let roster = (RowKey::Roster, Value::Roster(Roster { members }));
     let rows = configuration.chain(nodes).chain([own, roster]);
-    rows.map(|(key, value)| store::Row { key, version: StoreVersion(1), value: Some(value) })
-        .collect()
+    rows.map(|(key, value)| store::Row {
+        key,
+        version: StoreVersion::new(Epoch(0), 1),
+        value: Some(value),
+    })
+    .collect()
 }
 
 fn peers(size: Size) -> impl Iterator<Item = Announcement> {
@@ -162,7 +166,7 @@
             Operation::Write { .. } => return Some(Reply::Conflict),
         };
         let whole = matches!(operation, Operation::Read(_));
-        let (up_to, changes) = (StoreVersion(1), Changes::Rows(rows));
+        let (up_to, changes) = (StoreVersion::new(Epoch(0), 1), Changes::Rows(rows));
         Some(Reply::Changes { area, whole, up_to, clock: Some(self.now), changes })
     }
 
--- a/crates/mustardpin-world/src/id.rs
+++ b/crates/mustardpin-world/src/id.rs
@@ -13,9 +13,45 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Display)]
 pub struct Revision(pub u64);
 
+/// Counts the restores of the store from an older copy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Display)]
+pub struct Epoch(pub u32);
+
 /// The version of the store's content. Grows with every transaction, in any table.
+///
+/// A restored store assigns numbers again that it had assigned before, so versions are ordered by
+/// epoch first.
+///
+/// ```
+/// use mustardpin_world::id::{Epoch, StoreVersion};
+///
+/// assert!(StoreVersion::new(Epoch(1), 40) > StoreVersion::new(Epoch(0), 52));
+/// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Display)]
-pub struct StoreVersion(pub u64);
+#[display("{epoch}.{number}")]
+pub struct StoreVersion {
+    /// The epoch in which the store reported the version.
+    pub epoch: Epoch,
+    /// The number of the transaction; zero for a row that does not exist.
+    pub number: u64,
+}
+
+impl StoreVersion {
+    /// The version with this number in an epoch.
+    pub const fn new(epoch: Epoch, number: u64) -> StoreVersion {
+        StoreVersion { epoch, number }
+    }
+}
+
+/// The number of low bits of a revision that hold the number of a store version.
+const REVISION_NUMBER_BITS: u32 = 40;
+
+impl From<StoreVersion> for Revision {
+    /// The revision that a transaction of nodes gives the configuration.
+    fn from(version: StoreVersion) -> Revision {
+        Revision(u64::from(version.epoch.0) << REVISION_NUMBER_BITS | version.number)
+    }
+}
 
 /// The SHA-256 digest of a tenant key. The key itself never enters the world.
 ///
--- a/crates/mustardpin-world/src/store.rs
+++ b/crates/mustardpin-world/src/store.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     config,
-    id::{NodeId, StoreVersion},
+    id::{Epoch, NodeId, StoreVersion},
 };
 
 /// Matches an operation with its reply.
@@ -118,7 +118,7 @@
     },
     /// Writes and removes rows in one transaction, if no row that it depends on has changed.
     Write {
-        /// The rows that it depends on with their expected versions; version zero means that the
+        /// The rows that it depends on with their expected versions; number zero means that the
         /// row must not exist.
         expected: Vec<(RowKey, StoreVersion)>,
         /// The rows to write.
@@ -144,14 +144,16 @@
         /// The changes.
         changes: Changes,
     },
-    /// The store no longer has the history that the watch needs: the area must be read again.
+    /// The store doesn't have the history that the watch needs, or was restored since the version
+    /// from which it watches: the area must be read again.
     HistoryGone,
     /// The write took effect.
     Written {
         /// The version of the rows written.
         version: StoreVersion,
     },
-    /// A row that the write depended on had changed; nothing was written.
+    /// A row that the write depended on had changed, or the store was restored since the row was
+    /// read; nothing was written.
     Conflict,
     /// The store refused the operation; nothing was done.
     Refused(Refused),
@@ -159,6 +161,21 @@
     Lost,
 }
 
+impl Reply {
+    /// The version of the store that the reply reports, if any.
+    pub fn version(&self) -> Option<StoreVersion> {
+        match self {
+            Reply::Changes { up_to: version, .. } | Reply::Written { version } => Some(*version),
+            Reply::HistoryGone | Reply::Conflict | Reply::Refused(_) | Reply::Lost => None,
+        }
+    }
+
+    /// The epoch in which the store replied, if the reply carries it.
+    pub fn epoch(&self) -> Option<Epoch> {
+        self.version().map(|version| version.epoch)
+    }
+}
+
 /// Why the store refused an operation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Refused {
--- a/crates/mustardpin-world/src/system.rs
+++ b/crates/mustardpin-world/src/system.rs
@@ -16,6 +16,7 @@
 mod rate_limit;
 mod registration;
 mod resend;
+mod restore;
 mod retry;
 mod roster;
 mod routing;
@@ -52,6 +53,7 @@
     pub(crate) queueing: queueing::State,
     pub(crate) rate_limit: rate_limit::State,
     pub(crate) registration: registration::State,
+    pub(crate) restore: restore::State,
     pub(crate) retry: retry::State,
     pub(crate) roster: roster::State,
     pub(crate) stop: stop::State,
@@ -72,6 +74,7 @@
             queueing: queueing::State::new(&options.queueing),
             rate_limit: rate_limit::State::default(),
             registration: registration::State::default(),
+            restore: restore::State::default(),
             retry: retry::State::new(&options.retry),
             roster: roster::State::default(),
             stop: stop::State::default(),
@@ -189,6 +192,7 @@
     }
     stop::run(world, tick);
     target::run(world, tick);
+    restore::run(world, tick);
     fleet::run(world, tick);
     freshness::run(world, tick);
     configuration::run(world, tick);
--- a/crates/mustardpin-world/src/system/configuration.rs
+++ b/crates/mustardpin-world/src/system/configuration.rs
@@ -99,7 +99,7 @@
             // are absent now.
             let is_latest = world.tables.configuration.read.is_none_or(|read| read <= *up_to);
             if *whole && is_latest {
-                remove_absent(world, rows, Revision(up_to.0));
+                remove_absent(world, rows, Revision::from(*up_to));
             }
             for row in rows {
                 apply_row(world, row);
@@ -109,7 +109,7 @@
 }
 
 fn apply_row(world: &mut World, row: &Row) {
-    let revision = Revision(row.version.0);
+    let revision = Revision::from(row.version);
     match (&row.key, &row.value) {
         (RowKey::Configuration(path), value) => {
             let row = match value {
--- a/crates/mustardpin-world/src/system/fleet.rs
+++ b/crates/mustardpin-world/src/system/fleet.rs
@@ -12,7 +12,7 @@
 use crate::{
     clock::Millis,
     command::Command,
-    id::{NodeId, PeerKey, Revision, StoreVersion},
+    id::{Epoch, NodeId, PeerKey, Revision, StoreVersion},
     log::{Entry, Level},
     message::fleet::Message,
     store::{Announcement, Area, Changes, Operation, Reply, Row, RowKey, Value},
@@ -56,7 +56,7 @@
         let (whole, up_to) = (*whole, *up_to);
         if world.systems.fleet.read_up_to.is_none_or(|read| read <= up_to) {
             let rows = rows.clone();
-            apply_rows(world, tick, whole, &rows);
+            apply_rows(world, tick, whole.then_some(up_to), &rows);
         }
     }
     for change in std::mem::take(&mut tick.inbox.links) {
@@ -103,22 +103,23 @@
     has_read && world.tables.peers.iter().all(|(_, peer)| peer.link != Link::New)
 }
 
-fn apply_rows(world: &mut World, tick: &mut Tick, whole: bool, rows: &[Row]) {
-    if whole {
-        drop_absent(world, tick, rows);
+/// Applies rows of nodes and the roster. `whole_at` is the version of a complete read.
+fn apply_rows(world: &mut World, tick: &mut Tick, whole_at: Option<StoreVersion>, rows: &[Row]) {
+    if let Some(version) = whole_at {
+        drop_absent(world, tick, rows, version.epoch);
     }
     for row in rows {
         match (&row.key, &row.value) {
             (RowKey::Node(name), Some(Value::Node(announcement))) => {
                 row_found(world, tick, name, announcement, row.version);
             }
-            (RowKey::Node(name), None) => row_removed(world, tick, name),
+            (RowKey::Node(name), None) => row_removed(world, tick, name, row.version.epoch),
             (RowKey::Roster, Some(Value::Roster(roster)))
                 if row.version > world.tables.roster.version =>
             {
                 world.tables.roster.replace(row.version, roster, tick.now);
                 let entry = Entry::new(Level::Info, "roster")
-                    .with("position", row.version.0)
+                    .with("position", row.version.number)
                     .with("members", world.tables.roster.len())
                     .with("settled", world.tables.roster.is_settled);
                 tick.log(entry);
@@ -129,7 +130,7 @@
 }
 
 /// Handles rows that are missing from a complete read as removed.
-fn drop_absent(world: &mut World, tick: &mut Tick, rows: &[Row]) {
+fn drop_absent(world: &mut World, tick: &mut Tick, rows: &[Row], epoch: Epoch) {
     let exists =
         |name: &CompactString| rows.iter().any(|row| row.key == RowKey::Node(name.clone()));
     if !exists(world.identity.name()) {
@@ -141,7 +142,13 @@
         .map(|(_, peer)| peer.announcement.name.clone())
         .collect();
     for name in absent {
-        row_removed(world, tick, &name);
+        row_removed(world, tick, &name, epoch);
+    }
+    let has_roster = rows.iter().any(|row| row.key == RowKey::Roster);
+    let roster = &mut world.tables.roster;
+    if !has_roster && !roster.is_empty() && roster.version.epoch < epoch {
+        // The restored store has no roster yet. This one stays in use until there is one.
+        roster.version = StoreVersion::new(epoch, 0);
     }
 }
 
@@ -162,7 +169,9 @@
         if peer.row.is_some_and(|row| row >= version) {
             return;
         }
-        if peer.announcement == *announcement {
+        // The row of a restored store may name an earlier process of a node that is connected.
+        let is_restored = peer.row.is_some_and(|row| row.epoch < version.epoch);
+        if peer.announcement == *announcement || (is_restored && peer.link == Link::Up) {
             peer.row = Some(version);
             return;
         }
@@ -175,21 +184,24 @@
     }
 }
 
-/// Handles the removal of a node's row from the store.
-fn row_removed(world: &mut World, tick: &mut Tick, name: &CompactString) {
+/// Handles the removal of a node's row from the store in an epoch.
+fn row_removed(world: &mut World, tick: &mut Tick, name: &CompactString, epoch: Epoch) {
     if name == world.identity.name() {
         world.systems.fleet.own_row = None;
         return;
     }
     let Some(key) = world.tables.peers.by_name(name) else { return };
     let Some(peer) = world.tables.peers.get_mut(key) else { return };
-    peer.row = None;
+    let row = peer.row.take();
     let node = peer.announcement.node;
     let is_connected = matches!(peer.link, Link::Up | Link::Silent);
-    let removed = &mut world.systems.fleet.removed;
-    removed.push_back(node);
-    if removed.len() > MAX_REMOVED {
-        removed.pop_front();
+    // A row that a restore lost was not removed by a peer.
+    if row.is_none_or(|row| row.epoch == epoch) {
+        let removed = &mut world.systems.fleet.removed;
+        removed.push_back(node);
+        if removed.len() > MAX_REMOVED {
+            removed.pop_front();
+        }
     }
     if !is_connected {
         remove_peer(world, tick, key, "row_removed");
@@ -299,7 +311,8 @@
     let peers = &world.tables.peers;
     let up = peers.iter().filter(|(_, peer)| peer.link == Link::Up).count();
     // A node that reaches less than half of its peers is more likely to be cut off itself.
-    if up * 2 < peers.len() || !world.tables.freshness.fleet_fresh {
+    let has_read = world.systems.fleet.read_up_to.is_some();
+    if up * 2 < peers.len() || !has_read || !world.tables.freshness.fleet_fresh {
         return;
     }
     let after = world.options.fleet.forget_after + world.jitter(REMOVAL_JITTER);
--- a/crates/mustardpin-world/src/system/freshness.rs
+++ b/crates/mustardpin-world/src/system/freshness.rs
@@ -95,6 +95,21 @@
     update_freshness(world, tick);
 }
 
+/// Has everything read again at once, since the store was restored.
+pub(super) fn handle_restore(world: &mut World, tick: &mut Tick) {
+    world.tables.configuration.read = None;
+    world.systems.fleet.read_up_to = None;
+    let state = &mut world.systems.freshness;
+    state.fleet_is_behind = false;
+    for watch in [&mut state.configuration, &mut state.fleet, &mut state.catch_up] {
+        watch.next_query = tick.now;
+        // A long poll that was sent before a restore may never have a reply.
+        for query in &mut watch.pending {
+            query.retry_at = tick.now;
+        }
+    }
+}
+
 fn handle_reply(
     world: &mut World,
     tick: &mut Tick,
@@ -159,11 +174,11 @@
 
 /// Records that the node has an area's data up to a store version, as of a point in time.
 fn record_update(world: &mut World, tick: &Tick, area: Area, up_to: StoreVersion, as_of: Millis) {
-    let freshness = &mut world.tables.freshness;
     match area {
         Area::Configuration => {
             let read = &mut world.tables.configuration.read;
             *read = (*read).max(Some(up_to));
+            let freshness = &mut world.tables.freshness;
             freshness.configuration_as_of = freshness.configuration_as_of.max(Some(as_of));
             if world.systems.fleet.read_up_to.is_some_and(|read| read >= up_to) {
                 // The rows of nodes were read up to this version, so they are current too.
@@ -177,6 +192,7 @@
         Area::Fleet => {
             let read = &mut world.systems.fleet.read_up_to;
             *read = (*read).max(Some(up_to));
+            let freshness = &mut world.tables.freshness;
             freshness.fleet_as_of = freshness.fleet_as_of.max(Some(as_of));
             world.systems.freshness.fleet_is_behind = false;
         }
--- a/crates/mustardpin-world/src/system/proposal.rs
+++ b/crates/mustardpin-world/src/system/proposal.rs
@@ -81,8 +81,8 @@
         },
         Wait::Write(ticket) => match reply_to(tick, ticket)? {
             Reply::Written { version } => {
-                let revision = Revision(version.0);
-                apply(world, &open.proposal, revision);
+                let (version, revision) = (*version, Revision::from(*version));
+                apply(world, &open.proposal, version);
                 return Some(Ok(revision));
             }
             Reply::Refused(Refused::Forbidden) => return Some(Err(ChangeError::ReadOnly)),
@@ -145,15 +145,16 @@
 }
 
 /// Applies a written change on this node without waiting for the store to send it.
-fn apply(world: &mut World, proposal: &Proposal, revision: Revision) {
+fn apply(world: &mut World, proposal: &Proposal, version: StoreVersion) {
+    let revision = Revision::from(version);
     let written = proposal.rows.iter().map(|row| (row.path(), Some(row.clone())));
     let removed = proposal.removals.iter().map(|path| (path.clone(), None));
     for (path, row) in written.chain(removed) {
         world.tables.apply_record(Record { path, revision, row });
     }
     let configuration = &mut world.tables.configuration;
-    if StoreVersion(revision.0) > configuration.head {
-        configuration.head = StoreVersion(revision.0);
+    if version > configuration.head {
+        configuration.head = version;
         configuration.recent.push(proposal.id.clone());
     }
     configuration.revision = configuration.revision.max(revision);
@@ -164,12 +165,12 @@
 fn revision_of(world: &World, proposal: &Proposal) -> Revision {
     let configuration = &world.tables.configuration;
     if configuration.recent.last() == Some(&proposal.id) {
-        return Revision(configuration.head.0);
+        return Revision::from(configuration.head);
     }
     let written = proposal.rows.iter().map(|row| row.path());
     let paths = written.chain(proposal.removals.iter().cloned());
     let revisions = paths.filter_map(|path| configuration.records.get(&path));
-    revisions.map(|record| record.revision).min().unwrap_or(Revision(configuration.head.0))
+    revisions.map(|record| record.revision).min().unwrap_or(Revision::from(configuration.head))
 }
 
 fn conflict(world: &World, expected: Revision) -> ChangeError {
--- a/crates/mustardpin-world/src/system/roster.rs
+++ b/crates/mustardpin-world/src/system/roster.rs
@@ -29,7 +29,8 @@
     }
     world.systems.roster.next_check = tick.now + CHECK_INTERVAL;
     tick.wake(world.systems.roster.next_check);
-    if world.systems.roster.pending.is_some() || !world.tables.freshness.fleet_fresh {
+    let has_read = world.systems.fleet.read_up_to.is_some();
+    if world.systems.roster.pending.is_some() || !has_read || !world.tables.freshness.fleet_fresh {
         return;
     }
     let registered = registered(world);
@@ -73,7 +74,7 @@
     let version = world.tables.roster.version;
     let entry = Entry::new(Level::Info, "roster_proposed")
         .with("members", members.len())
-        .with("after", version.0);
+        .with("after", version.number);
     tick.log(entry);
     let expected = vec![(RowKey::Roster, version)];
     let puts = vec![(RowKey::Roster, Value::Roster(Roster { members }))];
--- a/crates/mustardpin-world/src/table/roster.rs
+++ b/crates/mustardpin-world/src/table/roster.rs
@@ -30,7 +30,7 @@
 impl Roster {
     /// Replaces the roster by another version.
     pub fn replace(&mut self, version: StoreVersion, roster: &store::Roster, now: Millis) {
-        self.is_settled = self.version == StoreVersion(0);
+        self.is_settled = self.version == StoreVersion::default();
         self.version = version;
         self.learned_at = now;
         self.by_data_centre.clear();
--- a/crates/mustardpin-world/tests/testsuite/fleet.rs
+++ b/crates/mustardpin-world/tests/testsuite/fleet.rs
@@ -2,7 +2,7 @@
 
 use mustardpin_world::{
     Event, Options,
-    id::{NodeId, StoreVersion},
+    id::{Epoch, NodeId, StoreVersion},
     request::Origin,
     store::{Area, Changes, Row, RowKey},
 };
@@ -20,7 +20,7 @@
     let forwarded = node.send(1, Origin::Caller { key: None }, None);
     node.tick(vec![Event::LinkSilent { peer, silent: true }]);
     let key = RowKey::Node(announcement(2).name);
-    let row = Row { key, version: StoreVersion(3), value: None };
+    let row = Row { key, version: StoreVersion::new(Epoch(0), 3), value: None };
     let removed = node.change(Area::Fleet, 3, Changes::Rows(vec![row]));
     let replied = node.tick(vec![Event::LinkSilent { peer, silent: false }]);
     let ended = node.tick(vec![Event::LinkDown { peer, refused: false }]);
--- a/crates/mustardpin-world/tests/testsuite/node.rs
+++ b/crates/mustardpin-world/tests/testsuite/node.rs
@@ -4,7 +4,7 @@
     Command, Event, Identity, Millis, Options, World,
     config::{self, Route, Update},
     event::TargetReport,
-    id::{NodeId, Revision, StoreVersion},
+    id::{Epoch, NodeId, Revision, StoreVersion},
     request::{Fingerprint, Load, Origin, Request, Ticket, Verdict},
     store::{self, Announcement, Area, Changes, Operation, Reply, Row, RowKey, Value},
 };
@@ -62,7 +62,7 @@
     pub fn change(&mut self, area: Area, up_to: u64, changes: Changes) -> Vec<Command> {
         let read = self.reads.iter().find(|(other, _)| *other == area);
         let (_, ticket) = *read.expect("the node reads the area");
-        let up_to = StoreVersion(up_to);
+        let up_to = StoreVersion::new(Epoch(0), up_to);
         let reply = Reply::Changes { area, whole: false, up_to, clock: None, changes };
         self.tick(vec![Event::Store(ticket, reply)])
     }
@@ -86,7 +86,7 @@
     pub fn connect(&mut self, number: u64) -> Vec<Command> {
         let peer = announcement(number);
         let (key, value) = (RowKey::Node(peer.name.clone()), Value::Node(peer.clone()));
-        let row = Row { key, version: StoreVersion(number), value: Some(value) };
+        let row = Row { key, version: StoreVersion::new(Epoch(0), number), value: Some(value) };
         let load = Load { open: true, limit: 8, ..Load::default() };
         self.change(Area::Fleet, number, Changes::Rows(vec![row]));
         self.tick(vec![
