Keep one owner of a shard when a restore takes the roster back

A restored store may hold an earlier roster, and later ones that it has lost are still in use at nodes that have not noticed. A node that kept the buckets of its shards through such a gap, or started in it, granted tokens beside the owner by a lost roster.

A node whose data was too old when it first reads the restored store drops its buckets, and the fence of a new owner holds. A roster carries the epoch before which no node uses a roster any more; a process that starts grants at once only by a roster of the current one. Nodes propose the roster again once the rosters from before the restore have expired.

Not covered: two changes of the roster and a restore within two windows, with the owner between them cut off from the store.

--- a/crates/mustardpin-virtual/tests/testsuite/faults.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/faults.rs
@@ -1,6 +1,6 @@
 //! Random failures that follow each other and overlap. The seed decides them.
 
-use mustardpin_virtual::{PlatformMode, Site};
+use mustardpin_virtual::{PlatformMode, Site, Snapshot};
 use mustardpin_world::Millis;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
@@ -10,17 +10,36 @@
 /// The maximum time between two failures, in milliseconds.
 const MAX_INTERVAL_MS: u64 = 2_500;
 
+/// The maximum time between two restores of the platform's store.
+const MAX_RESTORE_INTERVAL: Millis = Millis::from_secs(12);
+
 /// Injects failures at random times.
 pub struct Faults {
     rng: Pcg64Mcg,
     /// When the next failure begins or ends.
     next_at: Millis,
     frozen: Vec<Site>,
+    restores: Option<Restores>,
+}
+
+/// Restores of the platform's store, each from a snapshot that was taken some time before.
+struct Restores {
+    snapshot: Snapshot,
+    next_at: Millis,
 }
 
 impl Faults {
     pub fn new(seed: u64, now: Millis) -> Faults {
-        Faults { rng: Pcg64Mcg::seed_from_u64(seed ^ 0xfa17), next_at: now, frozen: Vec::new() }
+        let rng = Pcg64Mcg::seed_from_u64(seed ^ 0xfa17);
+        Faults { rng, next_at: now, frozen: Vec::new(), restores: None }
+    }
+
+    /// Like [`Faults::new`], with restores of the platform's store besides.
+    pub fn with_restores(seed: u64, scenario: &Scenario) -> Faults {
+        let now = scenario.fleet.now;
+        let snapshot = scenario.fleet.platform.snapshot();
+        let restores = Restores { snapshot, next_at: now + MAX_RESTORE_INTERVAL };
+        Faults { restores: Some(restores), ..Faults::new(seed, now) }
     }
 
     /// Whether a node is frozen at present.
@@ -28,8 +47,23 @@
         self.frozen.contains(&site)
     }
 
+    /// Restores the store if that is due. Half of the snapshots are older than the last restore.
+    fn restore(&mut self, scenario: &mut Scenario) {
+        let Some(restores) = &mut self.restores else { return };
+        if scenario.fleet.now < restores.next_at {
+            return;
+        }
+        restores.next_at =
+            scenario.fleet.now + Millis(self.rng.random_range(500..MAX_RESTORE_INTERVAL.0));
+        scenario.fleet.restore_platform(restores.snapshot.clone());
+        if self.rng.random_bool(0.5) {
+            restores.snapshot = scenario.fleet.platform.snapshot();
+        }
+    }
+
     /// Begins or ends a random failure, if one is due.
     pub fn step(&mut self, scenario: &mut Scenario) {
+        self.restore(scenario);
         let fleet = &mut scenario.fleet;
         if fleet.now < self.next_at {
             return;
--- a/crates/mustardpin-virtual/tests/testsuite/restore.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/restore.rs
@@ -6,11 +6,13 @@
     Millis,
     config::{CutOffPolicy, Row},
     id::Revision,
+    request::Verdict,
     store::{Announcement, RowKey, Value},
 };
 
 use crate::{
-    roster::members,
+    faults::Faults,
+    roster::{duplicate_owners, members},
     scenario::{Scenario, VALID_KEY, WITHDRAWN_KEY, for_seeds, key, route, team},
 };
 
@@ -133,6 +135,46 @@
     });
 }
 
+/// Guards against two owners of a shard when the roster goes back by a restore, whatever else fails.
+#[test]
+fn no_shard_has_two_owners_after_restores_whatever_else_fails() {
+    for_seeds(|seed| {
+        let mut scenario = Scenario::start(seed, CutOffPolicy::Refuse);
+        let mut faults = Faults::with_restores(seed, &scenario);
+        for _ in 0..1_200 {
+            faults.step(&mut scenario);
+            scenario.fleet.run_for(Millis(100));
+            let duplicates = duplicate_owners(&mut scenario, &faults);
+            let now = scenario.fleet.now;
+            assert!(duplicates.is_empty(), "seed {seed}, {now}: {duplicates:?}");
+        }
+        faults.end(&mut scenario);
+        scenario.fleet.run_for(Millis::from_secs(30));
+        assert_eq!(members(&scenario), [9; 9], "seed {seed}: not all nodes are back");
+        assert_eq!(wrong_rows(&scenario), Vec::<String>::new(), "seed {seed}");
+    });
+}
+
+/// Guards against a pause of all rates after a restore that takes the roster back.
+#[test]
+fn rates_are_served_while_a_restore_takes_the_roster_back() {
+    for_seeds(|seed| {
+        let mut scenario = Scenario::start(seed, CutOffPolicy::Refuse);
+        let snapshot = scenario.fleet.platform.snapshot();
+        scenario.fleet.kill(Site(4));
+        scenario.load_excluding(Some(Site(4)), Millis::from_secs(30));
+        assert_eq!(stored_members(&scenario), 8, "seed {seed}");
+        let restored = scenario.fleet.now;
+        restore(&mut scenario, snapshot, Millis::from_secs(1));
+        scenario.load_excluding(Some(Site(4)), Millis::from_secs(5));
+        let sent = scenario.fleet.received.iter().filter(|received| received.sent >= restored);
+        let whole = sent.clone().filter(|received| received.verdict == Some(Verdict::Pass)).count();
+        let (sent, whole) = (sent.count() as f64, whole as f64);
+        for dc in ["north", "south", "west"] {}
+        assert!(whole > sent * 0.95, "seed {seed}: {whole} of {sent}");
+    });
+}
+
 /// The number of members of the roster in the store.
 fn stored_members(scenario: &Scenario) -> usize {
     match scenario.fleet.platform.value(&RowKey::Roster) {
--- a/crates/mustardpin-virtual/tests/testsuite/roster.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/roster.rs
@@ -41,7 +41,10 @@
 }
 
 /// The shards from which more than one node would grant leases, with these nodes.
-fn duplicate_owners(scenario: &mut Scenario, faults: &Faults) -> Vec<((String, Shard), Vec<Site>)> {
+pub fn duplicate_owners(
+    scenario: &mut Scenario,
+    faults: &Faults,
+) -> Vec<((String, Shard), Vec<Site>)> {
     let sites: Vec<Site> = scenario.fleet.sites().filter(|&site| !faults.is_frozen(site)).collect();
     for &site in &sites {
         // Any event runs a tick, in which the node reads the time.
--- a/crates/mustardpin-wire/src/store.rs
+++ b/crates/mustardpin-wire/src/store.rs
@@ -6,7 +6,7 @@
 use derive_more::{Display, Error, From};
 use mustardpin_world::{
     config as world_config,
-    id::NodeId,
+    id::{Epoch, NodeId},
     store::{self, Roster, RowKey, Value},
 };
 use serde::{Deserialize, Serialize};
@@ -77,11 +77,13 @@
     }
 }
 
-/// The members of the roster, each as a pair of data centre and node name.
+/// The members of the roster, each as a pair of data centre and node name, and its epoch.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 struct Members {
     members: Vec<(CompactString, CompactString)>,
+    #[serde(default)]
+    epoch: u32,
 }
 
 /// Encodes the key of a row.
@@ -134,7 +136,7 @@
             let members = roster.members.iter();
             let members =
                 members.map(|member| (member.data_centre.clone(), member.name.clone())).collect();
-            serde_json::to_vec(&Members { members })?
+            serde_json::to_vec(&Members { members, epoch: roster.epoch.0 })?
         }
         Value::Head(recent) => serde_json::to_vec(recent)?,
         Value::Configuration(row) => serde_json::to_vec(&config::Row::from(row.clone()))?,
@@ -163,11 +165,11 @@
             Value::Node(announcement.try_into()?)
         }
         RowKey::Roster => {
-            let Members { members } = serde_json::from_slice(bytes)?;
+            let Members { members, epoch } = serde_json::from_slice(bytes)?;
             let members = members.into_iter();
             let members =
                 members.map(|(data_centre, name)| store::Member { name, data_centre }).collect();
-            Value::Roster(Roster { members })
+            Value::Roster(Roster { members, epoch: Epoch(epoch) })
         }
         RowKey::Head => Value::Head(serde_json::from_slice(bytes)?),
         RowKey::Configuration(_) => {
--- a/crates/mustardpin-wire/tests/testsuite/store.rs
+++ b/crates/mustardpin-wire/tests/testsuite/store.rs
@@ -6,7 +6,7 @@
 use mustardpin_world::{
     Millis,
     config::{self, Importance},
-    id::{KeyDigest, NodeId},
+    id::{Epoch, KeyDigest, NodeId},
     store::{Announcement, Member, Roster, RowKey, Value},
 };
 use proptest::prelude::*;
@@ -56,7 +56,7 @@
         rows.map(|row| (RowKey::Configuration(row.path()), Value::Configuration(row))).collect();
     rows.push((RowKey::Head, Value::Head(vec!["change-1".into()])));
     let member = Member { name: "north-1".into(), data_centre: "north".into() };
-    rows.push((RowKey::Roster, Value::Roster(Roster { members: vec![member] })));
+    rows.push((RowKey::Roster, Value::Roster(Roster { members: vec![member], epoch: Epoch(2) })));
     let announcement = Announcement {
         node: NodeId(1),
         name: "north-1".into(),
--- a/crates/mustardpin-world/src/store.rs
+++ b/crates/mustardpin-world/src/store.rs
@@ -43,6 +43,8 @@
 pub struct Roster {
     /// The members, ordered by data centre and then by name.
     pub members: Vec<Member>,
+    /// The latest epoch before which no node used a roster any more when it was proposed.
+    pub epoch: Epoch,
 }
 
 /// A part of the store.
--- a/crates/mustardpin-world/src/system/fleet.rs
+++ b/crates/mustardpin-world/src/system/fleet.rs
@@ -30,6 +30,10 @@
 /// Maximum number of peers that a new connection passes on. Several connections together pass on a
 /// larger fleet.
 const MAX_KNOWN: usize = 8;
+/// How old a node's data may be when it first reads a restored store, in freshness windows, for it to
+/// keep the buckets of its shards. An outage of the store adds to the age; a new owner grants no
+/// tokens until a window after the roster that made it one.
+const RESTORE_GAP_FACTOR: u64 = 2;
 /// Range of the random delay before a removal, so that nodes don't remove the same row at once.
 const REMOVAL_JITTER: Millis = Millis(3_000);
 
@@ -117,7 +121,9 @@
             (RowKey::Roster, Some(Value::Roster(roster)))
                 if row.version > world.tables.roster.version =>
             {
-                world.tables.roster.replace(row.version, roster, tick.now);
+                let age = world.tables.freshness.fleet_age(tick.now);
+                let is_recent = age < Millis(world.options.freshness.window.0 * RESTORE_GAP_FACTOR);
+                world.tables.roster.replace(row.version, roster, is_recent, tick.now);
                 let entry = Entry::new(Level::Info, "roster")
                     .with("position", row.version.number)
                     .with("members", world.tables.roster.len())
@@ -147,7 +153,7 @@
     let has_roster = rows.iter().any(|row| row.key == RowKey::Roster);
     let roster = &mut world.tables.roster;
     if !has_roster && !roster.is_empty() && roster.version.epoch < epoch {
-        // The restored store has no roster yet. This one stays in use until there is one.
+        // The restored store has no roster. This one stays in use until there is one.
         roster.version = StoreVersion::new(epoch, 0);
     }
 }
--- a/crates/mustardpin-world/src/system/rate_limit.rs
+++ b/crates/mustardpin-world/src/system/rate_limit.rs
@@ -25,6 +25,8 @@
     ownership: ownership::State,
 }
 
+pub(super) use self::ownership::longest_roster_validity;
+
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
     ownership::hand_over_lost_buckets(world, tick);
     ownership::reconcile(world, tick.now);
--- a/crates/mustardpin-world/src/system/rate_limit/ownership.rs
+++ b/crates/mustardpin-world/src/system/rate_limit/ownership.rs
@@ -80,6 +80,12 @@
     }
 }
 
+/// The longest time after its last update from the store for which a node uses its roster.
+pub(in crate::system) fn longest_roster_validity(world: &World) -> Millis {
+    let teams = world.tables.teams.iter().map(|(team, _)| roster_validity(world, team));
+    teams.max().unwrap_or_default().max(world.options.freshness.window)
+}
+
 /// The shards that this node owns by its roster.
 fn owned_shards(world: &World) -> Vec<(TeamKey, Shard)> {
     let policy = policy::of(&world.options.rate_limit);
@@ -98,13 +104,18 @@
 }
 
 /// Removes the buckets of shards that this node no longer owns, and hands over to the new owners
-/// those from which it was certainly the only one to grant.
+/// those from which it was certainly the only one to grant. Removes all buckets if the store was
+/// restored while this node's data was stale: by rosters that it has missed, other nodes may own any
+/// shard.
 pub(super) fn hand_over_lost_buckets(world: &mut World, tick: &mut Tick) {
     let version = world.tables.roster.version;
-    if world.tables.rate_limits.buckets_roster == version {
+    let before = std::mem::replace(&mut world.tables.rate_limits.buckets_roster, version);
+    if before == version {
         return;
     }
-    world.tables.rate_limits.buckets_roster = version;
+    if before.epoch < version.epoch && !world.tables.roster.is_continuous {
+        return world.tables.rate_limits.clear_buckets();
+    }
     let policy = policy::of(&world.options.rate_limit);
     let (roster, own) = (&world.tables.roster, &world.identity);
     let mut lost = Vec::new();
--- a/crates/mustardpin-world/src/system/restore.rs
+++ b/crates/mustardpin-world/src/system/restore.rs
@@ -4,6 +4,7 @@
 //! again. The node then reads everything again, and discards replies from before the restore.
 
 use crate::{
+    clock::Millis,
     id::Epoch,
     log::{Entry, Level},
     store::Reply,
@@ -16,6 +17,20 @@
 pub(crate) struct State {
     /// The latest epoch in which the store replied; `None` before its first reply.
     epoch: Option<Epoch>,
+    /// When this node first had a reply of that epoch.
+    since: Millis,
+}
+
+impl State {
+    /// The latest epoch in which the store replied, or the first one before its first reply.
+    pub(super) fn epoch(&self) -> Epoch {
+        self.epoch.unwrap_or_default()
+    }
+
+    /// When this node first had a reply of that epoch.
+    pub(super) fn since(&self) -> Millis {
+        self.since
+    }
 }
 
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
@@ -25,8 +40,11 @@
     world.systems.restore.epoch = epoch;
     let Some(epoch) = epoch else { return };
     discard_earlier(tick, epoch);
-    let Some(before) = before else { return };
-    if epoch > before {
+    if before == Some(epoch) {
+        return;
+    }
+    world.systems.restore.since = tick.now;
+    if let Some(before) = before {
         let known = world.tables.configuration.read.max(world.systems.fleet.read_up_to);
         let entry = Entry::new(Level::Warn, "store_restored")
             .with("epoch", epoch.0)
--- a/crates/mustardpin-world/src/system/roster.rs
+++ b/crates/mustardpin-world/src/system/roster.rs
@@ -5,8 +5,10 @@
 
 use crate::{
     clock::Millis,
+    id::Epoch,
     log::{Entry, Level},
     store::{Member, Operation, Reply, Roster, RowKey, Ticket, Value},
+    system::rate_limit,
     world::{Tick, World},
 };
 
@@ -35,7 +37,8 @@
     }
     let registered = registered(world);
     let current: Vec<Member> = world.tables.roster.members().collect();
-    if registered == current || registered.is_empty() {
+    let is_current = registered == current && world.tables.roster.epoch >= epoch(world, tick.now);
+    if is_current || registered.is_empty() {
         world.systems.roster.due = None;
         return;
     }
@@ -54,6 +57,16 @@
     propose(world, tick, registered);
 }
 
+/// The latest epoch before which no node uses a roster any more: the current one, if this node knows
+/// no roster or once all rosters from before the restore have expired.
+fn epoch(world: &World, now: Millis) -> Epoch {
+    let restore = &world.systems.restore;
+    let validity = rate_limit::longest_roster_validity(world);
+    let roster = &world.tables.roster;
+    let are_expired = roster.is_empty() || now - restore.since() >= validity;
+    if are_expired { restore.epoch() } else { roster.epoch }
+}
+
 /// The nodes that have rows in the store.
 fn registered(world: &World) -> Vec<Member> {
     let peers = world.tables.peers.iter().filter(|(_, peer)| peer.row.is_some());
@@ -76,8 +89,9 @@
         .with("members", members.len())
         .with("after", version.number);
     tick.log(entry);
+    let epoch = epoch(world, tick.now);
     let expected = vec![(RowKey::Roster, version)];
-    let puts = vec![(RowKey::Roster, Value::Roster(Roster { members }))];
+    let puts = vec![(RowKey::Roster, Value::Roster(Roster { members, epoch }))];
     let operation = Operation::Write { expected, puts, removals: Vec::new() };
     world.systems.roster.pending = Some(world.call_store(tick, operation));
     world.systems.roster.due = None;
--- a/crates/mustardpin-world/src/table/rate_limit.rs
+++ b/crates/mustardpin-world/src/table/rate_limit.rs
@@ -253,6 +253,12 @@
         self.buckets.remove(key)
     }
 
+    /// Removes all buckets.
+    pub fn clear_buckets(&mut self) {
+        self.buckets.clear();
+        self.by_shard.clear();
+    }
+
     /// All buckets at this node, ordered by team and shard.
     pub fn buckets(&self) -> impl Iterator<Item = &Bucket> {
         self.by_shard.values().map(|&key| &self.buckets[key])
--- a/crates/mustardpin-world/src/table/roster.rs
+++ b/crates/mustardpin-world/src/table/roster.rs
@@ -9,7 +9,7 @@
 use crate::{
     clock::Millis,
     hash,
-    id::StoreVersion,
+    id::{Epoch, StoreVersion},
     message::rate_limit::Shard,
     store::{self, Member},
 };
@@ -21,16 +21,32 @@
     pub version: StoreVersion,
     /// When this node received the roster.
     pub learned_at: Millis,
-    /// Whether this is the roster that this node read first, rather than a later change.
+    /// Whether this is the roster that this node read first, rather than a later change, and no node
+    /// uses one of an earlier epoch any more.
     pub is_settled: bool,
+    /// The latest epoch before which no node uses a roster any more, as of the proposal.
+    pub epoch: Epoch,
+    /// Whether this node has missed no roster that was in force for long enough to be used.
+    pub is_continuous: bool,
     /// Member names by data centre, sorted.
     by_data_centre: Vec<(CompactString, Vec<CompactString>)>,
 }
 
 impl Roster {
-    /// Replaces the roster by another version.
-    pub fn replace(&mut self, version: StoreVersion, roster: &store::Roster, now: Millis) {
-        self.is_settled = self.version == StoreVersion::default();
+    /// Replaces the roster by another version. `is_recent` is whether this node's data from the
+    /// store is too recent for it to have missed another owner of its shards.
+    pub fn replace(
+        &mut self,
+        version: StoreVersion,
+        roster: &store::Roster,
+        is_recent: bool,
+        now: Millis,
+    ) {
+        let is_first = self.version == StoreVersion::default();
+        self.is_settled = is_first && roster.epoch == version.epoch;
+        let is_next_epoch = self.version.epoch.0 + 1 == version.epoch.0;
+        self.is_continuous = self.version.epoch == version.epoch || (is_next_epoch && is_recent);
+        self.epoch = roster.epoch;
         self.version = version;
         self.learned_at = now;
         self.by_data_centre.clear();
