Ask peers for a later configuration after a start and a restore

A restored store may hold an earlier configuration than the fleet. A node that had missed the later one took the store's reply as confirmation, and so did a process that started then: it asked no peer, since its data was fresh. A withdrawn key went on working there until operators wrote the document again.

Until enough peers have replied and none has a later one, replies of the store don't renew the age of its configuration.

Not covered: a change that the store confirmed and lost before any node that is still there has read it. Only who wrote it knows it.

--- a/crates/mustardpin-virtual/tests/testsuite/restore.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/restore.rs
@@ -135,6 +135,43 @@
     });
 }
 
+/// Guards against a withdrawn key that works again while the restored store holds an earlier
+/// document: at the nodes that were there, at one that was cut off and at one that starts. The
+/// load sends that key to both.
+#[test]
+fn a_withdrawal_that_a_restore_lost_stays_in_force() {
+    for_seeds(|seed| {
+        let mut scenario = start(seed);
+        let snapshot = scenario.fleet.platform.snapshot();
+        scenario.fleet.network.cut_platform("west");
+        scenario.fleet.isolate(Site(6));
+        scenario.fleet.platform.put_document(Revision(101), document(true, &[]));
+        let accepted = scenario.fleet.now;
+        scenario.load_for(Millis::from_secs(4));
+        restore(&mut scenario, snapshot, Millis::from_secs(1));
+        scenario.fleet.network.heal();
+        // Peers reply later than the store.
+        let delay = scenario.fleet.network.delay;
+        scenario.fleet.network.delay.inside = Millis(150);
+        scenario.fleet.network.delay.between = Millis(150);
+        scenario.fleet.restart(Site(3));
+        scenario.fleet.introduce(Site(3), Site(0));
+        scenario.load_for(Millis::from_secs(4));
+        scenario.fleet.network.delay = delay;
+        scenario.load_for(Millis::from_secs(6));
+        let last = scenario.runs_with_key(WITHDRAWN_KEY).next_back().unwrap_or_default();
+        assert!(
+            last <= accepted + MAX_PROPAGATION_DELAY,
+            "seed {seed}: last run {} after the withdrawal",
+            last - accepted
+        );
+        assert_eq!(revisions(&scenario), [101; 9], "seed {seed}");
+        let recent = scenario.fleet.now - Millis(2_000);
+        let valid = scenario.runs_with_key(VALID_KEY).filter(|&at| at >= recent).count();
+        assert!(valid > 100, "seed {seed}: {valid} runs of the other key at the end");
+    });
+}
+
 /// Guards against two owners of a shard when the roster goes back by a restore, whatever else fails.
 #[test]
 fn no_shard_has_two_owners_after_restores_whatever_else_fails() {
--- a/crates/mustardpin-world/src/system/configuration.rs
+++ b/crates/mustardpin-world/src/system/configuration.rs
@@ -11,7 +11,7 @@
     log::{Entry, Level},
     message::configuration::Message,
     store::{Area, Changes, Reply, Row, RowKey, Value},
-    system::LinkChange,
+    system::{LinkChange, freshness},
     table::peer::Link,
     world::{Tick, World},
 };
@@ -70,11 +70,13 @@
 }
 
 /// Requests a later configuration from the peer with the latest revision, if this node has none,
-/// the store has not confirmed its own recently, or a peer has just connected.
+/// the store has not confirmed its own recently, or a peer has just connected. A restored store may
+/// never send the later one.
 fn request_from_peer(world: &mut World, tick: &mut Tick) {
     let own = world.tables.configuration.revision;
     let is_linked = tick.inbox.links.iter().any(|link| matches!(link, LinkChange::Up { .. }));
-    let is_stale = world.tables.freshness.configuration_age(tick.now) >= STALE_AFTER;
+    let is_stale = world.tables.freshness.configuration_age(tick.now) >= STALE_AFTER
+        || freshness::is_in_doubt(world);
     if (!is_stale && own.0 > 0 && !is_linked) || tick.now < world.systems.configuration.next_at {
         return;
     }
--- a/crates/mustardpin-world/src/system/restore.rs
+++ b/crates/mustardpin-world/src/system/restore.rs
@@ -44,6 +44,9 @@
         return;
     }
     world.systems.restore.since = tick.now;
+    if before.is_none() {
+        freshness::handle_first_epoch(world, tick.now);
+    }
     if let Some(before) = before {
         let known = world.tables.configuration.read.max(world.systems.fleet.read_up_to);
         let entry = Entry::new(Level::Warn, "store_restored")
