Follow changes while lost rows wait to be written again

A node that had lost rows to write again ignored later changes of the same rows, and asked for a complete read that its pending long poll put off. A withdrawal made in that time was ignored there, and after the next restore the node wrote the key back as valid.

A row that arrives as a change was written since the restore, so it is no longer lost and is applied. A write that failed is repeated on the head row as it then is. The delay before a write starts anew each time.

--- a/crates/mustardpin-virtual/tests/testsuite/configuration.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/configuration.rs
@@ -197,9 +197,20 @@
 /// may work again.
 #[test]
 fn a_withdrawn_key_never_works_again_whatever_fails() {
+    check_withdrawals(|seed, scenario| Faults::new(seed, scenario.fleet.now));
+}
+
+/// Guards against withdrawals that a restore of the store has lost and that nodes neither keep nor
+/// write again.
+#[test]
+fn a_withdrawn_key_never_works_again_whatever_fails_and_is_restored() {
+    check_withdrawals(Faults::with_restores);
+}
+
+fn check_withdrawals(faults: fn(u64, &Scenario) -> Faults) {
     for_seeds(|seed| {
         let mut scenario = Scenario::start(seed, CutOffPolicy::Refuse);
-        let mut faults = Faults::new(seed, scenario.fleet.now);
+        let mut faults = faults(seed, &scenario);
         let mut withdrawn = BTreeMap::new();
         for round in 0..30 {
             let (old, new) = (format!("round-{round}"), format!("round-{}", round + 1));
--- a/crates/mustardpin-world/src/system/configuration.rs
+++ b/crates/mustardpin-world/src/system/configuration.rs
@@ -114,13 +114,12 @@
                 rewrite::compare(world, rows, *up_to, written_in);
                 let version = StoreVersion::new(written_in, up_to.number);
                 remove_absent(world, rows, Revision::from(version));
+            } else if !*whole {
+                rewrite::handle_changes(world, rows);
             }
             for row in rows {
                 apply_row(world, row, written_in);
             }
-            if !*whole && world.systems.configuration.rewrite.is_needed() {
-                world.tables.configuration.read = None;
-            }
         }
     }
 }
--- a/crates/mustardpin-world/src/system/configuration/rewrite.rs
+++ b/crates/mustardpin-world/src/system/configuration/rewrite.rs
@@ -16,6 +16,9 @@
 /// Range of the random delay before a write, so that nodes don't write the same rows at once.
 const WRITE_JITTER: Millis = Millis(300);
 
+/// Backoff before rows that are still missing are written another time.
+const RETRY_BACKOFF: Millis = Millis(500);
+
 /// A row of which this node has a later state than the restored store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Lost {
@@ -76,12 +79,22 @@
     world.systems.configuration.rewrite.lost = lost;
 }
 
+/// Handles changes since the last read: a row that was written since the restore is not lost.
+pub(super) fn handle_changes(world: &mut World, rows: &[Row]) {
+    let is_written =
+        |lost: &Lost| rows.iter().any(|row| row.key == RowKey::Configuration(lost.path.clone()));
+    world.systems.configuration.rewrite.lost.retain(|lost| !is_written(lost));
+}
+
 /// Writes lost rows again once that is due.
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
     handle_reply(world, tick);
-    let state = &world.systems.configuration.rewrite;
-    let has_read = world.tables.configuration.read.is_some();
-    if !state.is_needed() || state.pending.is_some() || !has_read {
+    let state = &mut world.systems.configuration.rewrite;
+    if !state.is_needed() {
+        state.due = None;
+        return;
+    }
+    if state.pending.is_some() || world.tables.configuration.read.is_none() {
         return;
     }
     let due = match state.due {
@@ -119,11 +132,13 @@
     Operation::Write { expected: vec![(RowKey::Head, configuration.head)], puts, removals }
 }
 
-/// Whatever the reply, another complete read shows what is left to write.
+/// Whatever the reply, the rows that were written arrive as changes. What is left is written again
+/// on top of them.
 fn handle_reply(world: &mut World, tick: &Tick) {
     let pending = world.systems.configuration.rewrite.pending;
     if tick.inbox.store.iter().any(|(ticket, _)| Some(*ticket) == pending) {
-        world.systems.configuration.rewrite.pending = None;
-        world.tables.configuration.read = None;
+        let due = tick.now + RETRY_BACKOFF + world.jitter(WRITE_JITTER);
+        let state = &mut world.systems.configuration.rewrite;
+        (state.pending, state.due) = (None, Some(due));
     }
 }
