Log the position from which a restore took the store back

The position is now that of the latest reply. Lost rows are written again in transactions of at most 90 rows; the platform's limit is 100.

--- a/crates/mustardpin-world/src/store.rs
+++ b/crates/mustardpin-world/src/store.rs
@@ -180,11 +180,6 @@
             Reply::HistoryGone | Reply::Conflict | Reply::Refused(_) | Reply::Lost => None,
         }
     }
-
-    /// The epoch in which the store replied, if the reply carries it.
-    pub fn epoch(&self) -> Option<Epoch> {
-        self.version().map(|version| version.epoch)
-    }
 }
 
 /// Why the store refused an operation.
--- a/crates/mustardpin-world/src/system/configuration/rewrite.rs
+++ b/crates/mustardpin-world/src/system/configuration/rewrite.rs
@@ -19,6 +19,9 @@
 /// Backoff before rows that are still missing are written another time.
 const RETRY_BACKOFF: Millis = Millis(500);
 
+/// Maximum number of rows in one transaction. Others follow in the next one.
+const MAX_ROWS: usize = 90;
+
 /// A row of which this node has a later state than the restored store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Lost {
@@ -106,7 +109,7 @@
         return tick.wake(due);
     }
     let operation = transaction(world);
-    let rows = world.systems.configuration.rewrite.lost.len();
+    let rows = world.systems.configuration.rewrite.lost.len().min(MAX_ROWS);
     let entry = Entry::new(Level::Warn, "configuration_written_again")
         .with("rows", rows)
         .with("revision", world.tables.configuration.revision.0);
@@ -121,7 +124,7 @@
     let (recent, epoch) = (configuration.recent.clone(), world.systems.restore.epoch());
     let mut puts = vec![(RowKey::Head, Value::Head(Head { recent, epoch }))];
     let mut removals = Vec::new();
-    for lost in &world.systems.configuration.rewrite.lost {
+    for lost in world.systems.configuration.rewrite.lost.iter().take(MAX_ROWS) {
         let key = RowKey::Configuration(lost.path.clone());
         let record = configuration.records.get(&lost.path);
         match record.and_then(|record| record.row.clone()) {
--- a/crates/mustardpin-world/src/system/restore.rs
+++ b/crates/mustardpin-world/src/system/restore.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     clock::Millis,
-    id::Epoch,
+    id::{Epoch, StoreVersion},
     log::{Entry, Level},
     store::Reply,
     system::freshness,
@@ -15,8 +15,8 @@
 /// State of the system between ticks.
 #[derive(Debug, Default)]
 pub(crate) struct State {
-    /// The latest epoch in which the store replied; `None` before its first reply.
-    epoch: Option<Epoch>,
+    /// The latest version in any reply of the store; `None` before its first one.
+    latest: Option<StoreVersion>,
     /// When this node first had a reply of that epoch.
     since: Millis,
 }
@@ -24,7 +24,7 @@
 impl State {
     /// The latest epoch in which the store replied, or the first one before its first reply.
     pub(super) fn epoch(&self) -> Epoch {
-        self.epoch.unwrap_or_default()
+        self.latest.unwrap_or_default().epoch
     }
 
     /// When this node first had a reply of that epoch.
@@ -34,37 +34,26 @@
 }
 
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
-    let replies = tick.inbox.store.iter();
-    let before = world.systems.restore.epoch;
-    let epoch = replies.filter_map(|(_, reply)| reply.epoch()).max().max(before);
-    world.systems.restore.epoch = epoch;
-    let Some(epoch) = epoch else { return };
-    discard_earlier(tick, epoch);
-    if before == Some(epoch) {
+    let versions = tick.inbox.store.iter().filter_map(|(_, reply)| reply.version());
+    let before = world.systems.restore.latest;
+    let Some(latest) = versions.max().max(before) else { return };
+    world.systems.restore.latest = Some(latest);
+    discard_earlier(tick, latest.epoch);
+    if before.is_some_and(|before| before.epoch == latest.epoch) {
         return;
     }
     world.systems.restore.since = tick.now;
-    if before.is_none() {
-        freshness::handle_first_epoch(world, tick.now);
-    }
-    if let Some(before) = before {
-        let known = world.tables.configuration.read.max(world.systems.fleet.read_up_to);
-        let entry = Entry::new(Level::Warn, "store_restored")
-            .with("epoch", epoch.0)
-            .with("before", before.0)
-            .with("known", known.unwrap_or_default().number)
-            .with("position", position(tick, epoch))
-            .with("revision", world.tables.configuration.revision.0);
-        tick.log(entry);
-        freshness::handle_restore(world, tick);
-    }
-}
-
-/// The number of the latest version in the replies of an epoch.
-fn position(tick: &Tick, epoch: Epoch) -> u64 {
-    let versions = tick.inbox.store.iter().filter_map(|(_, reply)| reply.version());
-    let numbers = versions.filter(|version| version.epoch == epoch).map(|version| version.number);
-    numbers.max().unwrap_or_default()
+    let Some(before) = before else {
+        return freshness::handle_first_epoch(world, tick.now);
+    };
+    let entry = Entry::new(Level::Warn, "store_restored")
+        .with("epoch", latest.epoch.0)
+        .with("before", before.epoch.0)
+        .with("known", before.number)
+        .with("position", latest.number)
+        .with("revision", world.tables.configuration.revision.0);
+    tick.log(entry);
+    freshness::handle_restore(world, tick);
 }
 
 /// Treats replies of earlier epochs as lost: what they report may not have lasted.
