Treat a row that cannot be decoded as unreadable, not as removed

What callers saw: once another program had overwritten a row of the product, a node that read the whole table took the row for removed. A route whose row was spoilt answered 404 there, while nodes that followed the changes still served it. A node whose own row was spoilt tried to write it with a version that no longer fitted, again and again, and was unknown to all nodes that started later. The same held for the roster and the head row: no change of either could succeed any more.

Such a row now arrives as `Value::Unreadable`, with its version. What was in force stays; its owner writes it again, the roster is proposed again, and the next change writes the head.

--- a/crates/mustardpin-virtual/src/fleet/message.rs
+++ b/crates/mustardpin-virtual/src/fleet/message.rs
@@ -101,7 +101,7 @@
         }
     }
 
-    /// Replies to a long poll that timed out.
+    /// Replies to a long poll that timed out. It has changes only if the test has just put them.
     pub(super) fn long_poll_timeout(&mut self, site: Site, epoch: u32, ticket: store::Ticket) {
         let is_this = |(in_site, in_epoch, in_ticket, _): &(Site, u32, store::Ticket, _)| {
             (*in_site, *in_epoch, *in_ticket) == (site, epoch, ticket)
--- a/crates/mustardpin-virtual/tests/testsuite/configuration.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/configuration.rs
@@ -13,6 +13,7 @@
     message::{Message, configuration},
     refusal::Reason,
     request::Verdict,
+    store::{RowKey, Value},
 };
 
 use crate::{
@@ -381,3 +382,22 @@
     let reply = scenario.fleet.proposal_replies[&2].as_ref().unwrap_err().to_string();
     insta::assert_snapshot!(reply, @"key/garage-1: was withdrawn for good: issue a new key");
 }
+
+/// Guards against a route that is no longer served, and changes that never succeed again, after
+/// another program has overwritten their rows with content that cannot be decoded.
+#[test]
+fn spoilt_rows_of_the_configuration_leave_in_force_what_was() {
+    let mut scenario = Scenario::start(1, CutOffPolicy::Refuse);
+    let spoilt = Path { kind: Kind::Route, name: "search".into() };
+    let keys = [RowKey::Configuration(spoilt.clone()), RowKey::Head];
+    scenario.fleet.platform.put(keys.map(|key| (key, Value::Unreadable)).into());
+    scenario.fleet.platform.compact();
+    scenario.fleet.run_for(Millis::from_secs(3));
+    for site in scenario.fleet.sites() {
+        let routes = &scenario.fleet.world_at(site).tables().routes;
+        assert!(routes.by_name("search").is_some(), "{site:?} has dropped the route");
+    }
+    scenario.withdraw(Site(0));
+    scenario.load_until_accepted();
+    assert!(matches!(scenario.fleet.platform.value(&RowKey::Head), Some(Value::Head(_))));
+}
--- a/crates/mustardpin-virtual/tests/testsuite/membership.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/membership.rs
@@ -1,7 +1,11 @@
 //! How nodes find their peers, notice that one has failed, forget it, and find it again.
 
 use mustardpin_virtual::{Fleet, Service, Site};
-use mustardpin_world::{Millis, Options, table::peer::Peer};
+use mustardpin_world::{
+    Millis, Options,
+    store::{RowKey, Value},
+    table::peer::Peer,
+};
 
 /// The maximum time until peers forget a node that none of them reaches.
 const MAX_FORGET_DELAY: Millis = Millis::from_secs(21);
@@ -63,3 +67,32 @@
     fleet.run_for(Millis::from_secs(2));
     assert_eq!(peers(&fleet), [(8, 8); 9]);
 }
+
+/// Guards against nodes that drop a peer, or never write their own row or the roster again, after
+/// another program has overwritten the row with content that cannot be decoded.
+#[test]
+fn rows_that_another_program_spoilt_are_written_again() {
+    for compacted in [false, true] {
+        let mut fleet = fleet(4);
+        let row = |site| RowKey::Node(fleet.world_at(site).identity().name().clone());
+        let keys = [row(Site(0)), row(Site(4)), RowKey::Roster];
+        let spoilt = keys.iter().map(|key| (key.clone(), Value::Unreadable)).collect();
+        fleet.platform.put(spoilt);
+        if compacted {
+            fleet.platform.compact();
+        }
+        let writes = fleet.platform.writes;
+        fleet.run_for(Millis::from_secs(8));
+        for key in &keys {
+            let value = fleet.platform.value(key);
+            assert!(matches!(value, Some(Value::Node(_) | Value::Roster(_))), "{key:?}: {value:?}");
+        }
+        assert_eq!(peers(&fleet), [(8, 8); 9], "compacted: {compacted}");
+        assert!(fleet.platform.writes - writes <= 12, "{} writes", fleet.platform.writes - writes);
+        let forgotten = fleet.log.iter().filter(|(_, _, entry)| entry.event == "peer_forgotten");
+        assert_eq!(forgotten.count(), 0, "compacted: {compacted}");
+        fleet.restart(Site(4));
+        fleet.run_for(Millis::from_secs(2));
+        assert_eq!(peers(&fleet), [(8, 8); 9], "compacted: {compacted}");
+    }
+}
--- a/crates/mustardpin-wire/src/store.rs
+++ b/crates/mustardpin-wire/src/store.rs
@@ -35,6 +35,9 @@
     /// The id in a node's announcement is not a hexadecimal number.
     #[display("the node's id is not a hexadecimal number")]
     Node(std::num::ParseIntError),
+    /// The value stands for one that can't be decoded, so it has no encoding.
+    #[display("the value has no encoding")]
+    Unreadable,
 }
 
 /// A node's announcement of itself.
@@ -145,7 +148,7 @@
 ///
 /// # Errors
 ///
-/// If JSON can't represent the value, which does not occur for the existing kinds of values.
+/// If the value is [`Value::Unreadable`]. JSON can represent all other values.
 pub fn encode_value(value: &Value) -> Result<Vec<u8>, Error> {
     Ok(match value {
         Value::Node(announcement) => serde_json::to_vec(&Announcement::from(announcement.clone()))?,
@@ -159,6 +162,7 @@
             serde_json::to_vec(&Head { recent: recent.clone(), epoch: epoch.0 })?
         }
         Value::Configuration(row) => serde_json::to_vec(&config::Row::from(row.clone()))?,
+        Value::Unreadable => return Err(Error::Unreadable),
     })
 }
 
--- a/crates/mustardpin-world/src/store.rs
+++ b/crates/mustardpin-world/src/store.rs
@@ -90,6 +90,8 @@
     Configuration(config::Row),
     /// The last accepted changes of the configuration.
     Head(Head),
+    /// Content that cannot be decoded, since another program wrote it. Nodes never write it.
+    Unreadable,
 }
 
 /// A row of the store, or its removal.
--- a/crates/mustardpin-world/src/system/configuration.rs
+++ b/crates/mustardpin-world/src/system/configuration.rs
@@ -138,6 +138,8 @@
     let revision = Revision::from(StoreVersion::new(written_in, row.version.number));
     match (&row.key, &row.value) {
         (RowKey::Configuration(path), _) if world.systems.configuration.rewrite.is_lost(path) => {}
+        // What was in force stays.
+        (RowKey::Configuration(_), Some(Value::Unreadable)) => {}
         (RowKey::Configuration(path), value) => {
             let row = match value {
                 Some(Value::Configuration(row)) => Some(row.clone()),
@@ -158,6 +160,12 @@
                 configuration.revision = configuration.revision.max(revision);
             }
         }
+        // The next change depends on this version and writes the row again.
+        (RowKey::Head, Some(Value::Unreadable)) => {
+            let configuration = &mut world.tables.configuration;
+            configuration.head = configuration.head.max(row.version);
+            configuration.revision = configuration.revision.max(revision);
+        }
         _ => {}
     }
 }
--- a/crates/mustardpin-world/src/system/fleet.rs
+++ b/crates/mustardpin-world/src/system/fleet.rs
@@ -117,6 +117,7 @@
             (RowKey::Node(name), Some(Value::Node(announcement))) => {
                 row_found(world, tick, name, announcement, row.version);
             }
+            (RowKey::Node(name), Some(Value::Unreadable)) => row_spoilt(world, name, row.version),
             (RowKey::Node(name), None) => row_removed(world, tick, name, row.version.epoch),
             (RowKey::Roster, Some(Value::Roster(roster)))
                 if row.version > world.tables.roster.version =>
@@ -130,6 +131,9 @@
                     .with("settled", world.tables.roster.is_settled);
                 tick.log(entry);
             }
+            (RowKey::Roster, Some(Value::Unreadable)) => {
+                world.tables.roster.mark_spoilt(row.version);
+            }
             _ => {}
         }
     }
@@ -190,6 +194,19 @@
     }
 }
 
+/// Handles a node's row whose content another program has overwritten: the node itself writes the row
+/// again, and its peers keep what they know of it.
+fn row_spoilt(world: &mut World, name: &CompactString, version: StoreVersion) {
+    if name == world.identity.name() {
+        world.systems.fleet.own_row = Some((NodeId::default(), version));
+        return;
+    }
+    let known = world.tables.peers.by_name(name);
+    if let Some(peer) = known.and_then(|known| world.tables.peers.get_mut(known)) {
+        peer.row = peer.row.max(Some(version));
+    }
+}
+
 /// Handles the removal of a node's row from the store in an epoch.
 fn row_removed(world: &mut World, tick: &mut Tick, name: &CompactString, epoch: Epoch) {
     if name == world.identity.name() {
--- a/crates/mustardpin-world/src/system/roster.rs
+++ b/crates/mustardpin-world/src/system/roster.rs
@@ -37,7 +37,9 @@
     }
     let registered = registered(world);
     let current: Vec<Member> = world.tables.roster.members().collect();
-    let is_current = registered == current && world.tables.roster.epoch >= epoch(world, tick.now);
+    let is_current = registered == current
+        && world.tables.roster.epoch >= epoch(world, tick.now)
+        && !world.tables.roster.is_spoilt;
     if is_current || registered.is_empty() {
         world.systems.roster.due = None;
         return;
--- a/crates/mustardpin-world/src/table/roster.rs
+++ b/crates/mustardpin-world/src/table/roster.rs
@@ -28,6 +28,8 @@
     pub epoch: Epoch,
     /// Whether this node has missed no roster that was in force for long enough to be used.
     pub is_continuous: bool,
+    /// Whether another program has overwritten the roster's row since.
+    pub is_spoilt: bool,
     /// Member names by data centre, sorted.
     by_data_centre: Vec<(CompactString, Vec<CompactString>)>,
 }
@@ -47,6 +49,7 @@
         let is_next_epoch = self.version.epoch.0 + 1 == version.epoch.0;
         self.is_continuous = self.version.epoch == version.epoch || (is_next_epoch && is_recent);
         self.epoch = roster.epoch;
+        self.is_spoilt = false;
         self.version = version;
         self.learned_at = now;
         self.by_data_centre.clear();
@@ -66,6 +69,15 @@
         self.by_data_centre.sort();
     }
 
+    /// Notes that the content of the roster's row can no longer be decoded as of a version. The
+    /// members stay until a node writes the row again.
+    pub fn mark_spoilt(&mut self, version: StoreVersion) {
+        if version > self.version {
+            self.version = version;
+            self.is_spoilt = true;
+        }
+    }
+
     /// Number of members.
     pub fn len(&self) -> usize {
         self.by_data_centre.iter().map(|(_, names)| names.len()).sum()
