Accept an announcement only with a valid address, and for its own key

What callers saw: a row of another program that announced a node with a port out of range, or with a host name, became a peer and, with the next roster, a member: the owner of shards that nobody could draw tokens from, until peers removed the row after some seconds. A row whose value named another node replaced that node's peer and cut its connection, and a row of the configuration could carry the value of another one.

Cause: the decoder checked only that the fields are texts. The address was first parsed when the node connected, for a host name with a look-up of the name.

An address must now be `IP:port` with a port that is not zero, in rows, in hellos and among the peers that a node passes on, where an invalid one is left out and no longer ends the connection. The value of a row must belong to its key.

The test of invalid rows shows the causes too now, and its announcement is valid but for the id. A property test feeds any JSON to the decoder, also deeply nested; it found nothing.

--- a/crates/mustardpin-wire/src/message.rs
+++ b/crates/mustardpin-wire/src/message.rs
@@ -19,9 +19,6 @@
     /// A row of the configuration can't be decoded.
     #[display("a row of the configuration could not be read")]
     Config(config::Error),
-    /// A node's announcement can't be decoded.
-    #[display("a node's announcement could not be read")]
-    Node(std::num::ParseIntError),
 }
 
 /// A message between two nodes. Durations are in milliseconds.
@@ -183,9 +180,9 @@
     fn try_from(message: Message) -> Result<message::Message, Error> {
         Ok(match message {
             Message::Known(known) => {
-                let known: Result<_, std::num::ParseIntError> =
-                    known.into_iter().map(TryInto::try_into).collect();
-                message::fleet::Message::Known(known?).into()
+                // One that can't be decoded must not end the connection, and with it requests.
+                let known = known.into_iter().filter_map(|known| known.try_into().ok());
+                message::fleet::Message::Known(known.collect()).into()
             }
             Message::WantConfiguration { after } => {
                 message::configuration::Message::Want { after: Revision(after) }.into()
--- a/crates/mustardpin-wire/src/store.rs
+++ b/crates/mustardpin-wire/src/store.rs
@@ -2,6 +2,8 @@
 //!
 //! A row has a text key that identifies it and a JSON value, so that operators can read both.
 
+use std::net::SocketAddr;
+
 use compact_str::{CompactString, format_compact};
 use derive_more::{Display, Error, From};
 use mustardpin_world::{
@@ -32,14 +34,30 @@
     /// A row of the configuration can't be decoded.
     #[display("a row of the configuration cannot be read")]
     Config(config::Error),
-    /// The id in a node's announcement is not a hexadecimal number.
-    #[display("the node's id is not a hexadecimal number")]
-    Node(std::num::ParseIntError),
+    /// A node's announcement can't be decoded.
+    #[display("the node's announcement cannot be read")]
+    Announcement(AnnouncementError),
+    /// The value belongs to the row of another key.
+    #[display("the value belongs to another key")]
+    OtherKey,
     /// The value stands for one that can't be decoded, so it has no encoding.
     #[display("the value has no encoding")]
     Unreadable,
 }
 
+/// Why a node's announcement can't be decoded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display, Error, From)]
+pub enum AnnouncementError {
+    /// The id is not a hexadecimal number.
+    #[display("the node's id is not a hexadecimal number")]
+    Node(std::num::ParseIntError),
+    /// The address is not of the form `IP:port`, or its port is zero.
+    #[display("the node's address is not of the form IP:port")]
+    #[from(skip)]
+    Address,
+}
+
 /// A node's announcement of itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -65,11 +83,13 @@
 }
 
 impl TryFrom<Announcement> for store::Announcement {
-    type Error = std::num::ParseIntError;
+    type Error = AnnouncementError;
 
-    fn try_from(
-        announcement: Announcement,
-    ) -> Result<store::Announcement, std::num::ParseIntError> {
+    fn try_from(announcement: Announcement) -> Result<store::Announcement, AnnouncementError> {
+        let address: Result<SocketAddr, _> = announcement.address.parse();
+        if !address.is_ok_and(|address| address.port() != 0) {
+            return Err(AnnouncementError::Address);
+        }
         Ok(store::Announcement {
             node: NodeId(u64::from_str_radix(&announcement.node, 16)?),
             name: announcement.name,
@@ -183,8 +203,11 @@
 /// ```
 pub fn decode_value(key: &RowKey, bytes: &[u8]) -> Result<Value, Error> {
     Ok(match key {
-        RowKey::Node(_) => {
+        RowKey::Node(name) => {
             let announcement: Announcement = serde_json::from_slice(bytes)?;
+            if announcement.name != *name {
+                return Err(Error::OtherKey);
+            }
             Value::Node(announcement.try_into()?)
         }
         RowKey::Roster => {
@@ -201,9 +224,13 @@
             };
             Value::Head(store::Head { recent, epoch: Epoch(epoch) })
         }
-        RowKey::Configuration(_) => {
+        RowKey::Configuration(path) => {
             let row: config::Row = serde_json::from_slice(bytes)?;
-            Value::Configuration(row.try_into()?)
+            let row: world_config::Row = row.try_into()?;
+            if row.path() != *path {
+                return Err(Error::OtherKey);
+            }
+            Value::Configuration(row)
         }
     })
 }
--- a/crates/mustardpin-wire/tests/testsuite/message.rs
+++ b/crates/mustardpin-wire/tests/testsuite/message.rs
@@ -72,3 +72,17 @@
         assert_eq!(message::Message::try_from(read).as_ref(), Ok(&sent));
     }
 }
+
+/// Guards against a connection that ends, with all requests on it, since one of the peers that the
+/// other node knows has an address that is none.
+#[test]
+fn a_peer_without_a_valid_address_spoils_no_other() {
+    let [known, ..] = &messages()[..] else { panic!("there are messages") };
+    let Message::Known(mut announcements) = Message::from(known.clone()) else {
+        panic!("not the peers that a node knows")
+    };
+    let mut odd = announcements[0].clone();
+    odd.address = "127.0.0.1:99999".into();
+    announcements.insert(0, odd);
+    assert_eq!(message::Message::try_from(Message::Known(announcements)).as_ref(), Ok(known));
+}
--- a/crates/mustardpin-wire/tests/testsuite/store.rs
+++ b/crates/mustardpin-wire/tests/testsuite/store.rs
@@ -107,10 +107,14 @@
             .and_then(|row_key| store::decode_value(&row_key, value.as_bytes()));
         match read {
             Ok(value) => format!("{value:?}"),
-            Err(error) => error.to_string(),
+            Err(error) => match std::error::Error::source(&error) {
+                Some(cause) => format!("{error}: {cause}"),
+                None => error.to_string(),
+            },
         }
     };
-    let node = r#"{"node":"zz","name":"a","data_centre":"b","service":"c","address":"d"}"#;
+    let node = r#"{"node":"zz","name":"north-1","data_centre":"b","service":"c",
+        "address":"127.0.0.1:7101"}"#;
     insta::assert_debug_snapshot!([
         read("weather", "1"),
         read("node/north-1", "1"),
@@ -122,7 +126,85 @@
     ]);
 }
 
+/// Guards against peers that nobody can reach, which would become members of the roster, and against
+/// a row that replaces the peer or the configuration row of another key.
+#[test]
+fn a_row_announces_only_the_node_of_its_key_at_a_valid_address() {
+    let decode = |key: &str, value: &str| {
+        let key = store::decode_key(key).expect("a key of the project");
+        store::decode_value(&key, value.as_bytes()).map(|_| ()).map_err(|error| error.to_string())
+    };
+    let announcement = |address: &str| {
+        format!(
+            r#"{{"node":"5","name":"north-1","data_centre":"b","service":"c","address":"{address}"}}"#
+        )
+    };
+    assert_eq!(decode("node/north-1", &announcement("127.0.0.1:7101")), Ok(()));
+    assert_eq!(decode("node/north-1", &announcement("[::1]:7101")), Ok(()));
+    for address in
+        ["127.0.0.1:99999", "127.0.0.1:0", "127.0.0.1:-1", "127.0.0.1", "north-1:7101", ":7101", ""]
+    {
+        assert!(decode("node/north-1", &announcement(address)).is_err(), "{address}");
+    }
+    assert!(decode("node/north-2", &announcement("127.0.0.1:7101")).is_err());
+    for row in configuration() {
+        let value = Value::Configuration(row.clone());
+        let value = store::encode_value(&value).expect("the value can be encoded");
+        let value = String::from_utf8(value).expect("text");
+        let own = store::encode_key(&RowKey::Configuration(row.path()));
+        assert_eq!(decode(&own, &value), Ok(()), "{own}");
+        assert!(decode("row/team/other", &value).is_err(), "{own}");
+        assert!(decode(&format!("{own}-2"), &value).is_err(), "{own}");
+    }
+}
+
+/// JSON of any shape, also nested too deeply and with numbers of any size.
+fn json() -> impl Strategy<Value = String> {
+    let number = prop_oneof!["-?[0-9]{1,25}", "-?[0-9]\\.[0-9]{1,3}e-?[0-9]{1,4}"];
+    let leaf = prop_oneof![number, "\"[ -!#-\\[\\]-~]{0,9}\"", Just("null".to_owned())];
+    let value = leaf.prop_recursive(4, 24, 4, |inner| {
+        let names = prop::sample::select(vec![
+            "node",
+            "name",
+            "data_centre",
+            "service",
+            "address",
+            "members",
+            "team",
+            "route",
+            "key",
+            "fleet",
+            "exception",
+            "rate",
+            "burst",
+            "weight",
+            "timeout_ms",
+            "parts",
+            "x",
+        ]);
+        prop_oneof![
+            prop::collection::vec(inner.clone(), 0..4)
+                .prop_map(|items| format!("[{}]", items.join(","))),
+            prop::collection::vec((names, inner), 0..6).prop_map(|fields| {
+                let fields = fields.iter().map(|(name, value)| format!("\"{name}\":{value}"));
+                format!("{{{}}}", fields.collect::<Vec<_>>().join(","))
+            }),
+        ]
+    });
+    (value, prop_oneof![Just(0_usize), Just(1), Just(100_000)])
+        .prop_map(|(value, depth)| format!("{}{value}{}", "[".repeat(depth), "]".repeat(depth)))
+}
+
 proptest! {
+    #[test]
+    fn any_value_is_decoded_or_an_error(
+        key in "(row/(team|route|key|fleet|exception)/[a-z]{0,5}|node/.{0,17}|head|roster)",
+        json in json(),
+    ) {
+        let key = store::decode_key(&key).expect("a key of the project");
+        let _ = store::decode_value(&key, json.as_bytes());
+    }
+
     #[test]
     fn any_row_is_decoded_or_an_error(
         key in "(row/(team|route|key|fleet|exception|x)/[a-z]{0,5}|node/.{0,17}|head|roster|x)",
