Give up a false report when the target itself keeps reporting

What callers saw: after one false report with a start time or a number that no true report reaches, the node never used its target again, until the target's process ended. Its requests went to other instances.

Cause: the report with the latest start time and number won for ever, also when nothing more was heard of it.

The rule now: a report that seems outdated is still ignored while the later one is heard of, and after that too, until its process has kept reporting for as long as a silent target takes to count as lost (3 s), in ascending order and without a gap of that length. Then the later one was false. It is logged as `target_report_disproved`. A process that has ended is in use again only if its late reports arrive over 3 s while no other reports; the node then takes it for lost 3 s later.

--- a/crates/mustardpin-virtual/tests/testsuite/main.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod path;
 mod quarantine;
 mod rate_limit;
+mod report;
 mod restore;
 mod retry;
 mod roster;
--- a/crates/mustardpin-world/src/system/target.rs
+++ b/crates/mustardpin-world/src/system/target.rs
@@ -2,6 +2,10 @@
 //!
 //! Reports may arrive late and out of order, also from a process that has ended. The start time of
 //! the process and the sequence number of the report decide which report is the latest.
+//!
+//! A false report may claim a start time or a number that no true report reaches. While a process
+//! that seems outdated keeps reporting in order, and nothing more is heard of the seemingly later
+//! one, the latter is given up after the time after which a silent target counts as lost.
 
 use crate::{
     clock::Millis,
@@ -11,7 +15,10 @@
     refusal::{Reason, Refusal},
     request::Verdict,
     system::{TargetChange, finish, queueing},
-    table::{call::Stage, target::Target},
+    table::{
+        call::Stage,
+        target::{Ignored, Target},
+    },
     world::{Tick, World},
 };
 
@@ -48,8 +55,19 @@
 }
 
 fn apply_report(world: &mut World, tick: &mut Tick, report: TargetReport) {
+    let lost_after = world.options.target.lost_after;
     let target = &mut world.tables.target;
     if is_outdated(target, &report) {
+        let first_at = ignore(target, &report, tick.now, lost_after);
+        if !target.present && tick.now - first_at >= lost_after {
+            let entry = Entry::new(Level::Warn, "target_report_disproved")
+                .with("instance", target.report.instance.clone())
+                .with("sequence", target.report.sequence)
+                .with("by_instance", report.instance.clone())
+                .with("by_sequence", report.sequence);
+            tick.log(entry);
+            return accept(world, tick, report);
+        }
         let entry = Entry::new(Level::Info, "target_report_ignored")
             .with("instance", report.instance)
             .with("sequence", report.sequence)
@@ -57,6 +75,27 @@
             .with("known_sequence", target.report.sequence);
         return tick.log(entry);
     }
+    accept(world, tick, report);
+}
+
+/// Records a report that seems outdated. Returns since when its process has reported in order.
+fn ignore(target: &mut Target, report: &TargetReport, now: Millis, lost_after: Millis) -> Millis {
+    let ignored = target.ignored.take().filter(|ignored| {
+        ignored.started == report.started
+            && ignored.instance == report.instance
+            && ignored.sequence < report.sequence
+            && now - ignored.last_at < lost_after
+    });
+    let first_at = ignored.map_or(now, |ignored| ignored.first_at);
+    let (started, instance) = (report.started, report.instance.clone());
+    let sequence = report.sequence;
+    target.ignored = Some(Ignored { started, instance, sequence, first_at, last_at: now });
+    first_at
+}
+
+fn accept(world: &mut World, tick: &mut Tick, report: TargetReport) {
+    let target = &mut world.tables.target;
+    target.ignored = None;
     let is_new = is_other_process(target, &report);
     let is_change = is_new
         || !target.present
--- a/crates/mustardpin-world/src/table/target.rs
+++ b/crates/mustardpin-world/src/table/target.rs
@@ -1,5 +1,7 @@
 //! The local target: the one behind this node.
 
+use compact_str::CompactString;
+
 use crate::{clock::Millis, event::TargetReport, id::CallKey, table::health::Health};
 
 /// The state of the local target, as this node knows it.
@@ -9,6 +11,8 @@
     pub present: bool,
     /// The target's last report. The load in it is a hint: it may lag or mislead.
     pub report: TargetReport,
+    /// The last report that was ignored since, as it seemed older than `report`.
+    pub ignored: Option<Ignored>,
     /// When the last report arrived.
     pub reported_at: Millis,
     /// Until this time, the target is slower than usual after its start.
@@ -30,6 +34,21 @@
     pub health: Health,
 }
 
+/// A report that was ignored, and the process that sent it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ignored {
+    /// When the process started, by its own clock.
+    pub started: Millis,
+    /// The instance id of the process.
+    pub instance: CompactString,
+    /// The number of the report.
+    pub sequence: u64,
+    /// Since when the process has been sending such reports in ascending order.
+    pub first_at: Millis,
+    /// When the report arrived.
+    pub last_at: Millis,
+}
+
 impl Target {
     /// Whether the target accepts new requests, according to its last report.
     pub fn is_open(&self) -> bool {
