Keep no connection after a refusal that names no request

Report of other operators: a faulty endpoint wrote an earlier refusal once more on a kept connection; clients were told "not run" for requests that an endpoint was running, or the request ran at a second one.

What callers saw: just that, where the refusal does not name its request: with the project's own dialect always, on the users' platform if the endpoint's refusal has no `X-Attempt-Id`. One with another id was recognized already.

Cause: a refusal was believed for the request that was on the connection when it arrived, and the connection was kept after a refusal like any other. Bytes that arrive before the next request is sent end the connection's use; a copy that arrives after it did not.

A connection is now kept only after a response whose late copy would be recognized: one that names its request, or, in the project's own dialect, one that is no refusal. So the response to a request that is the first on its connection, or follows such responses only, is its own.

The new test failed before the change:

echoed: false, repeatable: false: Declined

Not measured: the cost of the connections that are opened anew where refusals name no request.

--- a/crates/mustardpin-node/src/traffic/target/run.rs
+++ b/crates/mustardpin-node/src/traffic/target/run.rs
@@ -320,7 +320,10 @@
         let response_kind = self.exchanges.dialect.read_response(&self.request.id, &head);
         let framing = Framing::of_response(&self.request.method, head.status, &head.headers)?;
         self.connection.apply_keep_alive(&head.headers);
-        let is_reusable = is_sent && head.is_persistent() && framing != Framing::UntilClose;
+        let is_reusable = is_sent
+            && head.is_persistent()
+            && framing != Framing::UntilClose
+            && self.exchanges.dialect.allows_reuse(&head);
         let load = match response_kind {
             ResponseKind::Unusable(error) => return Err(Failure::Unusable(error)),
             ResponseKind::Declined => {
--- a/crates/mustardpin-node/tests/testsuite/fake/side.rs
+++ b/crates/mustardpin-node/tests/testsuite/fake/side.rs
@@ -19,7 +19,7 @@
         self, Credentials, Dispatcher, Exchanges, ListenerKind, Setup, Traffic as _, TrafficCommand,
     },
 };
-use mustardpin_wire::native::Native;
+use mustardpin_wire::{dialect::Dialect, native::Native};
 use mustardpin_world::{
     Event, Millis,
     command::TargetAddress,
@@ -63,6 +63,17 @@
         credential: &str,
         target: SocketAddr,
         limits: Limits,
+    ) -> TrafficSide {
+        TrafficSide::start_with(node, credential, target, limits, Arc::new(Native::new("slots")))
+    }
+
+    /// Like `start_as`, with the dialect of callers and targets.
+    pub fn start_with(
+        node: u64,
+        credential: &str,
+        target: SocketAddr,
+        limits: Limits,
+        dialect: Arc<dyn Dialect>,
     ) -> TrafficSide {
         let runtime = Runtime::new().expect("the runtime starts");
         let (control, inputs) = Handle::channel();
@@ -84,7 +95,7 @@
             control,
             clock: Arc::clone(&clock) as _,
             limits,
-            dialect: Arc::new(Native::new("slots")),
+            dialect,
             service: "slots".into(),
             credentials: Credentials {
                 announcement: announcement.clone(),
--- a/crates/mustardpin-node/tests/testsuite/fake/target.rs
+++ b/crates/mustardpin-node/tests/testsuite/fake/target.rs
@@ -20,6 +20,8 @@
     Count(Arc<AtomicUsize>),
     /// Waits.
     Wait(Duration),
+    /// Sends bytes when the next request has arrived on the connection.
+    Stray(Vec<u8>),
     /// Closes the connection.
     Close,
 }
@@ -88,7 +90,9 @@
 
     fn serve(&self, mut stream: TcpStream, script: &Script) -> io::Result<()> {
         stream.set_nodelay(true)?;
+        let mut stray = Vec::new();
         while let Some(request) = read_request(&mut stream)? {
+            stream.write_all(&std::mem::take(&mut stray))?;
             self.seen.lock().expect("the lock is not poisoned").push(request.clone());
             let steps = if request.starts_with("GET /ready") {
                 text("HTTP/1.1 204 No Content\r\n\r\n")
@@ -101,6 +105,7 @@
                     Step::Count(counter) => {
                         counter.fetch_add(1, Ordering::Relaxed);
                     }
+                    Step::Stray(bytes) => stray = bytes,
                     Step::Wait(time) => thread::sleep(time),
                     Step::Close => return Ok(()),
                 }
--- a/crates/mustardpin-node/tests/testsuite/main.rs
+++ b/crates/mustardpin-node/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod pipeline;
 mod reload;
 mod run;
+mod stray;
 mod stream;
 mod upload;
 mod whole;
--- a/crates/mustardpin-wire/src/dialect.rs
+++ b/crates/mustardpin-wire/src/dialect.rs
@@ -131,6 +131,10 @@
     /// Reads the head of a target's response to the request with this id.
     fn read_response(&self, id: &str, head: &Response) -> ResponseKind;
 
+    /// Whether the connection may be used again after this response of a target. It may not if a late
+    /// copy of the response could be taken for a refusal of the next request.
+    fn allows_reuse(&self, head: &Response) -> bool;
+
     /// Whether a header of a target's response is forwarded to the caller.
     fn forwards_response_header(&self, name: &str) -> bool;
 
--- a/crates/mustardpin-wire/src/native.rs
+++ b/crates/mustardpin-wire/src/native.rs
@@ -81,14 +81,18 @@
     }
 
     fn read_response(&self, _id: &str, head: &Response) -> ResponseKind {
-        let declines = head.headers.get(header::TARGET_OUTCOME) == Some(target::NOT_RUN.as_bytes());
         match head.status {
             101 => ResponseKind::Unusable("the target switched protocols"),
-            503 if declines => ResponseKind::Declined,
+            503 if declines(head) => ResponseKind::Declined,
             _ => ResponseKind::Valid { load: None },
         }
     }
 
+    fn allows_reuse(&self, head: &Response) -> bool {
+        // Responses do not name their requests.
+        !declines(head)
+    }
+
     fn forwards_response_header(&self, name: &str) -> bool {
         !header::is_internal(name)
     }
@@ -114,6 +118,10 @@
     }
 }
 
+fn declines(head: &Response) -> bool {
+    head.headers.get(header::TARGET_OUTCOME) == Some(target::NOT_RUN.as_bytes())
+}
+
 fn origin(port: Port, headers: &Headers, key: Option<&str>) -> Result<Origin, RequestError> {
     match (port, single_value(headers, header::CALL)?) {
         (Port::Local, Some(text)) => {
