Never run a request again on the connection that declined it

What callers saw: a request that the target had declined and that came to it again under the same id, for example over another node, could be told "not run" while the target ran it: the late copy of the first refusal names that very id.

Cause: nothing tells a refusal of the second run from a copy of that of the first one, if both go over one connection.

A connection remembers the ids of the requests that were declined on it, 32 at most, and is not used for them again; after that many it is not kept.

The new tests failed before the change:

a_copy_of_the_refusal_of_a_request_is_not_taken_for_that_of_its_next_run: the target runs the request, left: Declined a_connection_is_kept_for_a_limited_number_of_refusals: left: 1, right: 4

--- a/crates/mustardpin-node/src/traffic/target.rs
+++ b/crates/mustardpin-node/src/traffic/target.rs
@@ -71,8 +71,8 @@
         Some(Endpoint { address, instance, generation: state.generation })
     }
 
-    /// Takes an idle connection that can be used for the next request.
-    fn take_idle(&self, generation: u64, repeatable: bool) -> Option<Connection> {
+    /// Takes an idle connection that can be used for the request with this id.
+    fn take_idle(&self, generation: u64, repeatable: bool, id: &str) -> Option<Connection> {
         let mut state = self.state();
         if state.generation != generation {
             return None;
@@ -88,7 +88,7 @@
                 state.idle.push(connection);
                 return None;
             }
-            if connection.is_reusable() {
+            if connection.is_reusable() && !connection.has_declined(id) {
                 return Some(connection);
             }
         }
--- a/crates/mustardpin-node/src/traffic/target/connection.rs
+++ b/crates/mustardpin-node/src/traffic/target/connection.rs
@@ -6,6 +6,7 @@
 };
 
 use bytes::BytesMut;
+use compact_str::CompactString;
 use mustardpin_http::Headers;
 use tokio::net::TcpStream;
 
@@ -14,6 +15,9 @@
 /// A connection is discarded this long before the target would close it.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(500);
 
+/// A connection is not kept once the target has declined this many requests on it.
+const MAX_DECLINED: usize = 32;
+
 /// A connection to the local target.
 pub(super) struct Connection {
     pub(super) stream: TcpStream,
@@ -22,6 +26,8 @@
     pub(super) idle_since: Instant,
     /// The maximum idle time at which the connection is still reused.
     pub(super) max_idle_age: Duration,
+    /// The ids of the requests that the target has declined on the connection.
+    declined: Vec<CompactString>,
 }
 
 impl Connection {
@@ -35,9 +41,22 @@
             generation: endpoint.generation,
             idle_since: Instant::now(),
             max_idle_age: MAX_IDLE_AGE,
+            declined: Vec::new(),
         })
     }
 
+    /// Records that the target has declined a request. Returns whether the connection may be kept.
+    pub(super) fn record_declined(&mut self, id: &str) -> bool {
+        self.declined.push(id.into());
+        self.declined.len() < MAX_DECLINED
+    }
+
+    /// Whether the target has declined a request with this id on the connection. If the request is
+    /// sent again there, a late copy of that response cannot be told from its own.
+    pub(super) fn has_declined(&self, id: &str) -> bool {
+        self.declined.iter().any(|declined| declined == id)
+    }
+
     /// Whether the connection is open and has nothing to read. Unsolicited bytes would be taken for
     /// the response to the next request.
     pub(super) fn is_reusable(&self) -> bool {
--- a/crates/mustardpin-node/src/traffic/target/run.rs
+++ b/crates/mustardpin-node/src/traffic/target/run.rs
@@ -125,7 +125,8 @@
     };
     let out = encode(exchanges, run, request, endpoint, kind);
     while exchanges.clock.now() < run.start_by
-        && let Some(connection) = exchanges.target.take_idle(endpoint.generation, run.repeatable)
+        && let Some(connection) =
+            exchanges.target.take_idle(endpoint.generation, run.repeatable, &request.id)
     {
         let mut exchange = TargetExchange::new(exchanges, run, request, connection);
         let end = exchange.perform(&out, streamed).await;
@@ -327,7 +328,9 @@
         let load = match response_kind {
             ResponseKind::Unusable(error) => return Err(Failure::Unusable(error)),
             ResponseKind::Declined => {
-                self.is_reusable = is_reusable && self.skip_body(framing).await;
+                self.is_reusable = is_reusable
+                    && self.skip_body(framing).await
+                    && self.connection.record_declined(&self.request.id);
                 return Ok(RunEnd::Declined.into());
             }
             ResponseKind::Misdirected => return Ok(RunEnd::Misdirected.into()),
--- a/crates/mustardpin-node/tests/testsuite/stray.rs
+++ b/crates/mustardpin-node/tests/testsuite/stray.rs
@@ -1,7 +1,15 @@
 //! A target sends a refusal once more, late, on a connection that is in use again. A request counts as
 //! not run only if the refusal is its own.
 
-use std::{io::Write as _, net::TcpStream, sync::Arc, time::Duration};
+use std::{
+    io::Write as _,
+    net::TcpStream,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use mustardpin_http::head::{Request, Response};
@@ -133,3 +141,35 @@
         }
     }
 }
+
+/// Guards against the same for a request that the node sends to the target again, under the same id.
+#[test]
+fn a_copy_of_the_refusal_of_a_request_is_not_taken_for_that_of_its_next_run() {
+    let is_full = AtomicBool::new(true);
+    let script: Script = Arc::new(move |_| match is_full.swap(false, Ordering::Relaxed) {
+        true => script(true)("request-id: full"),
+        false => script(true)("request-id: one"),
+    });
+    let target = Target::start(script);
+    let dialect = Arc::new(Echo(Native::new("slots")));
+    let side = TrafficSide::start_with(1, "fleet", target.address, Limits::default(), dialect);
+    assert_eq!(end_of_run(&side, "full", false), RunEnd::Declined);
+    let end = end_of_run(&side, "full", false);
+    assert_ne!(end, RunEnd::Declined, "the target runs the request");
+    assert_eq!(target.connections(), 2);
+}
+
+/// The ids that a connection remembers are bounded.
+#[test]
+fn a_connection_is_kept_for_a_limited_number_of_refusals() {
+    let script: Script = Arc::new(|request| {
+        text(&format!("{DECLINED}request-id: {}\r\ncontent-length: 0\r\n\r\n", id_of(request)))
+    });
+    let target = Target::start(script);
+    let dialect = Arc::new(Echo(Native::new("slots")));
+    let side = TrafficSide::start_with(1, "fleet", target.address, Limits::default(), dialect);
+    for number in 0..100 {
+        assert_eq!(end_of_run(&side, &format!("full-{number}"), false), RunEnd::Declined);
+    }
+    assert_eq!(target.connections(), 4);
+}
