Refuse a chunk without a size, which ended a body as whole

Found while looking into the report of answers that broke off and arrived as whole.

What callers saw: a chunked body in which an empty line, a line of spaces or one with an extension only stood where a size belongs ended there, as if the size were zero: a short body, framed as whole.

Cause: `httparse::parse_chunk_size` takes a line without digits for the size zero.

The line must begin with a digit now.

--- a/crates/mustardpin-http/src/body.rs
+++ b/crates/mustardpin-http/src/body.rs
@@ -143,6 +143,10 @@
 
 /// Removes a chunk-size line from the buffer. Returns `None` if the line is incomplete.
 fn chunk_size(buffer: &mut BytesMut) -> Result<Option<u64>, Error> {
+    // `httparse` takes a line without digits for the size zero, which would end the body.
+    if buffer.first().is_some_and(|byte| !byte.is_ascii_hexdigit()) {
+        return Err(Error::Chunk);
+    }
     match httparse::parse_chunk_size(buffer) {
         Ok(httparse::Status::Complete((length, size))) => {
             let _ = buffer.split_to(length);
--- a/crates/mustardpin-http/tests/testsuite/body.rs
+++ b/crates/mustardpin-http/tests/testsuite/body.rs
@@ -41,6 +41,12 @@
         "x\r\n",
         "ffffffffffffffffff\r\n",
         "5\nhello\n0\n\n",
+        "5\r\nhello\r\n\r\n\r\n",
+        "5\r\nhello\r\n;name=value\r\n\r\n",
+        "5\r\nhello\r\n \r\n\r\n",
+        "\r\n\r\n",
+        "\r",
+        " 5\r\nhello\r\n0\r\n\r\n",
     ];
     let mut table = String::new();
     for case in cases {
@@ -81,3 +87,21 @@
         prop_assert_eq!(rest, b"GET".to_vec());
     }
 }
+
+/// Guards against a response that broke off and looks complete, for a body and its trailers that end
+/// at any byte.
+#[test]
+fn every_prefix_of_a_chunked_body_is_truncated() {
+    let texts = [
+        "5\r\nhello\r\n0\r\n\r\n",
+        "5;name=value\r\nhello\r\n10\r\n0123456789abcdef\r\n0\r\nTrailer: x\r\nMore: y\r\n\r\n",
+        "000\r\n\r\n",
+    ];
+    for text in texts {
+        for end in 0..text.len() {
+            let decoded = decode(Framing::Chunked, [&text.as_bytes()[..end]].into_iter());
+            assert_eq!(decoded, Err(Error::Truncated), "{:?}", &text[..end]);
+        }
+        assert!(decode(Framing::Chunked, [text.as_bytes()].into_iter()).is_ok(), "{text:?}");
+    }
+}
--- a/crates/mustardpin-http/tests/testsuite/head.rs
+++ b/crates/mustardpin-http/tests/testsuite/head.rs
@@ -44,6 +44,17 @@
         "HTTP/1.1 200\r\n\r\n",
         "HTTP/1.1 20 OK\r\n\r\n",
         "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\n\r",
+        "HTTP/1.1 200 OK\n\n",
+        "HTTP/1.1 200 OK\r\nA: b\n\n",
+        "HTTP/1.1 200 OK\nA: b\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nA: b\r\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nA: b\r\n folded\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n A: b\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nA : b\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nA\r\n\r\n",
+        "\r\nHTTP/1.1 200 OK\r\n\r\n",
         "\u{1}\u{2}garbage",
         "SSH-2.0-server\r\n",
     ];
@@ -56,6 +67,25 @@
     insta::assert_snapshot!(table);
 }
 
+/// Guards against a head that broke off and looks complete.
+#[test]
+fn every_prefix_of_a_head_is_incomplete() {
+    let heads = [
+        "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nX: 1\r\n\r\n",
+        "HTTP/1.1 200\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.0 200 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\nContent-Length: 12\n\n",
+    ];
+    for head in heads {
+        for end in 0..head.len() {
+            let taken = Response::take(&mut BytesMut::from(&head[..end]), LIMIT);
+            assert_eq!(taken, Ok(None), "{:?}", &head[..end]);
+        }
+        let taken = Response::take(&mut BytesMut::from(head), LIMIT);
+        assert!(matches!(taken, Ok(Some(_))), "{head:?}: {taken:?}");
+    }
+}
+
 #[test]
 fn heads_over_the_limit_are_refused() {
     let long = format!("GET /{} HTTP/1.1\r\n", "a".repeat(LIMIT));
