Show that no prefix of a response is taken for a whole one

Report of other operators: an endpoint stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole.

Here a head that broke off is no response. The test cuts responses with a length, with chunks and trailers, and without a length at every byte, ends the connection by a close or a reset, and asks as a caller of HTTP/1.0, HTTP/1.1 and HTTP/2, for repeatable and non-repeatable requests, at the target's node and over a peer. Only a response without a length whose head is whole and whose connection was closed counts as whole.

A second test does the same for responses that have begun before they broke off.

--- a/crates/mustardpin-node/tests/testsuite/fake/target.rs
+++ b/crates/mustardpin-node/tests/testsuite/fake/target.rs
@@ -11,6 +11,8 @@
     time::Duration,
 };
 
+use socket2::SockRef;
+
 /// What the target does with one request, step by step.
 #[derive(Debug, Clone)]
 pub enum Step {
@@ -24,6 +26,8 @@
     Stray(Vec<u8>),
     /// Closes the connection.
     Close,
+    /// Resets the connection.
+    Reset,
 }
 
 /// Returns the steps for the text of a request.
@@ -108,6 +112,9 @@
                     Step::Stray(bytes) => stray = bytes,
                     Step::Wait(time) => thread::sleep(time),
                     Step::Close => return Ok(()),
+                    Step::Reset => {
+                        return SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                    }
                 }
             }
         }
--- a/crates/mustardpin-node/tests/testsuite/main.rs
+++ b/crates/mustardpin-node/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod metrics;
 mod path;
 mod pipeline;
+mod prefix;
 mod reload;
 mod run;
 mod stray;
