Let the second run in the test of copied refusals end with its response

The target's response to the second run named another request, so the test showed only that the run was not declined. It now asks for the response. Without the check of the declined ids it fails:

left: Declined right: Answered { status: 200, report: None }

--- a/crates/mustardpin-node/tests/testsuite/stray.rs
+++ b/crates/mustardpin-node/tests/testsuite/stray.rs
@@ -146,16 +146,17 @@
 #[test]
 fn a_copy_of_the_refusal_of_a_request_is_not_taken_for_that_of_its_next_run() {
     let is_full = AtomicBool::new(true);
+    let refusal = format!("{DECLINED}request-id: one\r\ncontent-length: 0\r\n\r\n");
+    let response = "HTTP/1.1 200 OK\r\nrequest-id: one\r\ncontent-length: 5\r\n\r\nhello";
     let script: Script = Arc::new(move |_| match is_full.swap(false, Ordering::Relaxed) {
-        true => script(true)("request-id: full"),
-        false => script(true)("request-id: one"),
+        true => [text(&refusal), vec![Step::Stray(refusal.clone().into_bytes())]].concat(),
+        false => [vec![Step::Wait(Duration::from_millis(100))], text(response)].concat(),
     });
     let target = Target::start(script);
     let dialect = Arc::new(Echo(Native::new("slots")));
     let side = TrafficSide::start_with(1, "fleet", target.address, Limits::default(), dialect);
-    assert_eq!(end_of_run(&side, "full", false), RunEnd::Declined);
-    let end = end_of_run(&side, "full", false);
-    assert_ne!(end, RunEnd::Declined, "the target runs the request");
+    assert_eq!(end_of_run(&side, "one", false), RunEnd::Declined);
+    assert_eq!(end_of_run(&side, "one", false), RunEnd::Answered { status: 200, report: None });
     assert_eq!(target.connections(), 2);
 }
 
