Add up the loads of peers without an overflow

Found by a new property test for the report of numbers too large: it feeds a node with requests, reports, loads, messages, rows and replies whose numbers are of any size, where tests check all arithmetic.

What callers could have seen: a peer that reports more than 2^32 - 1 running and queued requests looked idle and was chosen for all of them, since the sum wrapped around; a build with checks would have ended the process. Only a node with the fleet's credential can report such a load.

The sums now stop at the largest number. The test failed before:

panicked at crates/mustardpin-world/src/system/routing.rs:151:54: attempt to add with overflow

--- a/crates/mustardpin-world/src/system/routing.rs
+++ b/crates/mustardpin-world/src/system/routing.rs
@@ -147,9 +147,9 @@
     if !load.open {
         return None;
     }
-    let reported =
-        if now - peer.load_as_of < LOAD_REPORT_TTL { load.running + load.queued } else { 0 };
-    let pending = (reported + peer.unreported).max(peer.in_flight);
+    let is_recent = now - peer.load_as_of < LOAD_REPORT_TTL;
+    let reported = if is_recent { load.running.saturating_add(load.queued) } else { 0 };
+    let pending = reported.saturating_add(peer.unreported).max(peer.in_flight);
     let limit = if load.limit == 0 { DEFAULT_LIMIT } else { load.limit };
     let distance = match peer.is_local {
         true => 0.0,
@@ -160,7 +160,7 @@
 
 /// The cost of the congestion that `pending` requests cause at a target with this limit, in runs.
 fn congestion_cost(pending: u32, limit: u32) -> f32 {
-    let load = (pending + 1) as f32 / limit.max(1) as f32;
+    let load = (pending as f32 + 1.0) / limit.max(1) as f32;
     if load <= CONGESTED_FROM {
         return load * 0.1;
     }
--- a/crates/mustardpin-world/tests/testsuite/main.rs
+++ b/crates/mustardpin-world/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the world's parts.
 
 mod drain;
+mod extreme;
 mod fleet;
 mod node;
 mod rate_limit;
