--- a/crates/mustardpin-node/tests/testsuite/admin.rs
+++ b/crates/mustardpin-node/tests/testsuite/admin.rs
@@ -127,3 +127,23 @@
     }
     insta::assert_snapshot!(log);
 }
+
+/// Guards against a node that ends by itself when the body of an operator's request is nested too
+/// deeply, or holds a number out of range.
+#[tokio::test]
+async fn odd_bodies_are_refused() {
+    let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let bodies = [
+        nested.clone(),
+        format!(r#"{{"id":"a","expected":3,"rows":{nested}}}"#),
+        format!(r#"{{"id":"a","expected":3,"rows":[{{"team":{nested}}}]}}"#),
+        r#"{"id":"a","expected":1e999,"rows":[]}"#.to_owned(),
+        r#"{"id":"a","expected":99999999999999999999,"rows":[]}"#.to_owned(),
+        r#"{"id":"a","expected":-1,"rows":[]}"#.to_owned(),
+    ];
+    for body in bodies {
+        let credential = format!("Bearer {CREDENTIAL}");
+        let response = send("POST", "/admin/changes", &credential, &body).await;
+        assert!(response.starts_with("400 "), "{response}");
+    }
+}
--- a/crates/mustardpin-settings/tests/testsuite/settings.rs
+++ b/crates/mustardpin-settings/tests/testsuite/settings.rs
@@ -142,3 +142,31 @@
     }
     insta::assert_snapshot!(report);
 }
+
+/// Guards against a process that ends by itself, or hangs, when it reads a file that is nested too
+/// deeply, refers to itself or holds numbers out of range.
+#[test]
+fn odd_files_are_errors() {
+    let depth = 50_000;
+    let aliases: String = (1..30)
+        .map(|level| {
+            let last = level - 1;
+            format!("a{level}: &a{level} [*a{last}, *a{last}, *a{last}, *a{last}, *a{last}]\n")
+        })
+        .collect();
+    let files = [
+        "[".repeat(depth),
+        format!("{}{}", "[".repeat(depth), "]".repeat(depth)),
+        format!("name: {}{}", "{a: ".repeat(depth), "}".repeat(depth)),
+        (0..3_000).map(|level| format!("{}a:\n", " ".repeat(level))).collect(),
+        format!("a0: &a0 [1]\n{aliases}"),
+        example_with(&[("  callers: 127.0.0.1:7000", "  callers: 127.0.0.1:99999")]),
+        format!("{EXAMPLE}\ntarget:\n  lost-after: 99999999999999999999s\n"),
+        format!("{EXAMPLE}\ntarget:\n  lost-after: 1e999s\n"),
+    ];
+    for file in files {
+        let start: String = file.chars().take(40).collect();
+        let parsed = Settings::parse(Path::new("node.yaml"), &file);
+        assert!(parsed.is_err(), "{start}");
+    }
+}
