--- a/crates/mustardpin-virtual/tests/testsuite/stop.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/stop.rs
@@ -11,7 +11,7 @@
     request::Verdict,
 };
 
-use crate::support::{key, put, route, team};
+use crate::support::{key, put, route, seeds, team};
 
 const STAY: Millis = Millis(1_000);
 const GRACE: Millis = Millis(4_000);
@@ -22,8 +22,6 @@
 const REQUEST_INTERVAL: Millis = Millis(20);
 /// The node that is stopped. Its service is `search`, as that of the two nodes after it.
 const STOPPED: Site = Site(0);
-/// Number of seeds of each case.
-const SEEDS: u64 = 3;
 
 /// What happens besides the stop signal of one node. It is called after each interval of load with
 /// the time since the stop signal; before the stop signal, with `None`.
@@ -229,7 +227,7 @@
 fn check(select: fn(Violations) -> Vec<String>) {
     let mut failures = Vec::new();
     for (name, disturb) in CASES {
-        let found: Vec<_> = (0..SEEDS).flat_map(|seed| select(run(name, *disturb, seed))).collect();
+        let found: Vec<_> = seeds(3).flat_map(|seed| select(run(name, *disturb, seed))).collect();
         if let Some(first) = found.first() {
             failures.push(format!("{} times; {first}", found.len()));
         }
