Show with a soak that planned stops cut requests

Change: a second soak, whose schedule has series of stops, SIGHUPs and changes of the settings that overlap, and a few other faults. Callers use their connections until the process behind them is gone, some with pipelined requests, and check what they see of each stop: new requests are refused after the stay, no request runs without a response, and the process ends within the grace. The first soak and its seeds are as before. The log of a node that was started again no longer replaces an earlier one. Evidence: soak::planned_stops_cut_no_request fails for seed 1: "slot 1, stopped at 508.180315ms: 12 ran without a response; the first is keeper-1-1-12" "slot 1, stopped at 508.180315ms: 9 were not refused after the stay; the first is keeper-1-1-4" "slot 1, stopped at 508.180315ms: still there after 4.352113865s" and others of eight stops; the stay is 1 s, the grace 4 s.

--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -108,6 +108,8 @@
     directory: PathBuf,
     keeps_directory: bool,
     caller: Caller,
+    /// Number of nodes that were started again.
+    restarts: usize,
 }
 
 /// The response to a [`CallerRequest`].
@@ -148,6 +150,7 @@
             directory,
             keeps_directory: false,
             caller: http::caller(false),
+            restarts: 0,
         };
         for plan in plans {
             let slot = fleet.start_slot(plan, platform_for_nodes).await;
@@ -306,7 +309,8 @@
 
     /// Starts the node of a slot again after it has exited. The target has kept running.
     pub fn restart(&mut self, slot: usize) {
-        let name = format!("{slot}-again");
+        self.restarts += 1;
+        let name = format!("{slot}-again-{}", self.restarts);
         self.slots[slot].node = start_node(&self.slots[slot].settings, &self.directory, &name);
     }
 
@@ -376,6 +380,14 @@
 }
 
 impl Slot {
+    /// Sets how long requests may wait in the node's queue, in its settings file.
+    pub fn set_queue_wait(&self, wait: Duration) {
+        let settings = fs::read_to_string(&self.settings).expect("the settings file exists");
+        let (start, _) = settings.split_once("queueing:").unwrap_or((&settings, ""));
+        let changed = format!("{start}queueing:\n  wait: {}ms\n", wait.as_millis());
+        fs::write(&self.settings, changed).expect("the settings file can be written");
+    }
+
     fn announced_address(&self) -> String {
         let settings = fs::read_to_string(&self.settings).expect("the settings file exists");
         let line = settings.lines().find_map(|line| line.trim().strip_prefix("announced: "));
--- a/tests/testsuite/soak/fault.rs
+++ b/tests/testsuite/soak/fault.rs
@@ -5,7 +5,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 
-use crate::relay::Mode;
+use crate::{relay::Mode, soak::keeper::Drain};
 
 /// Mean time between the starts of two series of faults.
 const MEAN_SERIES_INTERVAL: Duration = Duration::from_millis(1_200);
@@ -28,6 +28,10 @@
     Kill,
     /// A node is shut down gracefully, and restarted once it has exited.
     Stop,
+    /// A node gets SIGHUP.
+    Hangup,
+    /// The settings file of a node is changed.
+    Settings,
     /// A node is suspended until the end of the fault.
     Pause,
     /// The target of a node is suspended until the end of the fault.
@@ -72,6 +76,8 @@
     pub length: Duration,
     /// The faults, sorted by start.
     pub rows: Vec<Row>,
+    /// The settings of planned stops, if callers check what they see of them.
+    pub drain: Option<Drain>,
 }
 
 impl Schedule {
@@ -96,7 +102,33 @@
         }
         rows.retain(|row| row.at < length);
         rows.sort_by_key(|row| row.at);
-        Schedule { seed, shape, length, rows }
+        Schedule { seed, shape, length, rows, drain: None }
+    }
+
+    /// Generates the planned stops and changes of a seed, in series that overlap, with a few other
+    /// faults.
+    pub fn generate_planned(seed: u64, shape: Shape, length: Duration) -> Schedule {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut rows = Vec::new();
+        let mut at = Duration::from_millis(500);
+        while at < length {
+            let mut begin = at;
+            let mut slot = rng.random_range(0..shape.nodes);
+            for _ in 0..rng.random_range(2..=MAX_PLANNED_SERIES_LENGTH) {
+                if rng.random_bool(0.5) {
+                    slot = rng.random_range(0..shape.nodes);
+                }
+                let duration = Duration::from_millis(rng.random_range(100..2_000));
+                let fault = random_planned(&mut rng);
+                rows.push(Row { at: begin, until: (begin + duration).min(length), slot, fault });
+                begin += MAX_FAULT_INTERVAL.mul_f64(rng.random());
+            }
+            at += MEAN_SERIES_INTERVAL.mul_f64(2.0 * rng.random::<f64>());
+        }
+        rows.retain(|row| row.at < length);
+        rows.sort_by_key(|row| row.at);
+        let drain = Drain { stay: Duration::from_secs(1), grace: Duration::from_secs(4) };
+        Schedule { seed, shape, length, rows, drain: Some(drain) }
     }
 }
 
@@ -119,6 +151,23 @@
     }
 }
 
+/// Maximum number of planned stops, changes and faults in a series.
+const MAX_PLANNED_SERIES_LENGTH: u32 = 4;
+
+fn random_planned(rng: &mut Pcg64Mcg) -> Fault {
+    match rng.random_range(0..16) {
+        0..=5 => Fault::Stop,
+        6 | 7 => Fault::Hangup,
+        8 | 9 => Fault::Settings,
+        10 => Fault::SlowTarget,
+        11 => Fault::PauseTarget,
+        12 => Fault::Declines,
+        13 => Fault::Store("down"),
+        14 => Fault::PeerLink(random_mode(rng)),
+        _ => Fault::Kill,
+    }
+}
+
 fn random_mode(rng: &mut Pcg64Mcg) -> Mode {
     let delay = Duration::from_millis(rng.random_range(5..300));
     [Mode::Cut, Mode::Silent, Mode::SilentBack, Mode::Delayed(delay)][rng.random_range(0..4)]
--- a/tests/testsuite/soak/run.rs
+++ b/tests/testsuite/soak/run.rs
@@ -1,6 +1,7 @@
 //! Runs a soak test: each tick starts and ends the faults that are due in the schedule.
 
 use std::{
+    collections::HashSet,
     fs,
     path::PathBuf,
     time::{Duration, Instant},
@@ -19,10 +20,13 @@
 use tokio::task::JoinHandle;
 
 use crate::{
-    fleet::{CallerRequest, Fleet, slot},
+    fleet::{CallerRequest, Fleet, SlotPlan, slot},
     process::output,
     relay::Mode,
-    soak::fault::{Fault, Row, Schedule},
+    soak::{
+        fault::{Fault, Row, Schedule},
+        keeper::{Drain, Keepers, Stop},
+    },
 };
 
 /// Time between two ticks.
@@ -66,11 +70,24 @@
     loads: Vec<JoinHandle<Report>>,
     /// File that is created once the withdrawal of the key is in force, for the load generator.
     withdrawn_file: PathBuf,
+    /// The callers that watch planned stops.
+    keepers: Option<Keepers>,
+    /// The planned stops so far.
+    stops: Vec<Stop>,
     /// Task that withdraws the key.
     operator: Option<JoinHandle<()>>,
     started: Instant,
 }
 
+/// The settings of a node for planned stops.
+fn settings(drain: Drain) -> String {
+    let (stay, grace) = (drain.stay.as_millis(), drain.grace.as_millis());
+    format!(
+        "stop:\n  stay: {stay}ms\n  grace: {grace}ms\n\
+         limits:\n  close-linger: 200ms\n  exit-grace: 300ms\n"
+    )
+}
+
 impl Soak {
     /// Starts the fleet and its load.
     pub async fn new(schedule: Schedule) -> Soak {
@@ -78,7 +95,8 @@
             .map(|index| {
                 let data_centre = ["north", "south"][index % 2];
                 let service = ["search", "ledger"][index / 2 % 2];
-                slot(data_centre, service).relayed()
+                let settings = schedule.drain.map(settings).unwrap_or_default();
+                SlotPlan { settings, ..slot(data_centre, service).relayed() }
             })
             .collect();
         let fleet = Fleet::start(&plans).await;
@@ -115,6 +133,9 @@
             tokio::spawn(load::run(arguments(limited))),
         ];
         let stages = vec![Stage::Pending; schedule.rows.len()];
+        let started = Instant::now();
+        let nodes: Vec<_> = fleet.slots.iter().map(|slot| slot.callers).collect();
+        let keepers = schedule.drain.map(|_| Keepers::start(&nodes, &key, started));
         Soak {
             fleet,
             schedule,
@@ -122,8 +143,10 @@
             key,
             loads,
             withdrawn_file,
+            keepers,
+            stops: Vec::new(),
             operator: None,
-            started: Instant::now(),
+            started,
         }
     }
 
@@ -152,6 +175,10 @@
                 "{ran} requests of team `limited` ran, but its rate allows at most {max_runs:.0}"
             ));
         }
+        if let (Some(keepers), Some(drain)) = (self.keepers.take(), self.schedule.drain) {
+            let ran = self.names_of_runs().await;
+            broken.extend(keepers.check(drain, &self.stops, &ran, &self.breaking_faults()).await);
+        }
         if !broken.is_empty() {
             eprintln!("{}", self.schedule);
             reports.iter().for_each(|report| eprintln!("{report}"));
@@ -185,6 +212,11 @@
     async fn begin(&mut self, row: Row) -> Stage {
         let is_process = matches!(row.fault, Fault::Kill | Fault::Stop | Fault::Pause);
         if is_process && self.has_process_fault(row.slot) {
+            let node = &mut self.fleet.slots[row.slot].node;
+            if row.fault == Fault::Stop && self.schedule.drain.is_some() && !node.has_ended() {
+                // A planned stop may be signalled again.
+                node.signal("TERM");
+            }
             return Stage::Done;
         }
         let slot = &mut self.fleet.slots[row.slot];
@@ -193,8 +225,13 @@
             Fault::Kill => slot.node.kill(),
             Fault::Stop => {
                 slot.node.signal("TERM");
-                return Stage::Stopping(self.started.elapsed());
+                let at = self.started.elapsed();
+                self.stops.push(Stop { slot: row.slot, at, last_seen: at, gone: Duration::MAX });
+                return Stage::Stopping(at);
             }
+            Fault::Hangup if !slot.node.has_ended() => slot.node.signal("HUP"),
+            Fault::Hangup => {}
+            Fault::Settings => slot.set_queue_wait(row.until - row.at),
             Fault::Pause => slot.node.signal("STOP"),
             Fault::PauseTarget => slot.target_process.signal("STOP"),
             Fault::SlowTarget => {
@@ -238,13 +275,21 @@
             Fault::StoreLink(_) => relays.store.set(Mode::Whole),
             Fault::PeerLink(_) => relays.peers.set(Mode::Whole),
             Fault::Store(_) => self.fleet.set_platform("up", Duration::ZERO).await,
-            Fault::Stop | Fault::Compact | Fault::Withdraw => {}
+            Fault::Stop | Fault::Hangup | Fault::Settings | Fault::Compact | Fault::Withdraw => {}
         }
         Stage::Done
     }
 
     fn restart_once_exited(&mut self, slot: usize, since: Duration, now: Duration) -> Stage {
-        if !self.fleet.slots[slot].node.has_ended() {
+        let has_ended = self.fleet.slots[slot].node.has_ended();
+        let checked = self.started.elapsed();
+        if let Some(stop) = self.stops.iter_mut().rev().find(|stop| stop.slot == slot) {
+            match has_ended {
+                true => stop.gone = checked,
+                false => stop.last_seen = now,
+            }
+        }
+        if !has_ended {
             assert!(
                 now - since < EXIT_TIMEOUT,
                 "slot {slot}: timed out waiting until the node exits\n{}",
@@ -314,6 +359,23 @@
         broken
     }
 
+    /// Names of all requests that ran.
+    async fn names_of_runs(&self) -> HashSet<String> {
+        let runs = self.fleet.target_runs().await;
+        let headers = runs.into_iter().flat_map(|run| run.headers);
+        headers
+            .filter(|header| header.name == chain::REQUEST_HEADER)
+            .map(|header| header.value)
+            .collect()
+    }
+
+    /// The times of faults that may break a response that is being sent.
+    fn breaking_faults(&self) -> Vec<(Duration, Duration)> {
+        let breaks = |fault| matches!(fault, Fault::Kill | Fault::PeerLink(_) | Fault::PauseTarget);
+        let rows = self.schedule.rows.iter().filter(|row| breaks(row.fault));
+        rows.map(|row| (row.at, row.until)).collect()
+    }
+
     /// Number of requests of a team that ran.
     async fn count_runs(&self, team: &str) -> usize {
         let runs = self.fleet.target_runs().await;
