--- a/tests/testsuite/soak/run.rs
+++ b/tests/testsuite/soak/run.rs
@@ -84,7 +84,7 @@
     let (stay, grace) = (drain.stay.as_millis(), drain.grace.as_millis());
     format!(
         "stop:\n  stay: {stay}ms\n  grace: {grace}ms\n\
-         limits:\n  close-linger: 200ms\n  exit-grace: 300ms\n"
+         limits:\n  close-linger: 200ms\n"
     )
 }
 
