Test responses to peers of a node that drains

Change: the node ends soon after its last response to a peer, of a target or its own; twelve bookings of a peer get theirs.

--- a/crates/mustardpin-node/tests/testsuite/drain.rs
+++ b/crates/mustardpin-node/tests/testsuite/drain.rs
@@ -2,6 +2,7 @@
 
 mod exiting;
 mod grace;
+mod peer;
 mod pipelined;
 mod refusal;
 mod slow_reader;
@@ -56,7 +57,7 @@
 }
 
 /// A target that waits as many milliseconds as the path says after `wait/`, and then sends a body
-/// of as many bytes as it says after `bytes/`. After `pieces/`, the path has the number of pieces
+/// of as many bytes as it says after `bytes/`; or waits as it says after `close/`, and breaks off. After `pieces/`, the path has the number of pieces
 /// that the target sends instead, one every [`PIECE_INTERVAL`].
 fn script() -> Script {
     Arc::new(|request| {
@@ -74,6 +75,9 @@
         let length = number("bytes/").unwrap_or(5) as usize;
         let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
         let wait = Duration::from_millis(number("wait/").unwrap_or(0));
+        if let Some(wait) = number("close/") {
+            return vec![Step::Wait(Duration::from_millis(wait)), Step::Close];
+        }
         let body = Step::Send(vec![b'x'; length]);
         [vec![Step::Wait(wait)], text(&head), vec![body]].concat()
     })
