Look again whether a peer's connection is done after its last write

What operators saw: a drained node stayed until the end of its grace, and logged `connections_aborted`.

Cause: whether a connection to a peer has sent everything was checked before the write of the last frame, and then only when something else arrived.

Change: queued frames are written before the check.

Evidence: drain::peer::a_node_exits_once_its_last_response_to_a_peer_is_sent failed on in 6 of 12 runs of the module (`the target breaks off: ended after 1.737079029s`).

--- a/crates/mustardpin-node/src/traffic/link/incoming.rs
+++ b/crates/mustardpin-node/src/traffic/link/incoming.rs
@@ -88,6 +88,7 @@
         while let Some((head, payload)) = wire.take()? {
             process_frame(exchanges, from, sender, &mut bodies, head, payload).await?;
         }
+        wire.write(sender)?;
         let is_exiting = stage.borrow().is_exiting();
         if is_exiting && sender.is_idle() && wire.is_flushed() {
             // Closing a socket with unread data would reset the connection, and the peer could
