Compare the epochs of rosters without an overflow

An epoch is a number that the store sends, so it may be the largest one. The sum panicked then in a build that checks arithmetic, and was wrong otherwise. Found by reading; the tests of restores and of extreme numbers pass.

--- a/crates/mustardpin-world/src/table/roster.rs
+++ b/crates/mustardpin-world/src/table/roster.rs
@@ -46,7 +46,7 @@
     ) {
         let is_first = self.version == StoreVersion::default();
         self.is_settled = is_first && roster.epoch == version.epoch;
-        let is_next_epoch = self.version.epoch.0 + 1 == version.epoch.0;
+        let is_next_epoch = version.epoch.0.checked_sub(1) == Some(self.version.epoch.0);
         self.is_continuous = self.version.epoch == version.epoch || (is_next_epoch && is_recent);
         self.epoch = roster.epoch;
         self.is_spoilt = false;
