Send a peer that connects the latest load, whenever it changes

What callers saw: where a node has several traffic threads, a target that had become available was not used by a peer that had connected in that moment, until its load changed again. On the platform's settings, with one thread, it cannot happen.

Cause: the load was read and sent before the connection was among those that are told of changes. A change in between reached nobody.

Change: both happen under the lock under which changes are sent.

Evidence: a fleet of the tests was "not ready" after 10 s in four runs, beside load; its description, now part of the message, shows a peer with `open: false` and all else in order.

--- a/crates/mustardpin-node/src/traffic/link/incoming.rs
+++ b/crates/mustardpin-node/src/traffic/link/incoming.rs
@@ -47,9 +47,13 @@
     exchanges.outbox.push(Event::PeerSeen(peer));
     let sender = Arc::new(Sender::default());
     let connection = NEXT_CONNECTION_ID.fetch_add(1, Ordering::Relaxed);
-    sender.send(&Head::Load(exchanges.load()), &[]);
     let lock = || exchanges.links.incoming.lock().unwrap_or_else(PoisonError::into_inner);
-    lock().insert(connection, Arc::clone(&sender));
+    {
+        // A load that is published later reaches the peer after this one.
+        let mut incoming = lock();
+        sender.send(&Head::Load(exchanges.load()), &[]);
+        incoming.insert(connection, Arc::clone(&sender));
+    }
     // The peer reports why the connection ended, since the peer made it.
     let _ = process_frames(&exchanges, from, &mut wire, &sender).await;
     lock().remove(&connection);
--- a/crates/mustardpin-node/tests/testsuite/fake/fleet.rs
+++ b/crates/mustardpin-node/tests/testsuite/fake/fleet.rs
@@ -121,6 +121,28 @@
         });
     }
 
+    /// Describes what a node knows.
+    fn describe(&self, node: &Node) -> String {
+        let describe = |world: &World| {
+            let tables = world.tables();
+            let peers = tables.peers.iter().map(|(_, peer)| {
+                let name = &peer.announcement.name;
+                format!("{name} {} {:?} {:?}", peer.link.name(), peer.row, peer.load)
+            });
+            format!(
+                "{} revision {}, target open {}, roster of {} at {}, peers {:?}, leaving {}",
+                world.identity().name(),
+                tables.configuration.revision,
+                tables.target.is_open(),
+                tables.roster.len(),
+                tables.roster.version,
+                peers.collect::<Vec<_>>(),
+                tables.leaving,
+            )
+        };
+        self.runtime.block_on(node.control().report(describe)).expect("the node runs")
+    }
+
     /// Waits until every node has its configuration and can reach its target and all peers.
     fn wait_until_ready(&self) {
         let start = Instant::now();
@@ -134,7 +156,9 @@
             };
             let report = || self.runtime.block_on(node.control().report(is_ready));
             while !report().expect("the node runs") {
-                assert!(start.elapsed() < Duration::from_secs(10), "the fleet is not ready");
+                if start.elapsed() >= Duration::from_secs(10) {
+                    panic!("the fleet is not ready: {}", self.describe(node));
+                }
                 thread::sleep(Duration::from_millis(20));
             }
         }
--- a/crates/mustardpin-node/tests/testsuite/link.rs
+++ b/crates/mustardpin-node/tests/testsuite/link.rs
@@ -477,3 +477,33 @@
     peer.send(&answer(last));
     assert_eq!(end(ticket), answered, "on the next connection");
 }
+
+/// Guards against a load that is published in the moment in which a peer connects and never reaches
+/// that peer, which then goes on by an earlier one.
+#[test]
+fn a_peer_that_connects_while_the_load_changes_gets_the_latest() {
+    const CONNECTIONS: u32 = 400;
+    let one = node(1, "fleet");
+    let missed = |number: u32| {
+        let mut peer = TcpStream::connect(&*one.announcement.address).expect("the node listens");
+        peer.set_read_timeout(Some(Duration::from_millis(200))).expect("the timeout is valid");
+        peer.write_all(&hello(&one)).expect("the node reads");
+        let load = |running| Load { running, ..Load::default() };
+        for step in 0..20 {
+            one.dispatch(TrafficCommand::Publish { load: load(number * 20 + step), urgent: true });
+        }
+        let latest = Head::Load(load(number * 20 + 19).into());
+        let mut received = BytesMut::new();
+        let mut bytes = [0; 4096];
+        while let Ok(count @ 1..) = peer.read(&mut bytes) {
+            received.extend_from_slice(&bytes[..count]);
+            while let Some((head, _)) = frame::decode(&mut received).expect("a valid frame") {
+                if head == latest {
+                    return false;
+                }
+            }
+        }
+        true
+    };
+    assert_eq!((0..CONNECTIONS).filter(|&number| missed(number)).count(), 0);
+}
