--- a/crates/mustardpin-node/src/node.rs
+++ b/crates/mustardpin-node/src/node.rs
@@ -83,7 +83,7 @@
 /// If the node could not start.
 pub fn run(launch: Launch) -> Result<(), Error> {
     let runtime = build_runtime(&launch.limits)?;
-    // A signal without a handler would end the process with whatever callers have sent.
+    // Installed before the node listens, so that an early signal does not kill it.
     let signals = StopSignals::install(&runtime)?;
     let node = Node::start_on(runtime, launch)?;
     node.runtime.spawn(signals.stop_node(node.control.clone()));
--- a/crates/mustardpin-node/src/traffic/caller.rs
+++ b/crates/mustardpin-node/src/traffic/caller.rs
@@ -241,7 +241,7 @@
         }
     }
 
-    /// Whether the node closes its callers' connections since it is about to exit.
+    /// Whether the node closes its callers' connections while it drains.
     fn is_draining(&self) -> bool {
         *self.stage.borrow() != Stage::Serving
     }
--- a/crates/mustardpin-node/src/traffic/listener.rs
+++ b/crates/mustardpin-node/src/traffic/listener.rs
@@ -22,7 +22,7 @@
     Serving,
     /// The process is draining: it finishes the requests in progress.
     Leaving,
-    /// All requests have finished and the process is about to exit.
+    /// The process is about to exit: its requests have finished, or the time for that is over.
     Exiting {
         /// Connections that are still open at this point in time are aborted.
         by: Millis,
--- a/crates/mustardpin-world/src/system/stop.rs
+++ b/crates/mustardpin-world/src/system/stop.rs
@@ -1,5 +1,5 @@
-//! Publishes the node's readiness, and drains the node before it exits, so that no request is
-//! aborted.
+//! Publishes the node's readiness, and drains the node before it exits, so that every request gets a
+//! response.
 
 use crate::{
     clock::Millis,
@@ -20,7 +20,7 @@
 /// Connections get at least half as long to end.
 const MAX_EXIT_MARGIN: Millis = Millis(200);
 /// Connections get at most this fraction of the grace time to end.
-const MIN_CLOSING_DIVISOR: u64 = 6;
+const CLOSING_DIVISOR: u64 = 6;
 /// How long a caller should wait before it retries a request that a draining node refused.
 const RETRY_AFTER: Millis = Millis(300);
 
@@ -52,7 +52,7 @@
 
 impl Schedule {
     fn new(since: Millis, options: &options::Stop) -> Schedule {
-        let closing = options.closing.min(Millis(options.grace.0 / MIN_CLOSING_DIVISOR));
+        let closing = options.closing.min(Millis(options.grace.0 / CLOSING_DIVISOR));
         let end = since + options.grace;
         let cancel = end - closing;
         let refuse_all = (cancel - REFUSE_BEFORE_CANCEL).max(since);
