Let the test of connection limits wait for places to become free

The place of a connection that has ended becomes free shortly after its caller has seen the end, so one of the three could be refused, and the next request was served. The test now connects until the node keeps three connections.

--- a/crates/mustardpin-node/tests/testsuite/input.rs
+++ b/crates/mustardpin-node/tests/testsuite/input.rs
@@ -1,7 +1,7 @@
 //! Malformed input gets a refusal or a closed connection, and does not crash the node.
 
 use std::{
-    io::Write as _,
+    io::{self, Write as _},
     net::{SocketAddr, TcpStream},
     sync::{Arc, mpsc},
     thread,
@@ -138,14 +138,26 @@
     assert_eq!(summary("", &get(callers, "/slots")), ": 503 in_progress_limit");
     assert_eq!(receiver.recv().expect("the caller thread ends").status(), 200);
 
-    let idle: Vec<_> =
-        (0..3).map(|_| TcpStream::connect(callers).expect("the node listens")).collect();
-    thread::sleep(Duration::from_millis(100));
+    let idle: Vec<_> = (0..3).map(|_| kept_connection(callers)).collect();
     assert_eq!(get(callers, "/slots").status(), 0);
     drop(idle);
     wait_until(|| get(callers, "/slots").status() == 200);
 }
 
+/// Connects until the node keeps the connection. The place of one that has ended becomes free shortly
+/// after its caller has seen the end.
+fn kept_connection(address: SocketAddr) -> TcpStream {
+    for _ in 0..50 {
+        let connection = TcpStream::connect(address).expect("the node listens");
+        connection.set_read_timeout(Some(Duration::from_millis(100))).expect("a valid timeout");
+        let end = connection.peek(&mut [0]);
+        if end.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock) {
+            return connection;
+        }
+    }
+    panic!("the node should keep a connection");
+}
+
 #[test]
 fn buffered_bodies_never_exceed_their_limit() {
     let limits = Limits { buffered_size: 10_000, ..Limits::default() };
