--- a/crates/mustardpin-world/src/system/configuration.rs
+++ b/crates/mustardpin-world/src/system/configuration.rs
@@ -85,7 +85,7 @@
     let own = world.tables.configuration.revision;
     let is_linked = tick.inbox.links.iter().any(|link| matches!(link, LinkChange::Up { .. }));
     let is_stale = world.tables.freshness.configuration_age(tick.now) >= STALE_AFTER
-        || freshness::is_in_doubt(world);
+        || freshness::needs_confirmation(world);
     if (!is_stale && own.0 > 0 && !is_linked) || tick.now < world.systems.configuration.next_at {
         return;
     }
--- a/crates/mustardpin-world/src/system/freshness.rs
+++ b/crates/mustardpin-world/src/system/freshness.rs
@@ -4,7 +4,7 @@
 //! monotonic clock, as of the earliest time at which the store can have replied: see
 //! [`store_clock`].
 
-mod doubt;
+mod confirmation;
 mod relay;
 mod sharing;
 mod store_clock;
@@ -72,7 +72,7 @@
     was_fresh: Option<bool>,
     store_clock: store_clock::StoreClock,
     relay: relay::State,
-    doubt: doubt::State,
+    confirmation: confirmation::State,
     sharing: sharing::State,
 }
 
@@ -93,7 +93,7 @@
     }
     sharing::run(world, tick.now);
     relay::run(world, tick);
-    doubt::run(world, tick);
+    confirmation::run(world, tick);
     send_due_queries(world, tick);
     update_freshness(world, tick);
 }
@@ -111,17 +111,17 @@
             query.retry_at = tick.now;
         }
     }
-    doubt::begin(world, tick);
+    confirmation::begin(world, tick);
 }
 
 /// Handles the first reply of the store since the process started.
 pub(super) fn handle_first_epoch(world: &mut World, now: Millis) {
-    doubt::begin_at_start(world, now);
+    confirmation::begin_at_start(world, now);
 }
 
 /// Whether the store may have an earlier configuration than the fleet.
-pub(super) fn is_in_doubt(world: &World) -> bool {
-    doubt::is_open(world)
+pub(super) fn needs_confirmation(world: &World) -> bool {
+    confirmation::is_pending(world)
 }
 
 fn handle_reply(
@@ -192,7 +192,7 @@
         Area::Configuration => {
             let read = &mut world.tables.configuration.read;
             *read = (*read).max(Some(up_to));
-            doubt::confirm(world, as_of);
+            confirmation::confirm(world, as_of);
             let freshness = &mut world.tables.freshness;
             if world.systems.fleet.read_up_to.is_some_and(|read| read >= up_to) {
                 // The rows of nodes were read up to this version, so they are current too.
--- a/crates/mustardpin-world/src/system/freshness/doubt.rs
+++ b/crates/mustardpin-world/src/system/freshness/confirmation.rs
@@ -32,32 +32,32 @@
     is_asked: bool,
 }
 
-/// State of the doubt between ticks.
+/// State of the confirmation between ticks.
 #[derive(Debug, Default)]
 pub(super) struct State {
-    /// When the doubt began; `None` while the store alone can confirm the configuration.
+    /// Since when peers have to confirm the configuration; `None` while the store alone can.
     since: Option<Millis>,
     /// The number of the query to the peers.
     number: u64,
     awaited: SmallVec<[Awaited; MAX_ASKED]>,
     /// How many peers were awaited at first.
     asked: usize,
-    /// The latest time as of which the store replied during the doubt.
+    /// The latest time as of which the store replied meanwhile.
     confirmed: Option<Millis>,
 }
 
-/// Whether a later revision may exist than the store has.
-pub(super) fn is_open(world: &World) -> bool {
-    world.systems.freshness.doubt.since.is_some()
+/// Whether a later revision than the store's may exist, so that peers have to be heard.
+pub(super) fn is_pending(world: &World) -> bool {
+    world.systems.freshness.confirmation.since.is_some()
 }
 
-/// Begins the doubt of a process that has just started. Its peers report their revisions when they
-/// connect.
+/// Begins the confirmation for a process that has just started. Its peers report their revisions when
+/// they connect.
 pub(super) fn begin_at_start(world: &mut World, now: Millis) {
-    world.systems.freshness.doubt = State { since: Some(now), ..State::default() };
+    world.systems.freshness.confirmation = State { since: Some(now), ..State::default() };
 }
 
-/// Begins a doubt after a restore, and asks peers for their revisions.
+/// Begins the confirmation after a restore, and asks peers for their revisions.
 pub(super) fn begin(world: &mut World, tick: &mut Tick) {
     let peers = world.tables.peers.iter().filter(|(_, peer)| peer.link != Link::Refused);
     let asked = peers
@@ -67,7 +67,7 @@
     relay.last_number += 1;
     let number = relay.last_number;
     let awaited = asked.iter().map(|&(_, peer, is_asked)| Awaited { peer, is_asked }).collect();
-    world.systems.freshness.doubt =
+    world.systems.freshness.confirmation =
         State { since: Some(tick.now), number, awaited, asked: asked.len(), confirmed: None };
     for (key, ..) in asked.into_iter().filter(|(.., is_asked)| *is_asked) {
         world.send(tick, key, Message::Query { number });
@@ -76,38 +76,38 @@
 
 /// Records a peer's reply to a freshness query.
 pub(super) fn record_reply(world: &mut World, from: NodeId, number: u64) {
-    let doubt = &mut world.systems.freshness.doubt;
-    if number >= doubt.number {
-        doubt.awaited.retain(|awaited| awaited.peer != from);
+    let state = &mut world.systems.freshness.confirmation;
+    if number >= state.number {
+        state.awaited.retain(|awaited| awaited.peer != from);
     }
 }
 
 /// Records that the store confirmed the configuration as of a point in time.
 pub(super) fn confirm(world: &mut World, as_of: Millis) {
-    let doubt = &mut world.systems.freshness.doubt;
-    let confirmed = match doubt.since {
-        Some(_) => &mut doubt.confirmed,
+    let state = &mut world.systems.freshness.confirmation;
+    let confirmed = match state.since {
+        Some(_) => &mut state.confirmed,
         None => &mut world.tables.freshness.configuration_as_of,
     };
     *confirmed = (*confirmed).max(Some(as_of));
 }
 
-/// Ends the doubt once enough peers have reported their revisions and none has a later one.
+/// Ends the confirmation once enough peers have reported their revisions and none has a later one.
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
-    let Some(since) = world.systems.freshness.doubt.since else { return };
+    let Some(since) = world.systems.freshness.confirmation.since else { return };
     let peers = &world.tables.peers;
-    world.systems.freshness.doubt.awaited.retain(|awaited| {
+    world.systems.freshness.confirmation.awaited.retain(|awaited| {
         let peer = peers.by_node(awaited.peer).and_then(|peer| peers.get(peer));
         peer.is_some_and(|peer| awaited.is_asked || peer.link != Link::Up)
     });
-    let doubt = &world.systems.freshness.doubt;
+    let state = &world.systems.freshness.confirmation;
     let meet_within = world.options.fleet.meet_within;
-    let reply_period = match doubt.awaited.len() * 2 <= doubt.asked {
+    let reply_period = match state.awaited.len() * 2 <= state.asked {
         true => REPLY_PERIOD.min(meet_within),
         false => meet_within,
     };
     let elapsed = tick.now - since;
-    let has_heard = doubt.awaited.is_empty() || elapsed >= reply_period;
+    let has_heard = state.awaited.is_empty() || elapsed >= reply_period;
     let has_tried = fleet::all_peers_tried(world) || elapsed >= meet_within;
     let own = world.tables.configuration.revision;
     let is_later = |peer: &crate::table::peer::Peer| peer.link == Link::Up && peer.revision > own;
@@ -122,10 +122,10 @@
     let entry = Entry::new(Level::Info, "configuration_confirmed")
         .with("revision", own.0)
         .with("lasted", elapsed)
-        .with("asked", doubt.asked)
-        .with("unheard", doubt.awaited.len());
+        .with("asked", state.asked)
+        .with("unheard", state.awaited.len());
     tick.log(entry);
-    let confirmed = std::mem::take(&mut world.systems.freshness.doubt).confirmed;
+    let confirmed = std::mem::take(&mut world.systems.freshness.confirmation).confirmed;
     let as_of = &mut world.tables.freshness.configuration_as_of;
     *as_of = (*as_of).max(confirmed);
 }
--- a/crates/mustardpin-world/src/system/freshness/relay.rs
+++ b/crates/mustardpin-world/src/system/freshness/relay.rs
@@ -10,7 +10,7 @@
     clock::Millis,
     id::{NodeId, PeerKey},
     message::freshness::Message,
-    system::freshness::{doubt, sharing},
+    system::freshness::{confirmation, sharing},
     table::peer::Link,
     world::{Tick, World},
 };
@@ -28,7 +28,7 @@
 #[derive(Debug, Default)]
 pub(super) struct State {
     next_query: Millis,
-    /// Number of the last query, of this system or of `doubt`.
+    /// Number of the last query, of this system or of `confirmation`.
     pub(super) last_number: u64,
     /// Number of the last query, and when it was sent.
     pending: Option<(u64, Millis)>,
@@ -58,7 +58,7 @@
 
 fn handle_reply(world: &mut World, from: NodeId, message: Message) {
     let Message::Reply { number, age, revision, fleet_age, roster } = message else { return };
-    doubt::record_reply(world, from, number);
+    confirmation::record_reply(world, from, number);
     let tables = &mut world.tables;
     if let Some(peer) = tables.peers.by_node(from).and_then(|peer| tables.peers.get_mut(peer)) {
         // A revision later than this node's makes it request the configuration from the peer.
