Read and log the rate limit and the departure that targets state

Change: the dialect reads a notice from each response of the target, and the world records and logs it. No decision depends on it yet. The project's own interface gets the headers Target-Rate-Limit and Target-Leaving.

--- a/crates/mustardpin-node/src/traffic/exchanges.rs
+++ b/crates/mustardpin-node/src/traffic/exchanges.rs
@@ -13,6 +13,7 @@
 use mustardpin_world::{
     Event, Millis,
     config::CallerLimits,
+    notice::Notice,
     refusal::Refusal,
     request::{ForwardEnd, Load, Request, RunEnd, Ticket, is_final_status},
 };
@@ -178,6 +179,17 @@
         Some(Arc::clone(&exchange.request))
     }
 
+    /// Passes on what a response states about the target that sent it, over a connection of this
+    /// generation. Must be called before the response is sent on.
+    pub(super) fn record_notice(&self, ticket: Ticket, generation: u64, notice: Notice) {
+        if notice == Notice::default() {
+            return;
+        }
+        if let Some(instance) = self.target.instance(generation) {
+            self.outbox.push(Event::TargetNotice { ticket, instance, notice });
+        }
+    }
+
     /// Ends a run on the local target. `response` is the complete response, if there is one.
     pub(super) fn run_ended(&self, ticket: Ticket, end: RunEnd, response: Option<CallerResponse>) {
         let is_complete_response = matches!(end, RunEnd::Answered { .. });
--- a/crates/mustardpin-node/src/traffic/target.rs
+++ b/crates/mustardpin-node/src/traffic/target.rs
@@ -71,6 +71,13 @@
         Some(Endpoint { address, instance, generation: state.generation })
     }
 
+    /// The instance id of the target, if connections of this generation lead to it.
+    pub(super) fn instance(&self, generation: u64) -> Option<CompactString> {
+        let state = self.state();
+        let (_, instance) = state.endpoint.as_ref()?;
+        (state.generation == generation).then(|| instance.clone())
+    }
+
     /// Takes an idle connection that can be used for the request with this id.
     fn take_idle(&self, generation: u64, repeatable: bool, id: &str) -> Option<Connection> {
         let mut state = self.state();
--- a/crates/mustardpin-node/src/traffic/target/run.rs
+++ b/crates/mustardpin-node/src/traffic/target/run.rs
@@ -319,6 +319,9 @@
         is_sent: bool,
     ) -> Result<Outcome, Failure> {
         let response_kind = self.exchanges.dialect.read_response(&self.request.id, &head);
+        let notice = self.exchanges.dialect.read_notice(&self.request.id, &head);
+        let from = self.connection.generation;
+        self.exchanges.record_notice(self.run.ticket, from, notice);
         let framing = Framing::of_response(&self.request.method, head.status, &head.headers)?;
         self.connection.apply_keep_alive(&head.headers);
         let is_reusable = is_sent
--- a/crates/mustardpin-node/tests/testsuite/main.rs
+++ b/crates/mustardpin-node/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod link;
 mod log;
 mod metrics;
+mod notice;
 mod path;
 mod pipeline;
 mod prefix;
--- a/crates/mustardpin-node/tests/testsuite/stray.rs
+++ b/crates/mustardpin-node/tests/testsuite/stray.rs
@@ -23,6 +23,7 @@
 };
 use mustardpin_world::{
     Event, Millis,
+    notice::Notice,
     refusal::{Reason, Refusal},
     request::{Run, RunEnd, Verdict},
 };
@@ -58,6 +59,10 @@
         }
     }
 
+    fn read_notice(&self, id: &str, head: &Response) -> Notice {
+        self.0.read_notice(id, head)
+    }
+
     fn allows_reuse(&self, head: &Response) -> bool {
         head.headers.get("request-id").is_some()
     }
--- a/crates/mustardpin-wire/src/dialect.rs
+++ b/crates/mustardpin-wire/src/dialect.rs
@@ -9,6 +9,7 @@
 use mustardpin_http::head::{Request, Response};
 use mustardpin_world::{
     Event, Millis,
+    notice::Notice,
     refusal::{Reason, Refusal},
     request::{CallToken, Origin, TargetLoad},
 };
@@ -131,6 +132,10 @@
     /// Reads the head of a target's response to the request with this id.
     fn read_response(&self, id: &str, head: &Response) -> ResponseKind;
 
+    /// Reads what the head of a target's response to the request with this id states about the
+    /// target. Nothing, if the response belongs to another request or comes from another target.
+    fn read_notice(&self, id: &str, head: &Response) -> Notice;
+
     /// Whether the connection may be used again after this response of a target. It may not if a late
     /// copy of the response could be taken for a refusal of the next request.
     fn allows_reuse(&self, head: &Response) -> bool;
--- a/crates/mustardpin-wire/src/header.rs
+++ b/crates/mustardpin-wire/src/header.rs
@@ -12,12 +12,19 @@
 pub const REASON: &str = "mustardpin-reason";
 /// Marks a response by which a target declines a request; see [`crate::target`].
 pub const TARGET_OUTCOME: &str = "target-outcome";
+/// The requests per second that a target takes from all nodes together; see [`crate::target`].
+pub const TARGET_RATE_LIMIT: &str = "target-rate-limit";
+/// `1` on the responses of a target that is leaving.
+pub const TARGET_LEAVING: &str = "target-leaving";
 
 /// The prefix of the system's own headers, which are removed from callers' and targets' messages.
 pub const PREFIX: &str = "mustardpin-";
 /// The media type of the body of a refusal.
 pub const PROBLEM_JSON: &str = "application/problem+json";
 
+/// Headers by which targets state something to their node.
+const TARGET_HEADERS: &[&str] = &[TARGET_OUTCOME, TARGET_RATE_LIMIT, TARGET_LEAVING];
+
 /// Headers that concern one connection only and are not forwarded.
 const HOP_BY_HOP: &[&str] = &[
     "connection",
@@ -49,10 +56,11 @@
 /// use mustardpin_wire::header;
 /// assert!(header::is_internal("Mustardpin-Outcome"));
 /// assert!(header::is_internal(header::TARGET_OUTCOME));
+/// assert!(header::is_internal(header::TARGET_RATE_LIMIT));
 /// assert!(!header::is_internal(header::REQUEST_ID));
 /// ```
 pub fn is_internal(name: &str) -> bool {
     let prefix = name.as_bytes().get(..PREFIX.len());
     prefix.is_some_and(|prefix| prefix.eq_ignore_ascii_case(PREFIX.as_bytes()))
-        || name.eq_ignore_ascii_case(TARGET_OUTCOME)
+        || TARGET_HEADERS.iter().any(|other| name.eq_ignore_ascii_case(other))
 }
--- a/crates/mustardpin-wire/src/lib.rs
+++ b/crates/mustardpin-wire/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod header;
 pub mod message;
 pub mod native;
+pub mod notice;
 pub mod refusal;
 pub mod scrub;
 pub mod store;
--- a/crates/mustardpin-wire/src/native.rs
+++ b/crates/mustardpin-wire/src/native.rs
@@ -10,6 +10,7 @@
 use mustardpin_world::{
     Event, Millis,
     id::KeyDigest,
+    notice::Notice,
     refusal::{Reason, Refusal},
     request::{CallToken, Origin},
 };
@@ -19,7 +20,7 @@
         DeliveryHeaders, Dialect, EntryHeaders, ParsedRequest, Port, Report, RequestError,
         ResponseKind,
     },
-    header, refusal,
+    header, notice, refusal,
     scrub::Secret,
     target,
 };
@@ -88,6 +89,11 @@
         }
     }
 
+    fn read_notice(&self, _id: &str, head: &Response) -> Notice {
+        let rates = head.headers.get_all(header::TARGET_RATE_LIMIT);
+        notice::read(rates, head.headers.get_all(header::TARGET_LEAVING))
+    }
+
     fn allows_reuse(&self, head: &Response) -> bool {
         // Responses do not name their requests.
         !declines(head)
--- a/crates/mustardpin-wire/src/target.rs
+++ b/crates/mustardpin-wire/src/target.rs
@@ -3,6 +3,10 @@
 //! About once a second a target sends `POST /target/announce` to the node's local listener. To
 //! decline a request that it did not run, it responds with status 503 and the header
 //! `Target-Outcome: not-run`.
+//!
+//! A target in need states in its responses how many requests per second it takes from all nodes
+//! together, with the header `Target-Rate-Limit`, for as long as the limit holds. One that leaves
+//! says so with `Target-Leaving: 1`.
 
 use compact_str::CompactString;
 use derive_more::{Display, Error, From};
--- a/crates/mustardpin-world/src/event.rs
+++ b/crates/mustardpin-world/src/event.rs
@@ -7,6 +7,7 @@
     config,
     id::{NodeId, Revision},
     message::Message,
+    notice::Notice,
     refusal::Reason,
     request::{ForwardEnd, Load, Request, RunEnd, Ticket},
     store::{self, Announcement},
@@ -119,6 +120,16 @@
         /// The instance id of the target that reported it.
         instance: CompactString,
     },
+    /// A response of this node's target states something about the target. Precedes the end of the
+    /// run, and the response itself where that is sent on as it arrives.
+    TargetNotice {
+        /// The request that it is a response to.
+        ticket: Ticket,
+        /// The instance id of the target that sent it.
+        instance: CompactString,
+        /// What the response states.
+        notice: Notice,
+    },
     /// The connection to this node's target was lost, or the target stopped announcing itself.
     TargetLost,
     /// An operator proposed a change.
--- a/crates/mustardpin-world/src/lib.rs
+++ b/crates/mustardpin-world/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod id;
 pub mod log;
 pub mod message;
+pub mod notice;
 pub mod options;
 pub mod refusal;
 pub mod request;
--- a/crates/mustardpin-world/src/system.rs
+++ b/crates/mustardpin-world/src/system.rs
@@ -32,6 +32,7 @@
     event::{Event, Proposal, ProposalTicket, TargetReport},
     id::{NodeId, Revision},
     message::{self, Message},
+    notice::Notice,
     options::Options,
     refusal::Reason,
     request::{ForwardEnd, Load, Request, RunEnd, Ticket},
@@ -91,11 +92,12 @@
     Down { peer: NodeId, refused: bool },
 }
 
-/// A change of the local target's registration, or its loss.
+/// A change of the local target's registration, a notice of it, or its loss.
 #[derive(Debug)]
 pub(crate) enum TargetChange {
     Reported(TargetReport),
     Deregistered { instance: CompactString },
+    Noticed { ticket: Ticket, instance: CompactString, notice: Notice },
     Lost,
 }
 
@@ -154,6 +156,9 @@
                 Event::TargetGone { instance } => {
                     inbox.target.push(TargetChange::Deregistered { instance });
                 }
+                Event::TargetNotice { ticket, instance, notice } => {
+                    inbox.target.push(TargetChange::Noticed { ticket, instance, notice });
+                }
                 Event::TargetLost => inbox.target.push(TargetChange::Lost),
                 Event::Proposed(ticket, proposal) => inbox.proposals.push((ticket, proposal)),
                 Event::Reloaded(options) => inbox.options = Some(options),
--- a/crates/mustardpin-world/src/system/target.rs
+++ b/crates/mustardpin-world/src/system/target.rs
@@ -7,17 +7,20 @@
 //! that seems outdated keeps reporting in order, and nothing more is heard of the seemingly later
 //! one, the latter is given up after the time after which a silent target counts as lost.
 
+use compact_str::{CompactString, ToCompactString as _};
+
 use crate::{
     clock::Millis,
     command::{Command, TargetAddress},
     event::TargetReport,
     log::{Entry, Level},
+    notice::{Notice, Rate, RateLimit},
     refusal::{Reason, Refusal},
-    request::Verdict,
+    request::{Ticket, Verdict},
     system::{TargetChange, finish, queueing},
     table::{
         call::Stage,
-        target::{Ignored, Target},
+        target::{Ignored, StatedRate, Target},
     },
     world::{Tick, World},
 };
@@ -37,6 +40,10 @@
                     log_target(world, tick, "target_deregistered");
                 }
             }
+            TargetChange::Noticed { ticket, instance, notice } => {
+                let (ticket, instance, notice) = (*ticket, instance.clone(), *notice);
+                apply_notice(world, tick, ticket, &instance, notice);
+            }
             TargetChange::Lost => mark_lost(world, tick),
         }
     }
@@ -110,6 +117,9 @@
     target.report = report;
     if is_new {
         target.health.record_success();
+        target.since = tick.now;
+        target.says_leaving = false;
+        target.rate_limit = None;
     }
     if has_moved {
         tick.commands.push(Command::Target(Some(target_address)));
@@ -136,6 +146,72 @@
     report.started != target.report.started || report.instance != target.report.instance
 }
 
+/// Records what a response states about the target, unless it comes from an earlier process.
+fn apply_notice(
+    world: &mut World,
+    tick: &mut Tick,
+    ticket: Ticket,
+    instance: &CompactString,
+    notice: Notice,
+) {
+    let tables = &mut world.tables;
+    let call = tables.calls.by_ticket(ticket).and_then(|call| tables.calls.get(call));
+    let target = &mut tables.target;
+    let is_current =
+        *instance == target.report.instance && call.is_none_or(|call| call.since >= target.since);
+    if !is_current {
+        let entry = Entry::new(Level::Info, "target_notice_ignored")
+            .with("instance", instance.clone())
+            .with("known_instance", target.report.instance.clone());
+        return tick.log(entry);
+    }
+    let request = call.map(|call| call.id.clone()).unwrap_or_default();
+    if notice.leaving && !target.says_leaving {
+        target.says_leaving = true;
+        let entry = Entry::new(Level::Info, "target_leaving")
+            .on(&request)
+            .with("instance", instance.clone())
+            .with("running", target.running)
+            .with("queued", target.queued);
+        tick.log(entry);
+    }
+    let known = target.rate_limit;
+    match notice.rate_limit {
+        RateLimit::Absent => {}
+        RateLimit::Unreadable => {
+            let entry = Entry::new(Level::Warn, "target_rate_limit_unreadable")
+                .on(&request)
+                .with("instance", instance.clone())
+                .with("kept", known.is_some());
+            tick.log(entry);
+        }
+        RateLimit::Stated(rate) => {
+            target.rate_limit = Some(StatedRate { rate, at: tick.now });
+            if known.is_some_and(|known| !is_notable_change(known.rate, rate)) {
+                return;
+            }
+            let entry = Entry::new(Level::Info, "target_rate_limit")
+                .on(&request)
+                .with("instance", instance.clone())
+                .with("rate", rate.to_compact_string())
+                .with("running", target.running)
+                .with("queued", target.queued);
+            tick.log(match known {
+                Some(known) => entry
+                    .with("before", known.rate.to_compact_string())
+                    .with("before_age", tick.now - known.at),
+                None => entry,
+            });
+        }
+    }
+}
+
+/// Whether two rates differ by more than a fraction of the earlier one.
+fn is_notable_change(before: Rate, after: Rate) -> bool {
+    const CHANGE_DIVISOR: u64 = 8;
+    before.0.abs_diff(after.0) > before.0 / CHANGE_DIVISOR
+}
+
 fn log_target(world: &World, tick: &mut Tick, event: &'static str) {
     let report = &world.tables.target.report;
     let entry = Entry::new(Level::Info, event)
--- a/crates/mustardpin-world/src/table/target.rs
+++ b/crates/mustardpin-world/src/table/target.rs
@@ -2,7 +2,7 @@
 
 use compact_str::CompactString;
 
-use crate::{clock::Millis, event::TargetReport, id::CallKey, table::health::Health};
+use crate::{clock::Millis, event::TargetReport, id::CallKey, notice::Rate, table::health::Health};
 
 /// The state of the local target, as this node knows it.
 #[derive(Debug, Default)]
@@ -15,6 +15,13 @@
     pub ignored: Option<Ignored>,
     /// When the last report arrived.
     pub reported_at: Millis,
+    /// When its process was first heard of.
+    pub since: Millis,
+    /// Whether one of its responses stated that it is leaving. Holds for the life of its process,
+    /// whatever its later reports say.
+    pub says_leaving: bool,
+    /// The rate limit that its responses state, while they do.
+    pub rate_limit: Option<StatedRate>,
     /// Until this time, the target is slower than usual after its start.
     pub cold_until: Millis,
     /// The number of requests running on the target, as counted by this node.
@@ -34,6 +41,15 @@
     pub health: Health,
 }
 
+/// A rate limit, and when it was last stated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StatedRate {
+    /// The requests per second that the target takes from all nodes together.
+    pub rate: Rate,
+    /// When a response last stated it.
+    pub at: Millis,
+}
+
 /// A report that was ignored, and the process that sent it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Ignored {
