Show that a target gets more requests than the rate that it states

What callers saw: a target in need gets far more requests than it says it takes. Change: the virtual targets can state a rate limit or that they leave, and a node can be restarted while its target runs on.

--- a/crates/mustardpin-virtual/src/fleet.rs
+++ b/crates/mustardpin-virtual/src/fleet.rs
@@ -17,6 +17,7 @@
     event::{Proposal, ProposalTicket},
     id::{KeyDigest, NodeId, Revision},
     log::Entry,
+    notice::Notice,
     request::{self, ForwardEnd, Load, Origin, RunEnd, Ticket, Verdict},
     store::{self, Announcement},
 };
@@ -277,21 +278,29 @@
     /// Kills a node's process and starts a new one, with a new id and no state. The target at the
     /// site is restarted too.
     pub fn restart(&mut self, site: Site) {
+        let now = self.now;
+        let target = &mut self.nodes[site.0].target;
+        target.started = now;
+        target.up = true;
+        target.draining = false;
+        target.notice = Notice::default();
+        self.restart_node(site);
+    }
+
+    /// Kills a node's process and starts a new one, with a new id and no state. The target at the
+    /// site runs on, but loses its work.
+    pub fn restart_node(&mut self, site: Site) {
         self.kill(site);
         let epoch = self.nodes[site.0].epoch;
         let data_centre = self.nodes[site.0].data_centre.clone();
         let service = self.nodes[site.0].target.service.name.clone();
         let world = self.new_world(site, epoch, &data_centre, &service);
-        let now = self.now;
         let node = &mut self.nodes[site.0];
-        node.target.started = now;
         node.world = world;
         node.up = true;
         node.exited = false;
         node.frozen = false;
         node.load = Load::default();
-        node.target.up = true;
-        node.target.draining = false;
         self.boot(site);
     }
 
--- a/crates/mustardpin-virtual/src/fleet/run.rs
+++ b/crates/mustardpin-virtual/src/fleet/run.rs
@@ -4,6 +4,7 @@
     Event, Millis,
     event::TargetReport,
     hash,
+    notice::Notice,
     request::{self, Fingerprint, Origin, RunEnd, Ticket},
 };
 
@@ -50,6 +51,7 @@
         self.ran.push(RunRecord {
             at: self.now,
             node: self.nodes[site.0].world.identity().node(),
+            site,
             path: exchange.request.path.clone(),
             fingerprint: Fingerprint(exchange.request.fingerprint),
             key_id: key.map(|key| caller::key_id(key).to_owned()),
@@ -157,6 +159,12 @@
         let node = &mut self.nodes[site.0];
         let progress = node.target.progress.remove(&ticket);
         node.target.busy.remove(&ticket);
+        let (notice, instance) = (node.target.notice, node.world.identity().name().clone());
+        if notice != Notice::default() {
+            let event = Event::TargetNotice { ticket, instance, notice };
+            self.deliver_later(site, Millis(0), event);
+        }
+        let node = &mut self.nodes[site.0];
         let body = format!("run {}", progress.map_or(0, |progress| progress.run)).into_bytes();
         self.handle_response(site, ticket, Response { status, body }, 0);
         let end = RunEnd::Answered { status, report: None };
--- a/crates/mustardpin-virtual/src/target.rs
+++ b/crates/mustardpin-virtual/src/target.rs
@@ -6,11 +6,14 @@
     Millis,
     event::TargetReport,
     id::NodeId,
+    notice::{Notice, Rate, RateLimit},
     request::{CallToken, Fingerprint, Ticket},
 };
 use rand::RngExt as _;
 use rand_pcg::Pcg64Mcg;
 
+use crate::fleet::Site;
+
 /// How the targets of a service behave.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Service {
@@ -73,6 +76,8 @@
     pub at: Millis,
     /// The node in front of the target.
     pub node: NodeId,
+    /// The site of that node.
+    pub site: Site,
     /// The path of the request.
     pub path: String,
     /// The digest of the request.
@@ -98,6 +103,8 @@
     pub up: bool,
     /// Whether it reports that it is draining.
     pub draining: bool,
+    /// What its responses state about it.
+    pub notice: Notice,
     /// When its process started.
     pub started: Millis,
     /// How many times it crashed.
@@ -133,6 +140,7 @@
             poison: BTreeSet::new(),
             up: true,
             draining: false,
+            notice: Notice::default(),
             started: Millis::ZERO,
             crashes: 0,
             report_sequence: 0,
@@ -143,6 +151,12 @@
         }
     }
 
+    /// Sets the rate limit that its responses state, in requests per second; `None` for none.
+    pub fn state_rate_limit(&mut self, per_second: Option<f64>) {
+        let rate = per_second.map(|per_second| Rate::of(per_second).expect("a valid rate"));
+        self.notice.rate_limit = rate.map_or(RateLimit::Absent, RateLimit::Stated);
+    }
+
     /// Returns the report that the target sends, given its actual state.
     pub(crate) fn distort_report(
         &mut self,
--- a/crates/mustardpin-virtual/tests/testsuite/main.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod membership;
 mod once;
 mod overload;
+mod pacing;
 mod path;
 mod quarantine;
 mod rate_limit;
