Keep the requests to a target within the rate limit that it states

What callers saw: a target in need gets more requests than the rate that it states (LIMIT), and is slower for all of them. Cause: requests were sent by the target's slots alone; nothing read the rate. Class: a bound that a target states about itself and no decision depends on. Change: a token bucket at the node beside the target, which all requests to it pass through, decides when they are sent. A request that would wait for a token for more than 50 ms goes to another target. By Little's law the rate gives the number of runs that the node reports to peers as its limit, so routing, queue and load shedding follow it.

--- a/crates/mustardpin-node/src/traffic/exchanges.rs
+++ b/crates/mustardpin-node/src/traffic/exchanges.rs
@@ -185,9 +185,11 @@
         if notice == Notice::default() {
             return;
         }
-        if let Some(instance) = self.target.instance(generation) {
-            self.outbox.push(Event::TargetNotice { ticket, instance, notice });
-        }
+        let Some(instance) = self.target.instance(generation) else { return };
+        // Peers that pass the response on must not miss what it states if this process ends before
+        // the control thread has published the change.
+        self.load.lock().unwrap_or_else(PoisonError::into_inner).apply(notice);
+        self.outbox.push(Event::TargetNotice { ticket, instance, notice });
     }
 
     /// Ends a run on the local target. `response` is the complete response, if there is one.
--- a/crates/mustardpin-virtual/src/fleet/run.rs
+++ b/crates/mustardpin-virtual/src/fleet/run.rs
@@ -161,10 +161,10 @@
         node.target.busy.remove(&ticket);
         let (notice, instance) = (node.target.notice, node.world.identity().name().clone());
         if notice != Notice::default() {
+            node.load.apply(notice);
             let event = Event::TargetNotice { ticket, instance, notice };
             self.deliver_later(site, Millis(0), event);
         }
-        let node = &mut self.nodes[site.0];
         let body = format!("run {}", progress.map_or(0, |progress| progress.run)).into_bytes();
         self.handle_response(site, ticket, Response { status, body }, 0);
         let end = RunEnd::Answered { status, report: None };
--- a/crates/mustardpin-virtual/tests/testsuite/scenario.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/scenario.rs
@@ -70,7 +70,17 @@
 
     /// Like [`Scenario::start`], with more rows in the configuration.
     pub fn start_with(seed: u64, cut_off: CutOffPolicy, extra_rows: Vec<Row>) -> Scenario {
-        let mut fleet = Fleet::new(seed, Options::default());
+        Scenario::start_with_options(seed, cut_off, extra_rows, Options::default())
+    }
+
+    /// Like [`Scenario::start_with`], with these options of the systems.
+    pub fn start_with_options(
+        seed: u64,
+        cut_off: CutOffPolicy,
+        extra_rows: Vec<Row>,
+        options: Options,
+    ) -> Scenario {
+        let mut fleet = Fleet::new(seed, options);
         for data_centre in DATA_CENTRES {
             for _ in 0..3 {
                 fleet.add(data_centre, Service::leaf("search", 4, 5.0));
--- a/crates/mustardpin-wire/src/frame.rs
+++ b/crates/mustardpin-wire/src/frame.rs
@@ -10,7 +10,8 @@
 use mustardpin_world::{
     Millis,
     config::{Importance, Rank},
-    id::{KeyDigest, NodeId, Revision},
+    id::{KeyDigest, NodeId, Revision, TargetId},
+    notice::Rate,
     refusal::{Outcome, Reason, Refusal},
     request::{self, Fingerprint, Forwarded, Load},
 };
@@ -23,7 +24,7 @@
 /// The size of the prefix that holds a frame's length, in bytes.
 const PREFIX_BYTES: usize = 4;
 /// The version of the protocol between nodes.
-pub const PROTOCOL_VERSION: u16 = 3;
+pub const PROTOCOL_VERSION: u16 = 4;
 
 /// Why a frame can't be encoded or decoded.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -168,6 +169,36 @@
     }
 }
 
+/// What a node knows of the rate limit of its target, in thousandths of a request per second.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[allow(missing_docs, reason = "mirrors mustardpin_world::request::TargetRate")]
+pub enum TargetRate {
+    Unknown,
+    Unlimited,
+    Limited(u64),
+}
+
+impl From<request::TargetRate> for TargetRate {
+    fn from(rate: request::TargetRate) -> TargetRate {
+        match rate {
+            request::TargetRate::Unknown => TargetRate::Unknown,
+            request::TargetRate::Unlimited => TargetRate::Unlimited,
+            request::TargetRate::Limited(rate) => TargetRate::Limited(rate.0),
+        }
+    }
+}
+
+impl From<TargetRate> for request::TargetRate {
+    fn from(rate: TargetRate) -> request::TargetRate {
+        match rate {
+            TargetRate::Unknown => request::TargetRate::Unknown,
+            TargetRate::Unlimited => request::TargetRate::Unlimited,
+            TargetRate::Limited(rate) => request::TargetRate::Limited(Rate(rate).min(Rate::MAX)),
+        }
+    }
+}
+
 /// The load of a node's target, as the node reports it to its peers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -179,6 +210,9 @@
     pub limit: u32,
     pub demand: u32,
     pub revision: u64,
+    pub target: u64,
+    pub leaving: bool,
+    pub rate: TargetRate,
 }
 
 impl From<Load> for LoadReport {
@@ -190,6 +224,9 @@
             limit: load.limit,
             demand: load.demand,
             revision: load.revision.0,
+            target: load.target.0,
+            leaving: load.leaving,
+            rate: load.rate.into(),
         }
     }
 }
@@ -203,6 +240,9 @@
             limit: load.limit,
             demand: load.demand,
             revision: Revision(load.revision),
+            target: TargetId(load.target),
+            leaving: load.leaving,
+            rate: load.rate.into(),
         }
     }
 }
--- a/crates/mustardpin-wire/src/message.rs
+++ b/crates/mustardpin-wire/src/message.rs
@@ -4,8 +4,9 @@
 use derive_more::{Display, Error, From};
 use mustardpin_world::{
     Millis,
-    id::{self, Revision},
+    id::{self, Revision, TargetId},
     message::{self, rate_limit::Shard},
+    notice::Rate,
     request::Fingerprint,
 };
 use serde::{Deserialize, Serialize};
@@ -25,7 +26,8 @@
 ///
 /// `AskFreshness` and `TellFreshness` are a freshness query and its reply. `Draw` holds lease
 /// requests as (team, shard, wanted tokens), and `Grant` the lease grants as (tokens, time until the
-/// next token).
+/// next token). `RecallTarget` reminds a restarted node of what its target has stated, with a rate in
+/// thousandths of a request per second.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
 #[allow(missing_docs, reason = "mirrors the messages of mustardpin_world::message")]
@@ -41,6 +43,7 @@
     Costs(Vec<Cost>),
     Crashed { crash: u64, requests: Vec<u64>, tried: Option<u64> },
     Cleared(u64),
+    RecallTarget { target: u64, leaving: bool, rate: Option<u64>, age: u64 },
 }
 
 /// A version of the store's content.
@@ -103,6 +106,7 @@
                 Message::Costs(costs.map(Cost::from).collect())
             }
             message::Message::Quarantine(message) => message.into(),
+            message::Message::Target(message) => message.into(),
         }
     }
 }
@@ -174,6 +178,14 @@
     }
 }
 
+impl From<message::target::Message> for Message {
+    fn from(message: message::target::Message) -> Message {
+        let message::target::Message { target, leaving, rate, age } = message;
+        let rate = rate.map(|rate| rate.0);
+        Message::RecallTarget { target: target.0, leaving, rate, age: age.0 }
+    }
+}
+
 impl TryFrom<Message> for message::Message {
     type Error = Error;
 
@@ -236,6 +248,13 @@
                 let tried = tried.map(Fingerprint);
                 message::quarantine::Message::Crashed { crash, requests, tried }.into()
             }
+            Message::RecallTarget { target, leaving, rate, age } => message::target::Message {
+                target: TargetId(target),
+                leaving,
+                rate: rate.map(|rate| Rate(rate).min(Rate::MAX)),
+                age: Millis(age),
+            }
+            .into(),
             Message::Cleared(request) => {
                 message::quarantine::Message::Cleared(Fingerprint(request)).into()
             }
--- a/crates/mustardpin-wire/tests/testsuite/frame.rs
+++ b/crates/mustardpin-wire/tests/testsuite/frame.rs
@@ -3,7 +3,7 @@
 
 use bytes::BytesMut;
 use mustardpin_wire::frame::{
-    self, Body, Head, Hello, LoadReport, Nesting, PROTOCOL_VERSION, Request,
+    self, Body, Head, Hello, LoadReport, Nesting, PROTOCOL_VERSION, Request, TargetRate,
 };
 use mustardpin_wire::store::Announcement;
 use mustardpin_world::{
@@ -16,9 +16,15 @@
 use proptest::{collection::vec, option, prelude::*, sample::select};
 
 fn load() -> impl Strategy<Value = LoadReport> {
-    (any::<bool>(), any::<(u32, u32, u32, u32, u64)>()).prop_map(|(open, numbers)| {
-        let (running, queued, limit, demand, revision) = numbers;
-        LoadReport { open, running, queued, limit, demand, revision }
+    let rate = prop_oneof![
+        Just(TargetRate::Unknown),
+        Just(TargetRate::Unlimited),
+        any::<u64>().prop_map(TargetRate::Limited),
+    ];
+    let numbers = any::<(u32, u32, u32, u32, u64, u64)>();
+    (any::<(bool, bool)>(), numbers, rate).prop_map(|((open, leaving), numbers, rate)| {
+        let (running, queued, limit, demand, revision, target) = numbers;
+        LoadReport { open, running, queued, limit, demand, revision, target, leaving, rate }
     })
 }
 
--- a/crates/mustardpin-world/src/id.rs
+++ b/crates/mustardpin-world/src/id.rs
@@ -1,14 +1,40 @@
 //! Identifiers that are valid in every process, and the `Copy` keys of this node's arenas.
 
+use compact_str::ToCompactString as _;
 use derive_more::Display;
 use sha2::{Digest as _, Sha256};
 use subtle::ConstantTimeEq as _;
 
+use crate::{clock::Millis, hash};
+
 /// The id of one incarnation of a node: a random number chosen when its process starts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Display)]
 #[display("{_0:016x}")]
 pub struct NodeId(pub u64);
 
+/// Identifies a process of a target, by its instance id and its start: the same on every node. The
+/// default value stands for a target that reports neither.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Display)]
+#[display("{_0:016x}")]
+pub struct TargetId(pub u64);
+
+impl TargetId {
+    /// The id of the process with this instance id that started at this time, by its own clock.
+    ///
+    /// ```
+    /// use mustardpin_world::{Millis, id::TargetId};
+    ///
+    /// assert_ne!(TargetId::of("ledger-1", Millis(1)), TargetId::of("ledger-1", Millis(2)));
+    /// assert_eq!(TargetId::of("", Millis(0)), TargetId::default());
+    /// ```
+    pub fn of(instance: &str, started: Millis) -> TargetId {
+        if instance.is_empty() && started == Millis::ZERO {
+            return TargetId::default();
+        }
+        TargetId(hash::of(&[instance, &started.0.to_compact_string()]))
+    }
+}
+
 /// A revision of the configuration. Grows with every accepted change.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Display)]
 pub struct Revision(pub u64);
--- a/crates/mustardpin-world/src/message.rs
+++ b/crates/mustardpin-world/src/message.rs
@@ -7,6 +7,7 @@
 pub mod quarantine;
 pub mod rate_limit;
 pub mod shedding;
+pub mod target;
 
 use derive_more::From;
 
@@ -26,4 +27,6 @@
     Shedding(shedding::Message),
     /// Crashes of targets, and the requests that were running then.
     Quarantine(quarantine::Message),
+    /// What the receiver's target has stated about itself.
+    Target(target::Message),
 }
--- a/crates/mustardpin-world/src/refusal.rs
+++ b/crates/mustardpin-world/src/refusal.rs
@@ -82,6 +82,8 @@
     RetryAllowance = "retry_allowance", 503;
     /// The queue is full of requests of no lower importance.
     QueueFull = "queue_full", 503;
+    /// The target has got as many requests as the rate limit that it states allows.
+    TargetRateLimit = "target_rate_limit", 503;
     /// A service that the request leads to is overloaded.
     Shed = "shed", 503;
     /// No target that serves the route can be reached.
--- a/crates/mustardpin-world/src/request.rs
+++ b/crates/mustardpin-world/src/request.rs
@@ -5,7 +5,8 @@
 use crate::{
     clock::Millis,
     config::Rank,
-    id::{KeyDigest, NodeId, Revision},
+    id::{KeyDigest, NodeId, Revision, TargetId},
+    notice::{Notice, Rate, RateLimit},
     refusal::{Outcome, Refusal},
 };
 
@@ -172,6 +173,18 @@
     Cancelled,
 }
 
+/// What a node knows of the rate limit of its target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum TargetRate {
+    /// Nothing: the target has not responded since the node started.
+    #[default]
+    Unknown,
+    /// The target takes requests without a rate limit.
+    Unlimited,
+    /// The target takes this rate, of the requests of all nodes together.
+    Limited(Rate),
+}
+
 /// The load of a node's target, as the node reports it to its peers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Load {
@@ -181,12 +194,39 @@
     pub running: u32,
     /// Requests waiting in the node's queue.
     pub queued: u32,
-    /// How many requests the target may run at once.
+    /// How many requests the target may run at once, on average if it has a rate limit.
     pub limit: u32,
     /// The demand on the target, in thousandths of its capacity.
     pub demand: u32,
     /// The revision of the node's configuration.
     pub revision: Revision,
+    /// The process of the target.
+    pub target: TargetId,
+    /// Whether the target has stated that it is leaving.
+    pub leaving: bool,
+    /// The rate limit of the target.
+    pub rate: TargetRate,
+}
+
+impl Load {
+    /// Applies what a response of the target states about it.
+    ///
+    /// ```
+    /// use mustardpin_world::{notice::{Notice, RateLimit}, request::Load};
+    ///
+    /// let mut load = Load { open: true, ..Load::default() };
+    /// load.apply(Notice { leaving: true, rate_limit: RateLimit::Absent });
+    /// assert!(load.leaving && !load.open);
+    /// ```
+    pub fn apply(&mut self, notice: Notice) {
+        if notice.leaving {
+            self.leaving = true;
+            self.open = false;
+        }
+        if let RateLimit::Stated(rate) = notice.rate_limit {
+            self.rate = TargetRate::Limited(rate);
+        }
+    }
 }
 
 /// The arguments of [`crate::Command::Run`].
--- a/crates/mustardpin-world/src/system.rs
+++ b/crates/mustardpin-world/src/system.rs
@@ -9,6 +9,7 @@
 mod freshness;
 mod intake;
 mod limit;
+mod pacing;
 mod permission;
 mod proposal;
 mod quarantine;
@@ -49,6 +50,7 @@
     pub(crate) freshness: freshness::State,
     pub(crate) limit: limit::State,
     pub(crate) shedding: shedding::State,
+    pub(crate) pacing: pacing::State,
     pub(crate) proposal: proposal::State,
     pub(crate) quarantine: quarantine::State,
     pub(crate) queueing: queueing::State,
@@ -70,6 +72,7 @@
             freshness: freshness::State::default(),
             limit: limit::State::new(&options.limit),
             shedding: shedding::State::default(),
+            pacing: pacing::State::default(),
             proposal: proposal::State::default(),
             quarantine: quarantine::State::default(),
             queueing: queueing::State::new(&options.queueing),
@@ -117,6 +120,7 @@
     pub(crate) rate_limits: Vec<(NodeId, message::rate_limit::Message)>,
     pub(crate) shedding: Vec<(NodeId, message::shedding::Message)>,
     pub(crate) quarantine: Vec<(NodeId, message::quarantine::Message)>,
+    pub(crate) target_messages: Vec<(NodeId, message::target::Message)>,
     pub(crate) store: Vec<(store::Ticket, store::Reply)>,
     pub(crate) target: Vec<TargetChange>,
     pub(crate) proposals: Vec<(ProposalTicket, Proposal)>,
@@ -176,6 +180,7 @@
             Message::RateLimit(message) => self.rate_limits.push((from, message)),
             Message::Shedding(message) => self.shedding.push((from, message)),
             Message::Quarantine(message) => self.quarantine.push((from, message)),
+            Message::Target(message) => self.target_messages.push((from, message)),
         }
     }
 }
@@ -205,6 +210,7 @@
     proposal::run(world, tick);
     registration::run(world, tick);
     limit::run(world, tick);
+    pacing::run(world, tick);
     ejection::run(world, tick);
     shedding::observe(world, tick);
     quarantine::observe(world, tick);
--- a/crates/mustardpin-world/src/system/finish.rs
+++ b/crates/mustardpin-world/src/system/finish.rs
@@ -6,7 +6,7 @@
     log::{Entry, Level},
     refusal::{Outcome, Refusal},
     request::Verdict,
-    system::resend,
+    system::{pacing, resend},
     table::{
         Tables,
         call::{Call, Stage},
@@ -101,6 +101,7 @@
         .with("limit", target.limit)
         .with("revision", tables.configuration.revision.0)
         .with("configuration_age", tables.freshness.age);
+    let entry = pacing::with_rate(entry, &target.pace, tick.now);
     match peer {
         Some(peer) => entry.with("peer", peer.announcement.name.clone()),
         None => entry,
--- a/crates/mustardpin-world/src/system/fleet.rs
+++ b/crates/mustardpin-world/src/system/fleet.rs
@@ -93,6 +93,8 @@
     for (from, load) in std::mem::take(&mut tick.inbox.loads) {
         let Some(key) = world.tables.peers.by_node(from) else { continue };
         let Some(peer) = world.tables.peers.get_mut(key) else { continue };
+        let name = &peer.announcement.name;
+        world.tables.statements.record(name, &load, tick.now);
         peer.load = Some(load);
         peer.load_as_of = tick.now;
         peer.unreported = 0;
--- a/crates/mustardpin-world/src/system/intake.rs
+++ b/crates/mustardpin-world/src/system/intake.rs
@@ -236,6 +236,7 @@
         peer: None,
         tried: Default::default(),
         abandoned: false,
+        states_rate_limit: false,
         cancelling: false,
         lineage: Default::default(),
     };
--- a/crates/mustardpin-world/src/system/queueing.rs
+++ b/crates/mustardpin-world/src/system/queueing.rs
@@ -21,7 +21,7 @@
     options::{self, Queueing},
     refusal::{Reason, Refusal},
     request::{Nesting, Run, Verdict},
-    system::{finish, permission, shedding},
+    system::{finish, pacing, permission, routing, shedding},
     table::{
         call::{Call, Stage},
         counter::Work,
@@ -37,6 +37,9 @@
 const SWEEP_INTERVAL: Millis = Millis(50);
 /// How long a caller should wait before it retries a refused request.
 const RETRY_AFTER: Millis = Millis(500);
+/// The maximum time that a call may wait for a token of the target's rate limit. After that, another
+/// target is likely to run it sooner.
+const MAX_TOKEN_WAIT: Millis = Millis(50);
 /// The minimum capacity of the queue. A shorter queue is never too long, since estimates of the
 /// wait are rough.
 const MIN_CAPACITY: usize = 4;
@@ -126,7 +129,7 @@
         let Some(call) = world.tables.calls.get(key) else { continue };
         let entry = queue_entry(world, key, call);
         if would_wait_too_long(world, tick.now, call, entry) {
-            refuse(world, tick, key, Reason::QueueFull);
+            refuse_excess(world, tick, key);
             continue;
         }
         world.systems.queueing.discipline.push(entry);
@@ -135,6 +138,18 @@
     dispatch_queued(world, tick);
     evict(world, tick);
     world.tables.target.queued = world.systems.queueing.discipline.len() as u32;
+    wake_for_token(world, tick);
+}
+
+/// Schedules a tick for when the first call in the queue gets its token.
+fn wake_for_token(world: &World, tick: &mut Tick) {
+    let target = &world.tables.target;
+    if target.queued == 0 || target.running >= target.limit {
+        return;
+    }
+    if let Some(pace) = target.pace {
+        tick.wake(tick.now + pace.wait(tick.now, 0).max(Millis(1)));
+    }
 }
 
 /// Empties the queue. Returns the calls that were in it.
@@ -170,13 +185,16 @@
         return false;
     }
     let target = &world.tables.target;
+    let options = &world.options.queueing;
     let ahead = world.systems.queueing.discipline.ahead_of(entry.class);
+    if target.pace.is_some_and(|pace| pace.wait(now, ahead) > MAX_TOKEN_WAIT) {
+        return true;
+    }
     if ahead < MIN_CAPACITY && target.is_open() {
         return false;
     }
-    let limit = u64::from(target.sustained_limit.max(1));
+    let limit = u64::from(target.throughput_limit.max(1));
     let wait = Millis((ahead as u64).saturating_mul(target.latency.0) / limit);
-    let options = &world.options.queueing;
     wait > max_wait(options, call) || now + wait + min_run_time(world, now) > call.deadline
 }
 
@@ -225,7 +243,7 @@
 
 fn has_free_slot(world: &World, now: Millis) -> bool {
     let target = &world.tables.target;
-    if !target.present {
+    if !target.present || target.pace.is_some_and(|pace| !pace.has_token(now)) {
         return false;
     }
     match target.health.ejection_state(now, target.running) {
@@ -240,7 +258,7 @@
     let capacity = capacity(world);
     while world.systems.queueing.discipline.len() > capacity {
         let Some(entry) = world.systems.queueing.discipline.evict() else { return };
-        refuse(world, tick, entry.call, Reason::QueueFull);
+        refuse_excess(world, tick, entry.call);
     }
 }
 
@@ -251,12 +269,30 @@
     if !target.is_open() && !target.present {
         return 0;
     }
-    let limit = u64::from(target.sustained_limit.max(1));
+    let limit = u64::from(target.throughput_limit.max(1));
     let wait = options.wait.max(options.nested_wait);
     let capacity = limit.saturating_mul(wait.0) / target.latency.0.max(1);
     (capacity as usize).max(MIN_CAPACITY).min(options.capacity)
 }
 
+/// Refuses a call that the target has no room for. A caller's call that exceeds the target's rate
+/// limit goes to another target if there is one.
+fn refuse_excess(world: &mut World, tick: &mut Tick, key: CallKey) {
+    let target = &world.tables.target;
+    let is_rate_limited =
+        target.running < target.limit && target.pace.is_some_and(|pace| !pace.has_token(tick.now));
+    if !is_rate_limited {
+        return refuse(world, tick, key, Reason::QueueFull);
+    }
+    let Some(call) = world.tables.calls.get_mut(key) else { return };
+    call.lineage.local_tried = true;
+    if call.from.is_none() && routing::has_destination(world, tick.now, key) {
+        world.tables.calls.advance(key, Stage::Routing, tick.now);
+        return tick.wake(tick.now);
+    }
+    refuse(world, tick, key, Reason::TargetRateLimit);
+}
+
 fn refuse(world: &mut World, tick: &mut Tick, key: CallKey, reason: Reason) {
     let refusal = Refusal::not_run(reason).after(RETRY_AFTER);
     finish::run(world, tick, key, Verdict::Refuse(refusal));
@@ -282,7 +318,7 @@
             .with("running", target.running)
             .with("limit", target.limit)
             .with("left", call.deadline - tick.now);
-        tick.log(log_entry);
+        tick.log(pacing::with_rate(log_entry, &target.pace, tick.now));
     }
     let team = call.team.filter(|_| call.from.is_none());
     let team = team.and_then(|team| world.tables.teams.get(team));
@@ -297,6 +333,9 @@
     world.systems.queueing.last_run = tick.now;
     world.tables.latencies.record_step(Step::Queue, tick.now - entry.queued_at);
     let tables = &mut world.tables;
+    if let Some(pace) = &mut tables.target.pace {
+        pace.take(tick.now);
+    }
     tables.target.running += 1;
     tables.counters.count_work(Work::Run);
     tables.calls.advance(key, Stage::Running, tick.now);
--- a/crates/mustardpin-world/src/system/resend.rs
+++ b/crates/mustardpin-world/src/system/resend.rs
@@ -100,7 +100,11 @@
 fn is_overload(reason: Reason) -> bool {
     matches!(
         reason,
-        Reason::QueueFull | Reason::Shed | Reason::DeadlineBeforeRun | Reason::DeadlineDuringRun
+        Reason::QueueFull
+            | Reason::TargetRateLimit
+            | Reason::Shed
+            | Reason::DeadlineBeforeRun
+            | Reason::DeadlineDuringRun
     )
 }
 
--- a/crates/mustardpin-world/src/system/retry.rs
+++ b/crates/mustardpin-world/src/system/retry.rs
@@ -187,6 +187,7 @@
             | Reason::CutOff
             | Reason::NoTarget
             | Reason::QueueFull
+            | Reason::TargetRateLimit
             | Reason::InProgressLimit,
         ) => Cause::free(Retry::Refused),
         (_, Reason::TargetFailed | Reason::Leaving) if call.repeatable => {
--- a/crates/mustardpin-world/src/system/routing.rs
+++ b/crates/mustardpin-world/src/system/routing.rs
@@ -12,7 +12,7 @@
     id::{CallKey, PeerKey},
     log::{Entry, Level},
     refusal::{Reason, Refusal},
-    request::{Forward, Forwarded, Verdict},
+    request::{Forward, Forwarded, TargetRate, Verdict},
     system::{finish, retry, shedding},
     table::{
         call::{Call, Stage},
@@ -35,6 +35,9 @@
 /// Costs that differ by less than this, in runs, count as equal: the choice among them is random,
 /// so that nodes do not all choose the same target.
 const COST_TOLERANCE: f32 = 0.15;
+/// The additional cost of a target with a rate limit for a call that another target had no room for,
+/// in runs. Its load may have changed since it was reported, and a call is rerouted a few times only.
+const REROUTED_COST: f32 = 1.0;
 /// How long a caller should wait before it retries a refused request.
 const RETRY_AFTER: Millis = Millis(500);
 
@@ -130,7 +133,7 @@
     if target.health.ejection_state(now, target.running) == EjectionState::Ejected {
         return None;
     }
-    let cost = 1.0 + congestion_cost(target.running + target.queued, target.limit);
+    let cost = 1.0 + congestion_cost(target.running + target.queued, target.usable_limit());
     Some(Candidate { destination: Destination::Local, cost })
 }
 
@@ -155,7 +158,9 @@
         true => 0.0,
         false => world.options.routing.local_preference as f32 / 100.0,
     };
-    Some(peer.latency_ratio + congestion_cost(pending, limit) + distance)
+    let is_limited = matches!(load.rate, TargetRate::Limited(_));
+    let rerouted = if is_limited && call.lineage.reroutes > 0 { REROUTED_COST } else { 0.0 };
+    Some(peer.latency_ratio + congestion_cost(pending, limit) + distance + rerouted)
 }
 
 /// The cost of the congestion that `pending` requests cause at a target with this limit, in runs.
--- a/crates/mustardpin-world/src/system/shedding.rs
+++ b/crates/mustardpin-world/src/system/shedding.rs
@@ -16,7 +16,8 @@
     command::Command,
     id::{CallKey, RouteKey},
     refusal::Refusal,
-    request::Load,
+    request::{Load, TargetRate},
+    system::pacing,
     table::health::EjectionState,
     world::{Tick, World},
 };
@@ -85,15 +86,25 @@
         open: target.is_open() && !tables.leaving && !is_ejected,
         running: target.running,
         queued: target.queued,
-        limit: target.limit,
+        limit: target.usable_limit(),
         demand: demand(world),
         revision: tables.configuration.revision,
+        target: target.process,
+        leaving: target.says_leaving,
+        rate: pacing::target_rate(world),
     };
+    let is_paced = target.pace.is_some();
     let state = &mut world.systems.shedding;
-    let has_changed = load.open != state.broadcast.open || load.limit != state.broadcast.limit;
-    let urgent = has_changed || is_demand_change_urgent(state.broadcast, load);
+    let has_changed = has_changed(state.broadcast, load, is_paced);
+    let mut urgent = has_changed
+        || is_demand_change_urgent(state.broadcast, load)
+        || (is_paced && is_pace_change_urgent(state.broadcast, load));
     if urgent && !has_changed && tick.now < state.broadcast_at + MIN_BROADCAST_INTERVAL {
-        return tick.wake(state.broadcast_at + MIN_BROADCAST_INTERVAL);
+        tick.wake(state.broadcast_at + MIN_BROADCAST_INTERVAL);
+        if !is_paced {
+            return;
+        }
+        urgent = false;
     }
     if !urgent && !is_significant_change(state.published, load) {
         return;
@@ -106,6 +117,28 @@
     tick.commands.push(Command::Publish { load, urgent });
 }
 
+/// Whether peers have to hear of a load at once. The limit of a target with a rate limit changes with
+/// each run.
+fn has_changed(old: Load, new: Load, is_paced: bool) -> bool {
+    let is_limited = |load: Load| matches!(load.rate, TargetRate::Limited(_));
+    old.open != new.open
+        || old.leaving != new.leaving
+        || old.target != new.target
+        || is_limited(old) != is_limited(new)
+        || (old.limit != new.limit && !is_paced)
+}
+
+fn is_pace_change_urgent(old: Load, new: Load) -> bool {
+    /// Limits count as the same if they differ by at most the limit divided by this.
+    const CHANGE_DIVISOR: u32 = 4;
+
+    let is_rate_change = match (old.rate, new.rate) {
+        (TargetRate::Limited(old), TargetRate::Limited(new)) => pacing::is_notable_change(old, new),
+        _ => false,
+    };
+    is_rate_change || old.limit.abs_diff(new.limit) > old.limit / CHANGE_DIVISOR
+}
+
 fn is_demand_change_urgent(broadcast: Load, load: Load) -> bool {
     load.demand.max(broadcast.demand) >= BROADCAST_DEMAND
         && load.demand.abs_diff(broadcast.demand) >= MIN_BROADCAST_CHANGE
@@ -119,6 +152,7 @@
     let min_change = new.limit / CHANGE_DIVISOR;
     let pending = |load: Load| load.running + load.queued;
     pending(old).abs_diff(pending(new)) > min_change
+        || old.limit != new.limit
         || old.revision != new.revision
         || old.demand.abs_diff(new.demand) > 1_000 / CHANGE_DIVISOR
 }
--- a/crates/mustardpin-world/src/system/shedding/admission.rs
+++ b/crates/mustardpin-world/src/system/shedding/admission.rs
@@ -149,7 +149,7 @@
     let loads = loads.filter(|load| load.open).map(|load| (load.demand, load.limit));
     let target = &tables.target;
     let is_local = service.name == *world.identity.service() && target.is_open();
-    let local = is_local.then(|| (shedding::demand(world), target.limit));
+    let local = is_local.then(|| (shedding::demand(world), target.usable_limit()));
     let (mut requested, mut limits) = (0.0, 0.0);
     for (demand, limit) in loads.chain(local) {
         requested += f64::from(demand) / 1_000.0 * f64::from(limit);
--- a/crates/mustardpin-world/src/system/shedding/target_load.rs
+++ b/crates/mustardpin-world/src/system/shedding/target_load.rs
@@ -54,7 +54,7 @@
     let target = &world.tables.target;
     let elapsed = (tick.now - state.last_update).0.max(1) as f64;
     let requested = state.work / elapsed + f64::from(target.queued) * QUEUED_WEIGHT;
-    let limit = f64::from(target.sustained_limit.max(1));
+    let limit = f64::from(target.throughput_limit.max(1));
     let has_room = target.queued == 0 && f64::from(target.running) < limit * FULL_FRACTION;
     // While the target has free slots it keeps up with the demand, whatever its runs took before.
     let demand = (requested / limit).min(if has_room { 1.0 } else { f64::INFINITY });
--- a/crates/mustardpin-world/src/system/target.rs
+++ b/crates/mustardpin-world/src/system/target.rs
@@ -7,20 +7,22 @@
 //! that seems outdated keeps reporting in order, and nothing more is heard of the seemingly later
 //! one, the latter is given up after the time after which a silent target counts as lost.
 
-use compact_str::{CompactString, ToCompactString as _};
+use compact_str::CompactString;
 
 use crate::{
     clock::Millis,
     command::{Command, TargetAddress},
     event::TargetReport,
+    id::TargetId,
     log::{Entry, Level},
-    notice::{Notice, Rate, RateLimit},
+    notice::{Notice, RateLimit},
     refusal::{Reason, Refusal},
     request::{Ticket, Verdict},
-    system::{TargetChange, finish, queueing},
+    system::{TargetChange, finish, pacing, queueing},
     table::{
         call::Stage,
-        target::{Ignored, StatedRate, Target},
+        pace::Source,
+        target::{Ignored, Target},
     },
     world::{Tick, World},
 };
@@ -111,15 +113,22 @@
     let target_address =
         TargetAddress { address: report.address.clone(), instance: report.instance.clone() };
     let has_moved = is_new || !target.present || target.report.address != report.address;
+    let has_returned = !target.present;
     target.present = true;
     target.reported_at = tick.now;
     target.cold_until = tick.now + report.warm_up;
     target.report = report;
     if is_new {
         target.health.record_success();
+    }
+    // A target without an identity is taken for another process when it returns.
+    let is_other = is_new || (has_returned && target.process == TargetId::default());
+    if is_other {
         target.since = tick.now;
+        target.process = TargetId::of(&target.report.instance, target.report.started);
         target.says_leaving = false;
-        target.rate_limit = None;
+        target.pace = None;
+        target.unlimited_as_of = Millis::ZERO;
     }
     if has_moved {
         tick.commands.push(Command::Target(Some(target_address)));
@@ -127,6 +136,9 @@
     if is_change {
         log_target(world, tick, "target_reported");
     }
+    if is_other {
+        pacing::recall_all(world, tick);
+    }
 }
 
 /// Whether a report is older than the last one that was applied.
@@ -155,8 +167,9 @@
     notice: Notice,
 ) {
     let tables = &mut world.tables;
-    let call = tables.calls.by_ticket(ticket).and_then(|call| tables.calls.get(call));
-    let target = &mut tables.target;
+    let key = tables.calls.by_ticket(ticket);
+    let call = key.and_then(|key| tables.calls.get(key));
+    let target = &tables.target;
     let is_current =
         *instance == target.report.instance && call.is_none_or(|call| call.since >= target.since);
     if !is_current {
@@ -165,51 +178,39 @@
             .with("known_instance", target.report.instance.clone());
         return tick.log(entry);
     }
-    let request = call.map(|call| call.id.clone()).unwrap_or_default();
-    if notice.leaving && !target.says_leaving {
-        target.says_leaving = true;
-        let entry = Entry::new(Level::Info, "target_leaving")
-            .on(&request)
-            .with("instance", instance.clone())
-            .with("running", target.running)
-            .with("queued", target.queued);
-        tick.log(entry);
-    }
-    let known = target.rate_limit;
-    match notice.rate_limit {
-        RateLimit::Absent => {}
-        RateLimit::Unreadable => {
-            let entry = Entry::new(Level::Warn, "target_rate_limit_unreadable")
-                .on(&request)
-                .with("instance", instance.clone())
-                .with("kept", known.is_some());
-            tick.log(entry);
-        }
-        RateLimit::Stated(rate) => {
-            target.rate_limit = Some(StatedRate { rate, at: tick.now });
-            if known.is_some_and(|known| !is_notable_change(known.rate, rate)) {
-                return;
-            }
-            let entry = Entry::new(Level::Info, "target_rate_limit")
-                .on(&request)
-                .with("instance", instance.clone())
-                .with("rate", rate.to_compact_string())
-                .with("running", target.running)
-                .with("queued", target.queued);
-            tick.log(match known {
-                Some(known) => entry
-                    .with("before", known.rate.to_compact_string())
-                    .with("before_age", tick.now - known.at),
-                None => entry,
-            });
-        }
+    let request = call.map(|call| call.id.clone());
+    if notice.rate_limit != RateLimit::Absent
+        && let Some(call) = key.and_then(|key| tables.calls.get_mut(key))
+    {
+        call.states_rate_limit = true;
+    }
+    if notice.leaving {
+        mark_leaving(world, tick, request.clone(), Source::Target);
     }
+    pacing::apply(world, tick, request, notice.rate_limit);
 }
 
-/// Whether two rates differ by more than a fraction of the earlier one.
-fn is_notable_change(before: Rate, after: Rate) -> bool {
-    const CHANGE_DIVISOR: u64 = 8;
-    before.0.abs_diff(after.0) > before.0 / CHANGE_DIVISOR
+/// Records that the target is leaving, for the life of its process.
+pub(super) fn mark_leaving(
+    world: &mut World,
+    tick: &mut Tick,
+    request: Option<CompactString>,
+    source: Source,
+) {
+    let target = &mut world.tables.target;
+    if target.says_leaving {
+        return;
+    }
+    target.says_leaving = true;
+    let entry = Entry::new(Level::Info, "target_leaving")
+        .on(&request.unwrap_or_default())
+        .with("instance", target.report.instance.clone())
+        .with("running", target.running)
+        .with("queued", target.queued);
+    tick.log(match source {
+        Source::Target => entry.with("from", "target"),
+        Source::Peer(node) => entry.with("from", node),
+    });
 }
 
 fn log_target(world: &World, tick: &mut Tick, event: &'static str) {
--- a/crates/mustardpin-world/src/table.rs
+++ b/crates/mustardpin-world/src/table.rs
@@ -7,6 +7,7 @@
 pub mod exception;
 pub mod health;
 pub mod latency;
+pub mod pace;
 pub mod peer;
 pub mod rate_limit;
 pub mod registry;
@@ -14,6 +15,7 @@
 pub mod roster;
 pub mod route;
 pub mod service;
+pub mod statement;
 pub mod suspect;
 pub mod target;
 pub mod team;
@@ -44,6 +46,8 @@
     pub routes: route::Routes,
     /// Services, and the peers whose targets belong to them.
     pub services: service::Services,
+    /// What the targets of peers last stated about themselves.
+    pub statements: statement::Statements,
     /// Buckets and leased tokens of teams' rates.
     pub rate_limits: rate_limit::RateLimits,
     /// Requests that were running when a target crashed.
--- a/crates/mustardpin-world/src/table/call.rs
+++ b/crates/mustardpin-world/src/table/call.rs
@@ -131,6 +131,8 @@
     pub tried: SmallVec<[PeerKey; 4]>,
     /// Whether its caller no longer waits: the caller disconnected, or the parent call ended.
     pub abandoned: bool,
+    /// Whether the target's response states a rate limit.
+    pub states_rate_limit: bool,
     /// Whether an attempt is being cancelled.
     pub cancelling: bool,
     /// Its links to its nested calls, and its attempts so far.
--- a/crates/mustardpin-world/src/table/target.rs
+++ b/crates/mustardpin-world/src/table/target.rs
@@ -2,7 +2,12 @@
 
 use compact_str::CompactString;
 
-use crate::{clock::Millis, event::TargetReport, id::CallKey, notice::Rate, table::health::Health};
+use crate::{
+    clock::Millis,
+    event::TargetReport,
+    id::{CallKey, TargetId},
+    table::{health::Health, pace::Pace},
+};
 
 /// The state of the local target, as this node knows it.
 #[derive(Debug, Default)]
@@ -15,13 +20,18 @@
     pub ignored: Option<Ignored>,
     /// When the last report arrived.
     pub reported_at: Millis,
+    /// Identifies its process.
+    pub process: TargetId,
     /// When its process was first heard of.
     pub since: Millis,
     /// Whether one of its responses stated that it is leaving. Holds for the life of its process,
     /// whatever its later reports say.
     pub says_leaving: bool,
-    /// The rate limit that its responses state, while they do.
-    pub rate_limit: Option<StatedRate>,
+    /// Its rate limit, while it has one.
+    pub pace: Option<Pace>,
+    /// When the last request was sent that it answered without stating a rate limit; zero if there
+    /// is none.
+    pub unlimited_as_of: Millis,
     /// Until this time, the target is slower than usual after its start.
     pub cold_until: Millis,
     /// The number of requests running on the target, as counted by this node.
@@ -32,6 +42,9 @@
     pub limit: u32,
     /// The limit without the temporary reduction during a probe.
     pub sustained_limit: u32,
+    /// How many requests run at once on average if the target gets all that it may: the sustained
+    /// limit, or fewer with a rate limit.
+    pub throughput_limit: u32,
     /// The measured duration of a served run, smoothed.
     pub latency: Millis,
     /// The call that runs as a trial, since it may crash the target: no other suspect that needs a
@@ -41,15 +54,6 @@
     pub health: Health,
 }
 
-/// A rate limit, and when it was last stated.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct StatedRate {
-    /// The requests per second that the target takes from all nodes together.
-    pub rate: Rate,
-    /// When a response last stated it.
-    pub at: Millis,
-}
-
 /// A report that was ignored, and the process that sent it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Ignored {
@@ -66,7 +70,12 @@
 }
 
 impl Target {
-    /// Whether the target accepts new requests, according to its last report.
+    /// How many requests may run at once, on average if the target has a rate limit.
+    pub fn usable_limit(&self) -> u32 {
+        self.limit.min(self.throughput_limit)
+    }
+
+    /// Whether the target accepts new requests, according to its last report and its responses.
     pub fn is_open(&self) -> bool {
         self.present && !self.report.draining
     }
--- a/crates/mustardpin-world/tests/testsuite/extreme.rs
+++ b/crates/mustardpin-world/tests/testsuite/extreme.rs
@@ -7,16 +7,17 @@
         Row, Team,
     },
     event::TargetReport,
-    id::{Epoch, KeyDigest, NodeId, Revision, StoreVersion},
+    id::{Epoch, KeyDigest, NodeId, Revision, StoreVersion, TargetId},
     message::{
         Message, configuration, freshness, quarantine,
         rate_limit::{self, LeaseGrant, LeaseRequest, Shard},
-        shedding,
+        shedding, target,
     },
+    notice::{Notice, Rate, RateLimit},
     refusal::{Reason, Refusal},
     request::{
         Fingerprint, ForwardEnd, Forwarded, Load, Nesting, Origin, Request, RunEnd, TargetLoad,
-        Ticket,
+        TargetRate, Ticket,
     },
     store::{self, Announcement, Area, Changes, Member, Operation, Reply, Roster, RowKey, Value},
 };
@@ -42,7 +43,7 @@
 
 fn steps() -> impl Strategy<Value = Vec<Step>> {
     let numbers = [number(), number(), number(), number(), number(), number()];
-    vec((0_u8..18, numbers, any::<bool>(), 0_u64..700), 1..60)
+    vec((0_u8..20, numbers, any::<bool>(), 0_u64..700), 1..60)
 }
 
 /// The number as a smaller type, with the largest value for all that do not fit.
@@ -233,6 +234,9 @@
             limit: short(three),
             demand: short(four),
             revision: Revision(five),
+            target: TargetId(six),
+            leaving: flag,
+            rate: if flag { TargetRate::Limited(Rate(one)) } else { TargetRate::Unlimited },
         };
         let message = |message: Message| Event::Peer { from: PEER, message };
         let (team, shard) = ("garages".into(), Shard(byte(six)));
@@ -336,6 +340,22 @@
                 let rows = configuration(numbers, flag);
                 message(configuration::Message::Have { revision: Revision(one), rows }.into())
             }
+            17 => {
+                let Some(&ticket) = self.runs.last() else { return };
+                let rate_limit = match two % 3 {
+                    0 => RateLimit::Unreadable,
+                    1 => RateLimit::Stated(Rate::of(f64::from_bits(one)).unwrap_or_default()),
+                    _ => RateLimit::Stated(Rate(three)),
+                };
+                let notice = Notice { leaving: flag && four % 8 == 0, rate_limit };
+                Event::TargetNotice { ticket, instance: "a".into(), notice }
+            }
+            18 => {
+                let started = Millis(if flag { one } else { 0 });
+                let (target, rate) = (TargetId::of("a", started), Some(Rate(two)));
+                let leaving = three % 8 == 0;
+                message(target::Message { target, leaving, rate, age: Millis(four) }.into())
+            }
             _ => Event::LagProbe(Millis(one)),
         };
         self.tick(vec![event]);
