Remind a restarted node of the rate limit of its target

What callers saw: after a restart of the node beside a target in need, the target gets a burst of as many requests as it has slots. Cause: the limit was known to that process alone, while the target ran on and its peers had passed the limit on. Class: knowledge that binds others and dies with one process. Change: each node remembers what the targets of its peers last stated, by the name of the node and the process of the target, and sends that first on each new connection. The receiver applies it if its target is that process and it has heard nothing later itself.

--- a/crates/mustardpin-virtual/tests/testsuite/pacing.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/pacing.rs
@@ -1,7 +1,11 @@
 //! Targets that state a rate limit get no more requests than that, whatever happens to the nodes.
 
 use mustardpin_virtual::Site;
-use mustardpin_world::{Millis, config::CutOffPolicy};
+use mustardpin_world::{
+    Millis, Options,
+    config::CutOffPolicy,
+    options::{Limit, LimitAlgorithm},
+};
 
 use crate::scenario::{self, Scenario, for_seeds};
 
@@ -70,6 +74,36 @@
     received.map(scenario::outcome).filter(|outcome| outcome != "whole").collect()
 }
 
+/// Guards against a limit that is forgotten when the node that keeps it is restarted, as a supervisor
+/// does it or after a crash, while the target runs on.
+#[test]
+fn the_rate_holds_while_the_node_beside_the_target_is_restarted() {
+    for_seeds(|seed| {
+        // The first response after a restart comes late, and many requests may run until then.
+        let limit = Limit { algorithm: LimitAlgorithm::Slots, ..Limit::default() };
+        let options = Options { limit, ..Options::default() };
+        let cut_off = CutOffPolicy::Refuse;
+        let mut scenario = Scenario::start_with_options(seed, cut_off, Vec::new(), options);
+        let site = Site(seed as usize % 9);
+        let target = scenario.fleet.target(site);
+        target.state_rate_limit(Some(RATE));
+        (target.service.slots, target.slowdown) = (200, 100.0);
+        let since = scenario.fleet.now;
+        scenario.load_for(Millis::from_secs(4));
+        for away in [Millis(0), Millis(200), Millis::from_secs(2)] {
+            scenario.fleet.kill(site);
+            scenario.load_excluding(Some(site), away);
+            scenario.fleet.restart_node(site);
+            for _ in 0..20 {
+                burst(&mut scenario, site);
+                scenario.load_for(Millis(100));
+            }
+            scenario.load_for(Millis::from_secs(4));
+        }
+        assert_kept(&scenario, site, RATE, since + NOTICE_PERIOD, &format!("seed {seed}"));
+    });
+}
+
 /// Sends many requests at once through nodes other than this one.
 fn burst(scenario: &mut Scenario, except: Site) {
     for site in scenario.fleet.sites().filter(|&site| site != except) {
--- a/crates/mustardpin-world/src/system/fleet.rs
+++ b/crates/mustardpin-world/src/system/fleet.rs
@@ -16,7 +16,7 @@
     log::{Entry, Level},
     message::fleet::Message,
     store::{Announcement, Area, Changes, Operation, Reply, Row, RowKey, Value},
-    system::LinkChange,
+    system::{LinkChange, pacing},
     table::peer::{Link, Peer},
     world::{Tick, World},
 };
@@ -287,6 +287,7 @@
         peer.revision = revision;
         peer.health.record_success();
     }
+    pacing::remind(world, tick, key);
     let known = world.tables.peers.iter().filter(|(_, peer)| peer.link == Link::Up);
     let mut known: Vec<_> = known.map(|(key, _)| key).collect();
     if known.len() > MAX_KNOWN {
--- a/crates/mustardpin-world/src/system/pacing.rs
+++ b/crates/mustardpin-world/src/system/pacing.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     clock::Millis,
-    id::NodeId,
+    id::{NodeId, PeerKey},
     log::{Entry, Level},
     message::target::Message,
     notice::{Rate, RateLimit},
@@ -62,6 +62,14 @@
     }
 }
 
+/// Reminds a peer that has connected of what its target stated.
+pub(super) fn remind(world: &mut World, tick: &mut Tick, key: PeerKey) {
+    let Some(peer) = world.tables.peers.get(key) else { return };
+    let Some(statement) = world.tables.statements.get(&peer.announcement.name) else { return };
+    let Statement { target, leaving, rate, as_of } = *statement;
+    world.send(tick, key, Message { target, leaving, rate, age: tick.now - as_of });
+}
+
 /// Applies what a peer remembers of the target, unless this node has heard of it later.
 fn recall(world: &mut World, tick: &mut Tick, from: NodeId, statement: Statement) {
     if statement.leaving {
