Send no requests to a target that states in its responses that it is leaving

What callers saw: requests go to a target that has said that it leaves, and end with it (DRAIN). Cause: only reports closed a target; what its responses state was not read, and after a restart of its node nobody knew of it. Evidence: on the code without this change virtual leaving::a_target_that_says_it_is_leaving_gets_no_new_requests_whatever_it_reports fails, and with nodes that forget it the three tests of restarts fail. Change: such a response closes the target for the life of its process, whatever its reports say. The load on each response to a peer carries the departure from the moment the response is read, and a peer sends no request to that process again, also once its node has been restarted.

--- a/crates/mustardpin-virtual/tests/testsuite/main.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod faults;
 mod freshness;
 mod growth;
+mod leaving;
 mod membership;
 mod once;
 mod overload;
--- a/crates/mustardpin-world/src/system/fleet.rs
+++ b/crates/mustardpin-world/src/system/fleet.rs
@@ -95,6 +95,7 @@
         let Some(peer) = world.tables.peers.get_mut(key) else { continue };
         let name = &peer.announcement.name;
         world.tables.statements.record(name, &load, tick.now);
+        peer.is_target_leaving = world.tables.statements.is_leaving(name, load.target);
         peer.load = Some(load);
         peer.load_as_of = tick.now;
         peer.unreported = 0;
--- a/crates/mustardpin-world/src/system/routing.rs
+++ b/crates/mustardpin-world/src/system/routing.rs
@@ -147,7 +147,7 @@
         return None;
     }
     let load = peer.load?;
-    if !load.open {
+    if !load.open || peer.is_target_leaving {
         return None;
     }
     let is_recent = now - peer.load_as_of < LOAD_REPORT_TTL;
--- a/crates/mustardpin-world/src/table/peer.rs
+++ b/crates/mustardpin-world/src/table/peer.rs
@@ -71,6 +71,8 @@
     pub unreported: u32,
     /// The load of its target, as last reported.
     pub load: Option<Load>,
+    /// Whether the process of its target has stated that it is leaving.
+    pub is_target_leaving: bool,
     /// When it last reported its load.
     pub load_as_of: Millis,
     /// The latency of its responses, as a multiple of the usual latency. Not measured: always 1.
@@ -99,6 +101,7 @@
             in_flight: 0,
             unreported: 0,
             load: None,
+            is_target_leaving: false,
             load_as_of: Millis::ZERO,
             latency_ratio: 1.0,
             health: Health::default(),
@@ -107,7 +110,8 @@
 
     /// Whether requests may be forwarded to it, by its connection and its last load report.
     pub fn is_open(&self) -> bool {
-        self.link == Link::Up && self.load.is_some_and(|load| load.open)
+        let is_open = self.load.is_some_and(|load| load.open);
+        self.link == Link::Up && is_open && !self.is_target_leaving
     }
 }
 
--- a/crates/mustardpin-world/src/table/target.rs
+++ b/crates/mustardpin-world/src/table/target.rs
@@ -77,6 +77,6 @@
 
     /// Whether the target accepts new requests, according to its last report and its responses.
     pub fn is_open(&self) -> bool {
-        self.present && !self.report.draining
+        self.present && !self.report.draining && !self.says_leaving
     }
 }
