--- a/crates/mustardpin-node/src/metrics.rs
+++ b/crates/mustardpin-node/src/metrics.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use mustardpin_world::{
     Millis, World,
+    notice::Rate,
     refusal::Reason,
     table::{
         counter::{Retry, Work},
@@ -135,6 +136,7 @@
 fn gauges(world: &World, now: Millis) -> Vec<(&'static str, &'static str, f64)> {
     let tables = world.tables();
     let target = &tables.target;
+    let rate_limit = target.stated_rate().map(Rate::per_second);
     let open_peers = tables.peers.iter().filter(|(_, peer)| Peer::is_open(peer)).count();
     let age = tables.freshness.configuration_age(now).min(now);
     vec![
@@ -143,6 +145,17 @@
         ("target_running", "Requests running on the own target", target.running.into()),
         ("target_queued", "Requests waiting for the own target", target.queued.into()),
         ("target_limit", "Requests that may run on the own target at once", target.limit.into()),
+        (
+            "target_rate_limited",
+            "Whether the own target states a rate limit",
+            flag(rate_limit.is_some()),
+        ),
+        (
+            "target_rate_limit",
+            "Requests per second that the own target takes; 0 without a rate limit",
+            rate_limit.unwrap_or_default(),
+        ),
+        ("target_leaving", "Whether the own target states that it leaves", flag(target.says_leaving)),
         ("peers", "Peers that the node knows", tables.peers.len() as f64),
         ("peers_open", "Peers that take requests", open_peers as f64),
         ("leaving", "Whether the node is leaving", flag(tables.leaving)),
--- a/crates/mustardpin-wire/src/admin/status.rs
+++ b/crates/mustardpin-wire/src/admin/status.rs
@@ -77,6 +77,13 @@
     pub queued: u32,
     /// How many requests may run on the target at once, as determined by the node.
     pub limit: u32,
+    /// Whether the target states in its responses that it is leaving.
+    #[serde(default)]
+    pub leaving: bool,
+    /// The requests per second that the target takes from all nodes together, as a decimal number, if
+    /// it states a rate limit.
+    #[serde(default)]
+    pub rate_limit: Option<CompactString>,
     /// The measured duration of a run, in milliseconds.
     pub latency_ms: u64,
 }
@@ -177,6 +184,8 @@
             running: target.running,
             queued: target.queued,
             limit: target.limit,
+            leaving: target.says_leaving,
+            rate_limit: target.stated_rate().map(|rate| rate.to_compact_string()),
             latency_ms: target.latency.0,
         }
     }
--- a/crates/mustardpin-world/src/system/pacing.rs
+++ b/crates/mustardpin-world/src/system/pacing.rs
@@ -217,9 +217,11 @@
 /// What this node knows of the target's rate limit, as it tells peers.
 pub(super) fn target_rate(world: &World) -> TargetRate {
     let target = &world.tables.target;
-    match target.pace {
-        Some(pace) if pace.lifted_at.is_none() => TargetRate::Limited(pace.rate),
-        None if target.unlimited_as_of == Millis::ZERO => TargetRate::Unknown,
-        _ => TargetRate::Unlimited,
+    match target.stated_rate() {
+        Some(rate) => TargetRate::Limited(rate),
+        None if target.pace.is_none() && target.unlimited_as_of == Millis::ZERO => {
+            TargetRate::Unknown
+        }
+        None => TargetRate::Unlimited,
     }
 }
--- a/crates/mustardpin-world/src/table/target.rs
+++ b/crates/mustardpin-world/src/table/target.rs
@@ -6,6 +6,7 @@
     clock::Millis,
     event::TargetReport,
     id::{CallKey, TargetId},
+    notice::Rate,
     table::{health::Health, pace::Pace},
 };
 
@@ -70,6 +71,11 @@
 }
 
 impl Target {
+    /// The rate limit that the target states now, if it does.
+    pub fn stated_rate(&self) -> Option<Rate> {
+        self.pace.filter(|pace| pace.lifted_at.is_none()).map(|pace| pace.rate)
+    }
+
     /// How many requests may run at once, on average if the target has a rate limit.
     pub fn usable_limit(&self) -> u32 {
         self.limit.min(self.throughput_limit)
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -56,6 +56,7 @@
     let target = &status.target;
     let state = match target {
         target if !target.present => "absent",
+        target if target.leaving => "leaving",
         target if target.draining => "draining",
         target if !target.healthy => "reports itself unhealthy",
         _ => "present",
@@ -65,12 +66,22 @@
         state.to_owned(),
         slots,
         target.limit.to_string(),
+        target.rate_limit.as_ref().map_or("none".to_owned(), |rate| format!("{rate}/s")),
         target.running.to_string(),
         target.queued.to_string(),
         format!("{} ms", target.latency_ms),
         status.calls.to_string(),
     ]];
-    let titles = ["target", "slots it reports", "limit", "running", "queued", "latency", "calls"];
+    let titles = [
+        "target",
+        "slots it reports",
+        "limit",
+        "rate limit",
+        "running",
+        "queued",
+        "latency",
+        "calls",
+    ];
     table::print(titles, &rows);
     println!();
 }
