Test requests that arrive late in the grace of a planned stop

What operators of a similar system saw: requests that came late in the grace were taken and passed on, and cut without an answer at its end, among them some that may not be repeated (LOST). The new test sends bookings, repeatable and forwarded requests of 0 to 2.5 s of work every 40 ms of a grace of 2 s, over kept and new connections: each that ran has an explicit response, none that came after the stay ran, and the process ends in time. Cause that it guards against: a node that takes requests for longer than it can wait for them. Change: the test only.

--- a/crates/mustardpin-node/tests/testsuite/drain.rs
+++ b/crates/mustardpin-node/tests/testsuite/drain.rs
@@ -2,6 +2,7 @@
 
 mod exiting;
 mod grace;
+mod late;
 mod peer;
 mod pipelined;
 mod refusal;
