Let idle connections of callers make room for new ones

Cause: a listener closed each connection above its limit at once, however many of the others were idle, with no log line and no counter, and the target's calls shared the limit. Class: a bound whose excess is dropped without telling anyone. Change: a table of the connections of each listener. Idle ones make room, the address with the most first; heads that are overdue go before them; an eighth of the places is the target's; what finds no place gets 503 connection_limit. One bounded log line, connections_full, and the reason's counter. The check input::connections_and_requests_beyond_the_limits_are_refused asked for a new connection to be closed while three others were idle, which is the fault itself. It now asks that an idle one makes room, and that a connection is refused with a reason when all others are in use.

--- a/crates/mustardpin-node/src/traffic.rs
+++ b/crates/mustardpin-node/src/traffic.rs
@@ -9,6 +9,7 @@
 mod body;
 mod budget;
 mod caller;
+mod connections;
 mod dispatch;
 mod exchange;
 mod exchanges;
--- a/crates/mustardpin-node/src/traffic/caller.rs
+++ b/crates/mustardpin-node/src/traffic/caller.rs
@@ -26,9 +26,10 @@
 
 use crate::traffic::{
     caller::{reading::Reading, writing::Writing},
+    connections::{Activity, Place},
     exchanges::Exchanges,
     http2,
-    listener::{ListenerKind, Stage},
+    listener::{Admission, ListenerKind, Stage},
     response::CallerResponse,
 };
 
@@ -41,6 +42,8 @@
 const MAX_BUFFERED_BYTES: usize = 1024 * 1024;
 /// How long to wait for a caller to close the connection after its request was not read in full.
 const UNREAD_REQUEST_LINGER: Duration = Duration::from_millis(1_000);
+/// How long a connection without a place may take to send the request that is refused.
+const TURN_AWAY_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// The first bytes of an HTTP/2 connection.
 const HTTP2_PREFACE: &[u8] = b"PRI ";
 
@@ -83,6 +86,11 @@
     has_unread_request: bool,
     /// When the last response was started, or the connection was made.
     idle_since: Instant,
+    /// When the connection was made.
+    made_at: Instant,
+    /// The connection's place, if it has one. Otherwise its first request is refused.
+    admission: Admission,
+    activity: Activity,
 }
 
 /// Serves a connection until it ends.
@@ -91,6 +99,7 @@
     kind: ListenerKind,
     mut stream: TcpStream,
     stage: watch::Receiver<Stage>,
+    admission: Admission,
 ) {
     if stream.set_nodelay(true).is_err() {
         return;
@@ -104,6 +113,9 @@
         is_closing: false,
         has_unread_request: false,
         idle_since: Instant::now(),
+        made_at: Instant::now(),
+        admission,
+        activity: Activity::Idle,
     };
     let mut buffer = BytesMut::new();
     let protocol = connection.process(&mut stream, &mut buffer).await;
@@ -117,9 +129,9 @@
         // response.
         let _ = time::timeout(UNREAD_REQUEST_LINGER, discard_input(&mut stream)).await;
     }
-    if let Ok(Protocol::Http2) = protocol {
+    if let (Ok(Protocol::Http2), Ok(place)) = (protocol, connection.admission) {
         let (exchanges, stage) = (connection.exchanges, connection.stage);
-        http2::serve(exchanges, connection.kind, stream, buffer, stage).await;
+        http2::serve(exchanges, connection.kind, stream, buffer, stage, place).await;
     }
 }
 
@@ -176,6 +188,7 @@
                 }
                 return Ok(Protocol::Http1);
             }
+            self.update_activity(buffer, &reading, &writing);
             self.wait(&mut reader, &mut writer, buffer, &mut reading, &mut writing).await?;
         }
     }
@@ -262,6 +275,23 @@
         writing.truncate();
     }
 
+    /// Tells the table of connections whether this one may be closed to make room.
+    fn update_activity(&mut self, buffer: &BytesMut, reading: &Reading, writing: &Writing) {
+        let activity = if !self.slots.is_empty() || !writing.is_idle() || reading.is_in_body() {
+            Activity::Busy
+        } else if buffer.is_empty() {
+            Activity::Idle
+        } else {
+            Activity::Receiving
+        };
+        if activity != self.activity
+            && let Ok(place) = &self.admission
+        {
+            self.activity = activity;
+            place.set_activity(activity);
+        }
+    }
+
     /// Waits until the connection can make progress.
     async fn wait(
         &mut self,
@@ -277,6 +307,7 @@
             buffer.reserve(READ_BYTES);
         }
         let is_draining = self.is_draining();
+        let admission = &self.admission;
         let response = match self.slots.front_mut() {
             Some(ResponseSlot::Open { response, .. }) if writing.is_idle() => Some(response),
             _ => None,
@@ -302,6 +333,7 @@
             () = writing.advance(), if writing.awaits_piece() => {}
             () = reading.advance(), if reading.awaits_capacity() => {}
             _ = self.stage.changed(), if !is_draining => {}
+            () = evicted(admission) => self.make_room(reading),
             () = deadline => self.time_out(reading),
         }
         Ok(())
@@ -321,6 +353,9 @@
         if !self.slots.is_empty() || !writing.is_idle() {
             return far_future;
         }
+        if self.admission.is_err() {
+            return self.made_at + TURN_AWAY_TIMEOUT;
+        }
         let max_idle_time = match self.is_draining() {
             true => self.exchanges.limits.drain_idle_timeout,
             false => duration(callers.idle_timeout),
@@ -328,6 +363,13 @@
         self.idle_since + max_idle_time
     }
 
+    /// Closes the connection if no request has arrived since it was told to.
+    fn make_room(&mut self, reading: &mut Reading) {
+        if self.admission.as_ref().is_ok_and(Place::is_evicted) {
+            self.time_out(reading);
+        }
+    }
+
     /// Handles an expired timeout of the connection.
     fn time_out(&mut self, reading: &mut Reading) {
         self.is_closing = true;
@@ -345,6 +387,14 @@
     }
 }
 
+/// Returns once a connection should make room for another.
+async fn evicted(admission: &Admission) {
+    match admission {
+        Ok(place) => place.evicted().await,
+        Err(_) => std::future::pending().await,
+    }
+}
+
 async fn receive_response(
     response: Option<&mut oneshot::Receiver<CallerResponse>>,
 ) -> Option<CallerResponse> {
--- a/crates/mustardpin-node/src/traffic/caller/reading.rs
+++ b/crates/mustardpin-node/src/traffic/caller/reading.rs
@@ -111,6 +111,9 @@
             Err(error) => return refuse(connection, reason_of(error)),
         };
         self.since = None;
+        if connection.admission.is_err() {
+            return refuse(connection, Reason::ConnectionLimit);
+        }
         let framing = match Framing::of_request(&head.headers) {
             Ok(framing) => framing,
             Err(error) => return refuse(connection, reason_of(error)),
--- a/crates/mustardpin-node/src/traffic/http2.rs
+++ b/crates/mustardpin-node/src/traffic/http2.rs
@@ -3,7 +3,10 @@
 use std::{
     io::Cursor,
     pin::Pin,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     task::{Context, Poll},
     time::Duration,
 };
@@ -32,6 +35,7 @@
 use crate::traffic::{
     body::{self, Body, Piece, Stream, Writer},
     budget::Reservation,
+    connections::{Activity, Place},
     exchanges::Exchanges,
     intake,
     listener::{ListenerKind, Stage},
@@ -60,17 +64,22 @@
     stream: TcpStream,
     buffer: BytesMut,
     mut stage: watch::Receiver<Stage>,
+    place: Place,
 ) {
     let (reader, writer) = stream.into_split();
     let io = TokioIo::new(join(Cursor::new(buffer).chain(reader), writer));
     let header_size = exchanges.caller_limits().header_size;
     let drain_idle_timeout = exchanges.limits.drain_idle_timeout;
     let first_response = Arc::new(Notify::new());
+    let place = Arc::new(place);
+    let streams = Arc::new(AtomicUsize::new(0));
     let service = service_fn(|request| {
         let (exchanges, first_response) = (Arc::clone(&exchanges), Arc::clone(&first_response));
+        let in_use = InUse::begin(&place, &streams);
         async move {
             let response = respond(exchanges, kind, request).await;
             first_response.notify_one();
+            drop(in_use);
             response
         }
     });
@@ -83,10 +92,16 @@
         .keep_alive_interval(PING_INTERVAL)
         .serve_connection(io, service);
     let mut connection = std::pin::pin!(connection);
-    select! {
+    let is_draining = select! {
         // An error needs no handling: `DisconnectGuard` reports the connection's requests.
         _ = connection.as_mut() => return,
-        _ = stage.wait_for(|stage| *stage != Stage::Serving) => {}
+        _ = stage.wait_for(|stage| *stage != Stage::Serving) => true,
+        () = make_room(&place) => false,
+    };
+    if !is_draining {
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await;
+        return;
     }
     // The first request of a connection that was made while the node drains is on its way. Clients
     // may give up a request that they have just sent when they are told to leave.
@@ -140,6 +155,39 @@
     }
 }
 
+/// Marks a connection as busy while it has requests in progress.
+struct InUse {
+    place: Arc<Place>,
+    streams: Arc<AtomicUsize>,
+}
+
+impl InUse {
+    fn begin(place: &Arc<Place>, streams: &Arc<AtomicUsize>) -> InUse {
+        if streams.fetch_add(1, Ordering::Relaxed) == 0 {
+            place.set_activity(Activity::Busy);
+        }
+        InUse { place: Arc::clone(place), streams: Arc::clone(streams) }
+    }
+}
+
+impl Drop for InUse {
+    fn drop(&mut self) {
+        if self.streams.fetch_sub(1, Ordering::Relaxed) == 1 {
+            self.place.set_activity(Activity::Idle);
+        }
+    }
+}
+
+/// Returns once the connection is idle and should make room for another.
+async fn make_room(place: &Place) {
+    loop {
+        place.evicted().await;
+        if place.is_evicted() {
+            return;
+        }
+    }
+}
+
 /// Reports that the caller has disconnected if the request is dropped before its response is ready.
 struct DisconnectGuard {
     exchanges: Arc<Exchanges>,
--- a/crates/mustardpin-node/src/traffic/intake.rs
+++ b/crates/mustardpin-node/src/traffic/intake.rs
@@ -131,7 +131,9 @@
     left: Option<Millis>,
 ) -> CallerResponse {
     let refusal = match reason {
-        Reason::InProgressLimit => Refusal::not_run(reason).after(RETRY_AFTER),
+        Reason::InProgressLimit | Reason::ConnectionLimit => {
+            Refusal::not_run(reason).after(RETRY_AFTER)
+        }
         _ => Refusal::not_run(reason),
     };
     refusal_response(exchanges, refusal, left)
--- a/crates/mustardpin-node/src/traffic/outbox.rs
+++ b/crates/mustardpin-node/src/traffic/outbox.rs
@@ -5,7 +5,7 @@
 
 use std::sync::{Mutex, PoisonError};
 
-use mustardpin_world::Event;
+use mustardpin_world::{Event, log::Entry};
 use tokio::sync::Notify;
 
 use crate::control::Handle;
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Writes a log entry.
+    pub(super) fn log(&self, entry: Entry) {
+        self.control.write_log(entry);
+    }
+
     /// Sends queued events until the runtime ends.
     pub(super) async fn send_batches(&self) {
         loop {
--- a/crates/mustardpin-node/src/traffic/target.rs
+++ b/crates/mustardpin-node/src/traffic/target.rs
@@ -4,7 +4,7 @@
 mod run;
 
 use std::{
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -65,6 +65,11 @@
         state.idle.clear();
     }
 
+    /// The address that the target's own connections come from.
+    pub(super) fn address(&self) -> Option<IpAddr> {
+        self.state().endpoint.as_ref().map(|(address, _)| address.ip())
+    }
+
     fn endpoint(&self) -> Option<Endpoint> {
         let state = self.state();
         let (address, instance) = state.endpoint.clone()?;
--- a/crates/mustardpin-node/tests/testsuite/input.rs
+++ b/crates/mustardpin-node/tests/testsuite/input.rs
@@ -1,6 +1,7 @@
 //! Malformed input gets a refusal or a closed connection, and does not crash the node.
 
 use std::{
+    cell::RefCell,
     io::{self, Write as _},
     net::{SocketAddr, TcpStream},
     sync::{Arc, mpsc},
@@ -139,8 +140,17 @@
     assert_eq!(receiver.recv().expect("the caller thread ends").status(), 200);
 
     let idle: Vec<_> = (0..3).map(|_| kept_connection(callers)).collect();
-    assert_eq!(get(callers, "/slots").status(), 0);
+    assert_eq!(get(callers, "/slots").status(), 200, "an idle connection makes room");
     drop(idle);
+    // Heads that are partly received keep their places for a second.
+    let busy = RefCell::new(Vec::new());
+    wait_until(|| {
+        let mut connection = TcpStream::connect(callers).expect("the node listens");
+        connection.write_all(b"GET /slow HTTP/1.1\r\nhost: f").expect("the node reads");
+        busy.borrow_mut().push(connection);
+        summary("", &get(callers, "/slots")) == ": 503 connection_limit"
+    });
+    drop(busy);
     wait_until(|| get(callers, "/slots").status() == 200);
 }
 
--- a/crates/mustardpin-node/tests/testsuite/main.rs
+++ b/crates/mustardpin-node/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 //! platform and the targets.
 
 mod admin;
+mod connections;
 mod control;
 mod drain;
 mod endless;
--- a/crates/mustardpin-world/src/refusal.rs
+++ b/crates/mustardpin-world/src/refusal.rs
@@ -90,6 +90,8 @@
     NoTarget = "no_target", 503;
     /// The node has reached its limit of requests in progress.
     InProgressLimit = "in_progress_limit", 503;
+    /// The node has reached its limit of connections, and none of them is idle.
+    ConnectionLimit = "connection_limit", 503;
     /// The node is cut off from the store, so its keys and configuration may be out of date.
     CutOff = "cut_off", 503;
     /// The node has no configuration yet.
