Let a node beside an idle target with a rate limit sleep

What operators would see: a core busy at a node whose target is limited and idle. Cause: the wake-up for the moment at which the bucket is full was scheduled again each millisecond once it was full; likewise for a token while the target is ejected. Class: a wake-up for a condition that already holds. Change: both wake-ups are scheduled only while the condition does not hold.

--- a/crates/mustardpin-virtual/src/fleet.rs
+++ b/crates/mustardpin-virtual/src/fleet.rs
@@ -116,6 +116,8 @@
     pending: Vec<Event>,
     load: Load,
     links: BTreeMap<NodeId, Link>,
+    /// How many times the world has been ticked.
+    ticks: usize,
     /// When the next tick is due; later ticks in the queue are stale.
     next_tick: Millis,
     exchanges: BTreeMap<Ticket, Exchange>,
@@ -214,6 +216,7 @@
             pending: Vec::new(),
             load: Load::default(),
             links: BTreeMap::new(),
+            ticks: 0,
             next_tick: Millis::MAX,
             exchanges: BTreeMap::new(),
             by_requester: HashMap::new(),
@@ -239,6 +242,11 @@
         &mut self.nodes[site.0].target
     }
 
+    /// How many times the world at a site has been ticked, whatever its processes.
+    pub fn ticks(&self, site: Site) -> usize {
+        self.nodes[site.0].ticks
+    }
+
     /// Whether the node at a site has finished its graceful shutdown.
     pub fn has_exited(&self, site: Site) -> bool {
         self.nodes[site.0].exited
--- a/crates/mustardpin-virtual/src/fleet/step.rs
+++ b/crates/mustardpin-virtual/src/fleet/step.rs
@@ -73,6 +73,7 @@
             return;
         }
         node.next_tick = Millis::MAX;
+        node.ticks += 1;
         let events = std::mem::take(&mut node.pending);
         let commands = node.world.tick(now, events);
         for command in commands {
--- a/crates/mustardpin-virtual/tests/testsuite/leaving.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/leaving.rs
@@ -68,12 +68,6 @@
     records.filter(|record| record.site == site && record.at >= since).count()
 }
 
-/// Requests that were not served, by what their callers received.
-fn unserved(scenario: &Scenario, since: Millis) -> Vec<String> {
-    let received = scenario.fleet.received.iter().filter(|received| received.sent >= since);
-    received.map(scenario::outcome).filter(|outcome| outcome != "whole").collect()
-}
-
 /// Guards against requests that reach a target that has said that it leaves, because its reports
 /// still say that it is ready.
 #[test]
@@ -82,7 +76,7 @@
         let (mut scenario, site, since) = start(seed);
         scenario.load_for(Millis::from_secs(8));
         assert_eq!(runs(&scenario, site, since + MAX_DELAY), 0, "seed {seed}");
-        assert_eq!(unserved(&scenario, since), [""; 0], "seed {seed}");
+        assert_eq!(scenario::unserved(&scenario.fleet, since), [""; 0], "seed {seed}");
     });
 }
 
--- a/crates/mustardpin-virtual/tests/testsuite/pacing.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/pacing.rs
@@ -68,12 +68,6 @@
     });
 }
 
-/// Requests that were not served, by what their callers received.
-fn unserved(scenario: &Scenario, since: Millis) -> Vec<String> {
-    let received = scenario.fleet.received.iter().filter(|received| received.sent >= since);
-    received.map(scenario::outcome).filter(|outcome| outcome != "whole").collect()
-}
-
 /// Guards against a limit that is forgotten when the node that keeps it is restarted, as a supervisor
 /// does it or after a crash, while the target runs on.
 #[test]
@@ -164,7 +158,7 @@
         scenario.load_for(Millis::from_secs(1));
         let since = scenario.fleet.now;
         scenario.load_for(Millis::from_secs(10));
-        assert_eq!(unserved(&scenario, since), [""; 0], "seed {seed}");
+        assert_eq!(scenario::unserved(&scenario.fleet, since), [""; 0], "seed {seed}");
         let received = scenario.fleet.received.iter().filter(|received| received.sent >= since);
         let mut times: Vec<_> = received.map(|received| received.at - received.sent).collect();
         times.sort_unstable();
@@ -190,7 +184,7 @@
             total += runs(&scenario, site, since).len();
         }
         assert!(total >= 9 * 100 * 8 / 10, "seed {seed}: {total} requests run of 900");
-        let outcomes = unserved(&scenario, since);
+        let outcomes = scenario::unserved(&scenario.fleet, since);
         let is_refusal = |outcome: &String| outcome.ends_with("(not-run)");
         assert!(outcomes.iter().all(is_refusal), "seed {seed}: {outcomes:?}");
     });
@@ -252,3 +246,18 @@
         assert!(last >= 20, "seed {seed}: {last} requests in the last 2 s, 40 without a limit");
     });
 }
+
+/// Guards against a node that ticks without a pause while its target has a rate limit and nothing to
+/// do, or can't be reached.
+#[test]
+fn a_node_beside_an_idle_target_with_a_rate_limit_sleeps() {
+    const MAX_TICKS: usize = 400;
+
+    let mut scenario = start(0);
+    scenario.fleet.target(Site(0)).state_rate_limit(Some(RATE));
+    scenario.load_for(Millis::from_secs(2));
+    let before = scenario.fleet.ticks(Site(0));
+    scenario.fleet.run_for(Millis::from_secs(4));
+    let ticks = scenario.fleet.ticks(Site(0)) - before;
+    assert!(ticks <= MAX_TICKS, "{ticks} ticks in 4 s");
+}
--- a/crates/mustardpin-virtual/tests/testsuite/scenario.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/scenario.rs
@@ -203,6 +203,12 @@
     }
 }
 
+/// Requests sent since a time that were not served, by what their callers received.
+pub fn unserved(fleet: &Fleet, since: Millis) -> Vec<String> {
+    let received = fleet.received.iter().filter(|received| received.sent >= since);
+    received.map(outcome).filter(|outcome| outcome != "whole").collect()
+}
+
 /// A short description of what a caller received.
 pub fn outcome(received: &Received) -> String {
     match &received.verdict {
--- a/crates/mustardpin-world/src/system/pacing.rs
+++ b/crates/mustardpin-world/src/system/pacing.rs
@@ -195,7 +195,7 @@
     let is_idle = target.running + target.queued == 0;
     let least = if is_idle && pace.is_full(tick.now) { MIN_USABLE_LIMIT } else { 1 };
     target.throughput_limit = (runs.round() as u32).max(least).min(target.sustained_limit);
-    if is_idle {
+    if is_idle && !pace.is_full(tick.now) {
         // Peers have to hear that the target may be used again.
         tick.wake(tick.now + pace.time_to_full(tick.now).max(Millis(1)));
     }
--- a/crates/mustardpin-world/src/system/queueing.rs
+++ b/crates/mustardpin-world/src/system/queueing.rs
@@ -147,7 +147,7 @@
     if target.queued == 0 || target.running >= target.limit {
         return;
     }
-    if let Some(pace) = target.pace {
+    if let Some(pace) = target.pace.filter(|pace| !pace.has_token(tick.now)) {
         tick.wake(tick.now + pace.wait(tick.now, 0).max(Millis(1)));
     }
 }
