--- a/crates/mustardpin-node/src/traffic/target.rs
+++ b/crates/mustardpin-node/src/traffic/target.rs
@@ -1,6 +1,7 @@
 //! Runs requests on the local target over HTTP/1.1, without pipelining.
 
 mod connection;
+mod request;
 mod run;
 
 use std::{
--- a/crates/mustardpin-node/src/traffic/target/run.rs
+++ b/crates/mustardpin-node/src/traffic/target/run.rs
@@ -10,10 +10,7 @@
     head::Response,
     write,
 };
-use mustardpin_wire::{
-    dialect::{DeliveryHeaders, EntryHeaders, ResponseKind},
-    scrub,
-};
+use mustardpin_wire::{dialect::ResponseKind, scrub};
 use mustardpin_world::{
     Millis,
     request::{Run, RunEnd, TargetLoad},
@@ -29,7 +26,11 @@
     exchange::{Outbound, Payload},
     exchanges::Exchanges,
     response::CallerResponse,
-    target::{Endpoint, connection::Connection},
+    target::{
+        Endpoint,
+        connection::Connection,
+        request::{BodyFraming, encode},
+    },
 };
 
 /// The number of bytes reserved for each read.
@@ -149,50 +150,6 @@
     streamed.as_ref().is_none_or(|streamed| !streamed.is_started())
 }
 
-/// How the body of a request is framed.
-#[derive(Clone, Copy)]
-enum BodyFraming<'a> {
-    /// Complete, and sent together with the head.
-    Complete(&'a [u8]),
-    /// Streamed, with this length in bytes.
-    Length(u64),
-    /// Streamed with chunked transfer coding.
-    Chunked,
-}
-
-/// Encodes the request, without its body if that is streamed.
-fn encode(
-    exchanges: &Exchanges,
-    run: &Run,
-    request: &Outbound,
-    endpoint: &Endpoint,
-    body: BodyFraming<'_>,
-) -> Vec<u8> {
-    let mut out = Vec::with_capacity(512 + request.header_lines.len());
-    write::request_line(&mut out, &request.method, &request.target);
-    out.extend_from_slice(&request.header_lines);
-    if !request.is_from_peer {
-        let entry = EntryHeaders { caller_service: &exchanges.service, team: run.team.as_deref() };
-        exchanges.dialect.write_entry_headers(entry, &mut out);
-    }
-    let left = run.deadline - exchanges.clock.now();
-    let delivery = DeliveryHeaders { instance: &endpoint.instance, token: run.token, left };
-    exchanges.dialect.write_delivery_headers(delivery, &mut out);
-    match body {
-        BodyFraming::Chunked => write::header(&mut out, "transfer-encoding", b"chunked"),
-        BodyFraming::Length(length) => write::numeric_header(&mut out, "content-length", length),
-        BodyFraming::Complete([]) if matches!(&*request.method, "GET" | "HEAD" | "DELETE") => {}
-        BodyFraming::Complete(bytes) => {
-            write::numeric_header(&mut out, "content-length", bytes.len() as u64)
-        }
-    }
-    out.extend_from_slice(b"\r\n");
-    if let BodyFraming::Complete(bytes) = body {
-        out.extend_from_slice(bytes);
-    }
-    out
-}
-
 /// The parts of a response head that are sent on or reported.
 struct Head {
     status: u16,
