--- a/crates/mustardpin-node/tests/testsuite/link.rs
+++ b/crates/mustardpin-node/tests/testsuite/link.rs
@@ -37,7 +37,7 @@
 }
 
 /// Waits for the next event of a node that meets a condition.
-fn next_event(node: &TrafficSide, condition: impl Fn(&Event) -> bool) -> Event {
+pub fn next_event(node: &TrafficSide, condition: impl Fn(&Event) -> bool) -> Event {
     loop {
         let event = node.event();
         if condition(&event) {
@@ -46,7 +46,7 @@
     }
 }
 
-fn is_link_up(event: &Event) -> bool {
+pub fn is_link_up(event: &Event) -> bool {
     matches!(event, Event::LinkUp { .. })
 }
 
@@ -201,7 +201,7 @@
     }
 }
 
-fn forward(ticket: Ticket) -> Forward {
+pub fn forward(ticket: Ticket) -> Forward {
     Forward {
         ticket,
         to: NodeId(1),
