Test statements of targets under random schedules

Guards against a limit or a departure that some order of statements, restarts, kills, pauses, cuts and replacements loses, by the users' bounds, as callers' nodes and targets see it. Cause covered: the single tests each have one failure at a time. Change: a test only.

--- a/crates/mustardpin-virtual/tests/testsuite/main.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/main.rs
@@ -22,5 +22,6 @@
 mod scenario;
 mod schedule;
 mod shedding;
+mod statements;
 mod stop;
 mod support;
