Keep the local target's places free of connections that are closing

What the target saw: a refusal for its own call while many of its callers' connections were closing to make room. Cause: the connections that are closing counted against all places, the target's too. Evidence: connections::the_local_target_finds_room_while_callers_take_all_of_theirs failed in one of three runs of the node's tests beside a load of 23 on 8 cores, where 64 connections came before any head was read. The new test, in which overdue heads make the closing take a second, failed in each run before. Change: a connection of the target is accepted while it has fewer than its share, whatever callers hold. Result: node connections:: passes in three runs beside that load.

--- a/crates/mustardpin-node/src/traffic/connections.rs
+++ b/crates/mustardpin-node/src/traffic/connections.rs
@@ -131,17 +131,19 @@
         now: Instant,
     ) -> (Option<Place>, Option<Entry>) {
         let mut state = self.state();
-        let (used, limit) = match owner {
+        let of_target = state.groups.get(&Owner::Target).map_or(0, |group| group.count);
+        let reserve = self.capacity / TARGET_SHARE_DIVISOR;
+        let is_reserved = owner == Owner::Target && of_target < reserve;
+        let (open, limit) = match owner {
             Owner::Target => (state.rows.len(), self.capacity),
-            Owner::Caller(_) => {
-                let of_target = state.groups.get(&Owner::Target).map_or(0, |group| group.count);
-                (state.rows.len() - of_target, self.capacity - self.capacity / TARGET_SHARE_DIVISOR)
-            }
+            Owner::Caller(_) => (state.rows.len() - of_target, self.capacity - reserve),
         };
-        let used = used.saturating_sub(state.closing);
-        let has_evicted = used + limit / SPARE_DIVISOR >= limit && state.evict(now);
-        let has_room = state.rows.len() < self.capacity + self.capacity.div_ceil(CLOSING_DIVISOR);
-        if !(used < limit || has_evicted) || !has_room {
+        let used = open.saturating_sub(state.closing);
+        let is_scarce = used + limit / SPARE_DIVISOR >= limit;
+        let has_evicted = !is_reserved && is_scarce && state.evict(now);
+        let has_room =
+            (used < limit || has_evicted) && open < limit + self.capacity.div_ceil(CLOSING_DIVISOR);
+        if !is_reserved && !has_room {
             state.turned_away += 1;
             return (None, state.entry(self.capacity, now));
         }
--- a/crates/mustardpin-node/tests/testsuite/connections.rs
+++ b/crates/mustardpin-node/tests/testsuite/connections.rs
@@ -155,6 +155,26 @@
     drop(busy);
 }
 
+/// Guards against connections that are still closing and take the places of the target's calls.
+#[test]
+fn the_local_target_finds_room_while_connections_of_callers_close() {
+    let fleet = start();
+    let callers = fleet.callers(0);
+    let slow: Vec<_> = (0..LIMIT)
+        .map(|_| {
+            let mut stream = connect(caller(1), callers);
+            let _ = stream.write_all(b"GET /slots HTTP/1.1\r\nhost:");
+            stream
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(1_200));
+    // Each makes the node refuse an overdue head, and wait for its caller to close.
+    let new: Vec<_> = (0..2 * LIMIT).map(|_| connect(caller(1), callers)).collect();
+    let mut stream = connect(Ipv4Addr::LOCALHOST, callers);
+    assert_eq!(status(&mut stream, "/open"), 200);
+    drop((slow, new));
+}
+
 /// Guards against one caller with many connections that pushes out those of others.
 #[test]
 fn the_caller_with_the_most_connections_makes_room() {
