Let the tests of connections wait until the node has read the requests

Cause: in the test. It took 100 ms for enough for the node to have read 32 heads; until then these connections were idle and made room for each other, so places were free when the last caller came. Change: the uploads expect 100-continue, which shows that the node has read the head; another test waits for its target and longer for partial heads. The checks are as they were.

--- a/crates/mustardpin-node/tests/testsuite/connections.rs
+++ b/crates/mustardpin-node/tests/testsuite/connections.rs
@@ -59,15 +59,18 @@
     read_response(stream).status()
 }
 
-/// Opens a connection on which the body of a request does not arrive.
+/// Opens a connection on which the body of a request does not arrive. Returns once the node has read
+/// the head of the request, or refused it.
 fn begin_upload(to: SocketAddr) -> TcpStream {
     let mut stream = connect(caller(1), to);
     let request = format!(
         "POST /slots HTTP/1.1\r\nhost: fleet\r\nauthorization: Bearer {KEY}\r\n\
-         content-length: 5\r\n\r\n"
+         expect: 100-continue\r\ncontent-length: 5\r\n\r\n"
     );
-    // The node may have closed the connection.
-    let _ = stream.write_all(request.as_bytes());
+    stream.write_all(request.as_bytes()).expect("the node reads");
+    let mut line = [0; "HTTP/1.1 100".len()];
+    stream.read_exact(&mut line).expect("a status line");
+    assert!([&b"HTTP/1.1 100"[..], b"HTTP/1.1 503"].contains(&&line[..]));
     stream
 }
 
@@ -112,7 +115,8 @@
         let head = format!("GET /slots HTTP/1.1\r\nhost: fleet\r\nauthorization: Bearer {KEY}");
         stream.write_all(head.as_bytes()).expect("the node reads");
     }
-    thread::sleep(Duration::from_millis(50));
+    wait_until(|| fleet.targets[0].seen().len() == busy.len());
+    thread::sleep(Duration::from_millis(300));
     let kept: Vec<_> = (0..3 * LIMIT).map(|_| connect(caller(1), callers)).collect();
     for stream in &mut received {
         stream.write_all(b"\r\n\r\n").expect("the connection is open");
@@ -130,7 +134,6 @@
     let fleet = start();
     let callers = fleet.callers(0);
     let busy: Vec<_> = (0..LIMIT).map(|_| begin_upload(callers)).collect();
-    thread::sleep(Duration::from_millis(100));
     let mut stream = connect(caller(1), callers);
     send(&mut stream, "/slots");
     let response = read_response(&mut stream);
@@ -149,7 +152,6 @@
     let fleet = start();
     let callers = fleet.callers(0);
     let busy: Vec<_> = (0..2 * LIMIT).map(|_| begin_upload(callers)).collect();
-    thread::sleep(Duration::from_millis(100));
     let mut stream = connect(Ipv4Addr::LOCALHOST, callers);
     assert_eq!(status(&mut stream, "/open"), 200);
     drop(busy);
