--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -47,7 +47,12 @@
 }
 
 /// Sends requests until each of these endpoints has run one.
-fn warm_up(record: &Record, address: &str, seen: &Mutex<Vec<String>>, count: usize) -> io::Result<()> {
+fn warm_up(
+    record: &Record,
+    address: &str,
+    seen: &Mutex<Vec<String>>,
+    count: usize,
+) -> io::Result<()> {
     for _ in 0..400 {
         let call = Call::new("POST", HOST, "/book/warm");
         let _ = call.send(address);
@@ -70,11 +75,7 @@
     /// How long the endpoint serves on after the acknowledgement of its leaving.
     const SERVES_ON_MS: u64 = DRAIN_MS + 3_000;
     const WORK_MS: u64 = 2_000;
-    let plans = [
-        node("desk-1", "desk"),
-        node("ledger-1", "ledger"),
-        node("ledger-2", "ledger"),
-    ];
+    let plans = [node("desk-1", "desk"), node("ledger-1", "ledger"), node("ledger-2", "ledger")];
     let config = |version| document(version, &[book(5.0)], &["desk", "ledger"], "");
     let deployment = Deployment::start(record, &plans, config)?;
     let seen = Arc::new(Mutex::new(Vec::new()));
@@ -155,10 +156,8 @@
     let _ = (late.join(), end.join());
     let runs = runs.lock().unwrap();
     let answers = answers.lock().unwrap();
-    let late: Vec<_> = runs
-        .iter()
-        .filter(|(name, _, at)| name == "L1" && *at > acknowledged + DRAIN_MS)
-        .collect();
+    let late: Vec<_> =
+        runs.iter().filter(|(name, _, at)| name == "L1" && *at > acknowledged + DRAIN_MS).collect();
     let lost = late
         .iter()
         .filter(|(_, id, _)| answers.get(id).is_none_or(|answer| answer.status != 200))
@@ -187,8 +186,7 @@
     const MORE_BODY_BYTES: usize = 3_000_000;
     /// Clients with short requests only, and how many each sends.
     const OTHERS: (usize, usize) = (6, 50);
-    let plans =
-        [node("desk-1", "desk"), node("ledger-1", "ledger"), node("ledger-2", "ledger")];
+    let plans = [node("desk-1", "desk"), node("ledger-1", "ledger"), node("ledger-2", "ledger")];
     let upload = Route { name: "r-upload", prefix: "/upload/", ..book(5.0) };
     let routes = [upload, book(TIMEOUT_MS as f64 / 1_000.0)];
     let config = |version| document(version, &routes, &["desk", "ledger"], "");
@@ -349,7 +347,9 @@
             }
             if endpoint.instance() != instance || !endpoint.is_up() {
                 let id = arrival.head.get("x-attempt-id").unwrap_or_default().to_string();
-                endpoint.record.line(format!("endpoint {} crashed while it ran {id}", endpoint.name));
+                endpoint
+                    .record
+                    .line(format!("endpoint {} crashed while it ran {id}", endpoint.name));
                 broken.lock().unwrap().push(id);
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
@@ -412,16 +412,12 @@
 /// A tenant that sends more than its quota is removed from the configuration.
 fn tenant(record: &Arc<Record>, has_trouble: bool) -> io::Result<bool> {
     const HOT_PER_S: u64 = 230;
-    let plans = [
-        node("desk-1", "desk"),
-        node("ledger-1", "ledger"),
-    ];
+    let plans = [node("desk-1", "desk"), node("ledger-1", "ledger")];
     let hot = r#"{"name":"hot","apiKeys":["key-of-hot"],"priority":1,"ratePerS":50,"burst":50}"#;
     let calm = r#"{"name":"calm","apiKeys":["key-of-calm"],"priority":1,"ratePerS":50,"burst":50}"#;
     let both = format!("{hot},{calm}");
     let routes = [Route { is_public: false, ..book(5.0) }];
-    let config =
-        |tenants: &str, version| document(version, &routes, &["desk", "ledger"], tenants);
+    let config = |tenants: &str, version| document(version, &routes, &["desk", "ledger"], tenants);
     let deployment = Deployment::start(record, &plans, |version| config(&both, version))?;
     let seen: Arc<Mutex<Vec<(String, String)>>> = Arc::default();
     let mut endpoints = Vec::new();
@@ -554,8 +550,7 @@
     let start_load = |index: usize| {
         let node = &deployment.nodes[index];
         let (name, outbound) = (node.name.clone(), node.outbound.clone());
-        let (record, is_done, sent) =
-            (Arc::clone(record), Arc::clone(&is_done), Arc::clone(&sent));
+        let (record, is_done, sent) = (Arc::clone(record), Arc::clone(&is_done), Arc::clone(&sent));
         thread::spawn(move || {
             while !is_done.load(SeqCst) {
                 let (record, outbound, sent, name) =
@@ -747,12 +742,8 @@
     let mut kept = Vec::new();
     for index in 0..KEPT_CONNECTIONS {
         let address = deployment.nodes[1].outbound.clone();
-        let (record, is_done, closed, answered) = (
-            Arc::clone(record),
-            Arc::clone(&is_done),
-            Arc::clone(&closed),
-            Arc::clone(&answered),
-        );
+        let (record, is_done, closed, answered) =
+            (Arc::clone(record), Arc::clone(&is_done), Arc::clone(&closed), Arc::clone(&answered));
         kept.push(thread::spawn(move || {
             while !is_done.load(SeqCst) {
                 let Ok(mut conn) = Conn::open(&address, Duration::from_secs(1)) else {
