Remember deregistrations for the life of the process

Cause: a deregistration was kept only in the last report of the target, which a heartbeat replaces that was sent earlier and arrives later. A restarted node forgot one that it heard before the first report, and a deregistration was applied to a process whatever its start time.

Change: a table of departures by process identity (instance id and start time). A deregistration closes the target as a departure in its responses does, so peers remember it and remind a restarted node. A call in the queue is also rerouted if a peer's reminder closes the target.

Evidence: without the fix, a_late_report_does_not_bring_a_target_back_that_has_deregistered, a_deregistration_is_remembered_while_the_node_beside_the_target_is_restarted and a_deregistration_before_the_first_report_is_remembered fail; with it all of leaving:: pass.

--- a/crates/mustardpin-node/src/metrics.rs
+++ b/crates/mustardpin-node/src/metrics.rs
@@ -155,11 +155,7 @@
             "Requests per second that the own target takes; 0 without a rate limit",
             rate_limit.unwrap_or_default(),
         ),
-        (
-            "target_leaving",
-            "Whether the own target states that it leaves",
-            flag(target.says_leaving),
-        ),
+        ("target_leaving", "Whether the own target states that it leaves", flag(target.is_leaving)),
         ("peers", "Peers that the node knows", tables.peers.len() as f64),
         ("peers_open", "Peers that take requests", open_peers as f64),
         ("leaving", "Whether the node is leaving", flag(tables.leaving)),
--- a/crates/mustardpin-virtual/src/fleet.rs
+++ b/crates/mustardpin-virtual/src/fleet.rs
@@ -14,7 +14,7 @@
 
 use mustardpin_world::{
     Event, Identity, Millis, Options, World, config,
-    event::{Proposal, ProposalTicket},
+    event::{Proposal, ProposalTicket, TargetReport},
     id::{KeyDigest, NodeId, Revision},
     log::Entry,
     notice::Notice,
@@ -96,6 +96,7 @@
     RunDeadline { epoch: u32, ticket: Ticket },
     ForwardDeadline { epoch: u32, ticket: Ticket },
     Report { epoch: u32 },
+    LateReport { report: TargetReport },
     Resend { root: u64 },
     Connect { epoch: u32, to: NodeId },
     CheckLinks { epoch: u32 },
@@ -291,6 +292,7 @@
         target.started = now;
         target.up = true;
         target.draining = false;
+        target.has_deregistered = false;
         target.notice = Notice::default();
         self.restart_node(site);
     }
@@ -353,12 +355,25 @@
 
     /// Starts the target at a site again.
     pub fn restart_target(&mut self, site: Site) {
-        self.nodes[site.0].target.up = true;
-        self.nodes[site.0].target.started = self.now;
+        let target = &mut self.nodes[site.0].target;
+        target.up = true;
+        target.has_deregistered = false;
+        target.started = self.now;
         let epoch = self.nodes[site.0].epoch;
         self.schedule(site, self.now, Step::Report { epoch });
     }
 
+    /// Deregisters the target at a site, which runs on but sends no more reports. The last report
+    /// that it sent before arrives this much later, at the process that the node then has.
+    pub fn deregister_target(&mut self, site: Site, late: Millis) {
+        let report = self.next_report(site);
+        let target = &mut self.nodes[site.0].target;
+        target.has_deregistered = true;
+        let (instance, started) = (report.instance.clone(), Some(target.started));
+        self.deliver_later(site, Millis(0), Event::TargetGone { instance, started });
+        self.schedule(site, self.now + late, Step::LateReport { report });
+    }
+
     /// Sends a root request to a node and returns its number.
     pub fn send(&mut self, site: Site, request: Request) -> u64 {
         let root = self.roots.len() as u64;
--- a/crates/mustardpin-virtual/src/fleet/run.rs
+++ b/crates/mustardpin-virtual/src/fleet/run.rs
@@ -173,10 +173,19 @@
     }
 
     pub(super) fn report(&mut self, site: Site, epoch: u32) {
-        let node = &mut self.nodes[site.0];
-        if node.epoch != epoch || !node.up || !node.target.up {
+        let node = &self.nodes[site.0];
+        let is_silent = !node.target.up || node.target.has_deregistered;
+        if node.epoch != epoch || !node.up || is_silent {
             return;
         }
+        let report = self.next_report(site);
+        self.deliver_later(site, Millis(0), Event::Target(report));
+        self.schedule(site, self.now + REPORT_INTERVAL, Step::Report { epoch });
+    }
+
+    /// The next report that the target at a site sends.
+    pub(super) fn next_report(&mut self, site: Site) -> TargetReport {
+        let node = &mut self.nodes[site.0];
         let target = &mut node.target;
         target.report_sequence += 1;
         let report = TargetReport {
@@ -190,8 +199,6 @@
             warm_up: Millis::ZERO,
             running: Some(target.busy.len() as u32),
         };
-        let report = self.nodes[site.0].target.distort_report(self.now, report, &mut self.rng);
-        self.deliver_later(site, Millis(0), Event::Target(report));
-        self.schedule(site, self.now + REPORT_INTERVAL, Step::Report { epoch });
+        self.nodes[site.0].target.distort_report(self.now, report, &mut self.rng)
     }
 }
--- a/crates/mustardpin-virtual/src/fleet/step.rs
+++ b/crates/mustardpin-virtual/src/fleet/step.rs
@@ -60,6 +60,9 @@
             Step::RunDeadline { epoch, ticket } => self.run_deadline(site, epoch, ticket),
             Step::ForwardDeadline { epoch, ticket } => self.forward_deadline(site, epoch, ticket),
             Step::Report { epoch } => self.report(site, epoch),
+            Step::LateReport { report } => {
+                self.deliver_later(site, Millis(0), Event::Target(report));
+            }
             Step::Connect { epoch, to } => self.connect(site, epoch, to),
             Step::CheckLinks { epoch } => self.check_links(site, epoch),
             Step::LongPollTimeout { epoch, ticket } => self.long_poll_timeout(site, epoch, ticket),
--- a/crates/mustardpin-virtual/src/target.rs
+++ b/crates/mustardpin-virtual/src/target.rs
@@ -103,6 +103,8 @@
     pub up: bool,
     /// Whether it reports that it is draining.
     pub draining: bool,
+    /// Whether it has deregistered, so that it sends no more reports.
+    pub has_deregistered: bool,
     /// What its responses state about it.
     pub notice: Notice,
     /// When its process started.
@@ -140,6 +142,7 @@
             poison: BTreeSet::new(),
             up: true,
             draining: false,
+            has_deregistered: false,
             notice: Notice::default(),
             started: Millis::ZERO,
             crashes: 0,
--- a/crates/mustardpin-virtual/tests/testsuite/leaving.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/leaving.rs
@@ -1,9 +1,10 @@
-//! Targets that state in their responses that they are leaving get no new requests.
+//! Targets that state in their responses that they are leaving, or that deregister, get no new
+//! requests.
 
 use std::collections::BTreeSet;
 
 use mustardpin_virtual::{Fleet, Request, RunRecord, Service, Site};
-use mustardpin_world::{Millis, Options, config::Row};
+use mustardpin_world::{Event, Millis, Options, config::Row};
 
 use crate::{
     scenario::{self, for_seeds},
@@ -62,6 +63,14 @@
     (scenario, site, since)
 }
 
+/// A fleet with one target that deregisters while its last report is late.
+fn start_deregistration(seed: u64, late: Millis) -> (Scenario, Site, Millis) {
+    let (mut scenario, site, since) = start(seed);
+    scenario.fleet.target(site).notice.leaving = false;
+    scenario.fleet.deregister_target(site, late);
+    (scenario, site, since)
+}
+
 /// How many requests a target got from a time on.
 fn runs(scenario: &Scenario, site: Site, since: Millis) -> usize {
     let records = scenario.fleet.ran.iter();
@@ -161,3 +170,74 @@
         assert!(runs(&scenario, site, since) >= 20, "seed {seed}: 75 without a departure");
     });
 }
+
+/// Guards against a report that was sent before a deregistration, arrives after it and brings the
+/// target back.
+#[test]
+fn a_late_report_does_not_bring_a_target_back_that_has_deregistered() {
+    for_seeds(|seed| {
+        for late in [0, 1, 500, 3_500, 14_000].map(Millis) {
+            let (mut scenario, site, since) = start_deregistration(seed, late);
+            scenario.load_for(late + Millis::from_secs(4));
+            assert_eq!(
+                runs(&scenario, site, since + MAX_DELAY),
+                0,
+                "seed {seed}, late by {late:?}"
+            );
+            assert_eq!(scenario::unserved(&scenario.fleet, since), [""; 0], "seed {seed}");
+        }
+    });
+}
+
+/// Guards against a restarted node that knows nothing of a deregistration when a late report arrives.
+#[test]
+fn a_deregistration_is_remembered_while_the_node_beside_the_target_is_restarted() {
+    for_seeds(|seed| {
+        for late in [100, 350, 3_500].map(Millis) {
+            let (mut scenario, site, since) = start_deregistration(seed, late);
+            scenario.load_for(Millis(50));
+            scenario.fleet.restart_node(site);
+            scenario.load_for(late + Millis::from_secs(4));
+            assert_eq!(
+                runs(&scenario, site, since + MAX_DELAY),
+                0,
+                "seed {seed}, late by {late:?}"
+            );
+        }
+    });
+}
+
+/// Guards against a deregistration that a restarted node hears before the first report of the target,
+/// acknowledges and forgets.
+#[test]
+fn a_deregistration_before_the_first_report_is_remembered() {
+    for_seeds(|seed| {
+        let (mut scenario, site, _) = start(seed);
+        scenario.fleet.target(site).notice.leaving = false;
+        scenario.fleet.target(site).has_deregistered = true;
+        scenario.fleet.restart_node(site);
+        scenario.load_for(Millis(50));
+        let since = scenario.fleet.now;
+        scenario.fleet.deregister_target(site, Millis(2_500));
+        scenario.load_for(Millis::from_secs(7));
+        assert_eq!(runs(&scenario, site, since + MAX_DELAY), 0, "seed {seed}");
+    });
+}
+
+/// Guards against a target that starts again under the same instance id and never gets requests, as an
+/// earlier process of it has deregistered, or does so late.
+#[test]
+fn a_deregistration_ends_with_the_process_of_the_target() {
+    for_seeds(|seed| {
+        let (mut scenario, site, _) = start_deregistration(seed, Millis(5_000));
+        let instance = scenario.fleet.world_at(site).identity().name().clone();
+        let started = Some(scenario.fleet.target(site).started);
+        scenario.load_for(Millis::from_secs(3));
+        scenario.fleet.restart(site);
+        scenario.load_for(Millis::from_secs(1));
+        scenario.fleet.inject(site, Event::TargetGone { instance, started });
+        scenario.load_for(Millis::from_secs(3));
+        let since = scenario.fleet.now - Millis::from_secs(2);
+        assert!(runs(&scenario, site, since) >= 20, "seed {seed}: 75 without a departure");
+    });
+}
--- a/crates/mustardpin-virtual/tests/testsuite/statements.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/statements.rs
@@ -45,21 +45,30 @@
     until: Millis,
 }
 
-/// A span in which a process of a target states that it leaves.
+/// For this long after its restart, a node may not know yet what its target has announced.
+const REMIND_PERIOD: Millis = Millis::from_secs(3);
+/// How often a step deregisters a target.
+const DEREGISTRATION_RATE: f64 = 0.08;
+
+/// A span in which a process of a target states that it leaves, or has deregistered.
 #[derive(Debug)]
 struct Left {
     site: Site,
     from: Millis,
     until: Millis,
+    has_deregistered: bool,
 }
 
 struct Schedule {
     fleet: Fleet,
     rng: Pcg64Mcg,
+    deregistration_rng: Pcg64Mcg,
     /// The front node and the time of each request, by root.
     sent: Vec<(Site, Millis)>,
     limited: Vec<Limited>,
     left: Vec<Left>,
+    /// The restarts of nodes.
+    restarted: Vec<(Site, Millis)>,
     /// Frozen and killed nodes, and when each is resumed or started again.
     frozen: Vec<(Site, Millis)>,
     down: Vec<(Site, Millis)>,
@@ -82,9 +91,11 @@
         let mut schedule = Schedule {
             fleet,
             rng: Pcg64Mcg::seed_from_u64(seed),
+            deregistration_rng: Pcg64Mcg::seed_from_u64(seed + 1),
             sent: Vec::new(),
             limited: Vec::new(),
             left: Vec::new(),
+            restarted: Vec::new(),
             frozen: Vec::new(),
             down: Vec::new(),
             healed_at: Millis::ZERO,
@@ -93,6 +104,7 @@
         while schedule.fleet.now < end {
             schedule.recover();
             schedule.change();
+            schedule.deregister();
             let length = Millis(schedule.rng.random_range(50..900));
             schedule.load_for(length);
         }
@@ -121,9 +133,32 @@
         for (site, _) in self.frozen.extract_if(.., |(_, until)| now >= *until) {
             self.fleet.resume(site);
         }
-        for (site, _) in self.down.extract_if(.., |(_, until)| now >= *until) {
-            self.fleet.restart_node(site);
+        for (site, _) in self.down.extract_if(.., |(_, until)| now >= *until).collect::<Vec<_>>() {
+            self.restart_node(site);
+        }
+    }
+
+    fn restart_node(&mut self, site: Site) {
+        self.fleet.restart_node(site);
+        self.restarted.push((site, self.fleet.now));
+    }
+
+    /// Sometimes deregisters a target, whose last report arrives late.
+    fn deregister(&mut self) {
+        let rng = &mut self.deregistration_rng;
+        let is_due = rng.random_bool(DEREGISTRATION_RATE);
+        let site = Site(FRONTS + rng.random_range(0..BACKS));
+        let late = Millis(rng.random_range(0..8_000));
+        let is_running = |list: &[(Site, Millis)]| list.iter().all(|(other, _)| *other != site);
+        let is_heard = is_running(&self.down) && is_running(&self.frozen);
+        let is_enough =
+            self.left.iter().filter(|left| left.until == Millis::MAX).count() >= BACKS / 2;
+        if !is_due || !is_heard || is_enough || self.fleet.target(site).has_deregistered {
+            return;
         }
+        self.fleet.deregister_target(site, late);
+        let (from, until) = (self.fleet.now, Millis::MAX);
+        self.left.push(Left { site, from, until, has_deregistered: true });
     }
 
     /// Changes what a target states, or lets something fail.
@@ -142,7 +177,7 @@
             }
             5 if !is_down => {
                 self.frozen.retain(|(frozen, _)| *frozen != site);
-                self.fleet.restart_node(site);
+                self.restart_node(site);
             }
             6 if !is_down => {
                 self.frozen.retain(|(frozen, _)| *frozen != site);
@@ -165,7 +200,12 @@
             }
             10 if self.left.iter().filter(|left| left.until == Millis::MAX).count() < BACKS / 2 => {
                 self.fleet.target(site).notice.leaving = true;
-                self.left.push(Left { site, from: now, until: Millis::MAX });
+                self.left.push(Left {
+                    site,
+                    from: now,
+                    until: Millis::MAX,
+                    has_deregistered: false,
+                });
             }
             11 if !is_down => {
                 self.frozen.retain(|(frozen, _)| *frozen != site);
@@ -224,6 +264,23 @@
         records.count()
     }
 
+    /// The requests that reached a target too late after it had deregistered. Those that came while
+    /// the node beside it had just been restarted don't count.
+    fn runs_after_deregistration(&self, left: &Left) -> usize {
+        let is_excused = |sent: Millis| {
+            let restarts = self.restarted.iter().filter(|(site, _)| *site == left.site);
+            restarts.map(|(_, at)| *at).any(|at| (at..at + REMIND_PERIOD).contains(&sent))
+        };
+        let records = self.fleet.ran.iter().filter(|record| {
+            let (_, sent) = self.sent[record.root as usize];
+            record.site == left.site
+                && record.at < left.until
+                && sent > left.from + MAX_DELAY
+                && !is_excused(sent)
+        });
+        records.count()
+    }
+
     /// The rates that a target stated. Like the first one, a rate binds nodes only some time after
     /// they have passed on a response that states it; until then the one before holds too.
     fn spans(&self, limited: &Limited) -> Vec<Span> {
@@ -273,8 +330,8 @@
     total * STEP as f64 / 1_000.0
 }
 
-/// Guards against a limit or a departure that some order of statements, restarts, kills, pauses, cuts
-/// and replacements loses.
+/// Guards against a limit, a departure or a deregistration that some order of statements, late
+/// reports, restarts, kills, pauses, cuts and replacements loses.
 #[test]
 fn statements_hold_whatever_fails() {
     for_seeds(|seed| {
@@ -283,7 +340,11 @@
             assert_eq!(schedule.excesses(limited), [], "seed {seed}: {limited:?}");
         }
         for left in &schedule.left {
-            assert_eq!(schedule.runs_after_departure(left), 0, "seed {seed}: {left:?}");
+            let runs = match left.has_deregistered {
+                true => schedule.runs_after_deregistration(left),
+                false => schedule.runs_after_departure(left),
+            };
+            assert_eq!(runs, 0, "seed {seed}: {left:?}");
         }
         let runs = schedule.fleet.ran.len();
         assert!(runs > 1_000, "seed {seed}: {runs} requests run");
--- a/crates/mustardpin-wire/src/admin/status.rs
+++ b/crates/mustardpin-wire/src/admin/status.rs
@@ -184,7 +184,7 @@
             running: target.running,
             queued: target.queued,
             limit: target.limit,
-            leaving: target.says_leaving,
+            leaving: target.is_leaving,
             rate_limit: target.stated_rate().map(|rate| rate.to_compact_string()),
             latency_ms: target.latency.0,
         }
--- a/crates/mustardpin-world/src/event.rs
+++ b/crates/mustardpin-world/src/event.rs
@@ -115,10 +115,12 @@
     Store(store::Ticket, store::Reply),
     /// This node's target announced itself or sent a report.
     Target(TargetReport),
-    /// This node's target reported that it takes no more requests.
+    /// A target deregistered: it takes no more requests for the life of its process.
     TargetGone {
         /// The instance id of the target that reported it.
         instance: CompactString,
+        /// When its process started, by its own clock; `None` if not reported.
+        started: Option<Millis>,
     },
     /// A response of this node's target states something about the target. Precedes the end of the
     /// run, and the response itself where that is sent on as it arrives.
--- a/crates/mustardpin-world/src/system.rs
+++ b/crates/mustardpin-world/src/system.rs
@@ -99,7 +99,7 @@
 #[derive(Debug)]
 pub(crate) enum TargetChange {
     Reported(TargetReport),
-    Deregistered { instance: CompactString },
+    Deregistered { instance: CompactString, started: Option<Millis> },
     Noticed { ticket: Ticket, instance: CompactString, notice: Notice },
     Lost,
 }
@@ -157,8 +157,8 @@
                 }
                 Event::Store(ticket, reply) => inbox.store.push((ticket, reply)),
                 Event::Target(report) => inbox.target.push(TargetChange::Reported(report)),
-                Event::TargetGone { instance } => {
-                    inbox.target.push(TargetChange::Deregistered { instance });
+                Event::TargetGone { instance, started } => {
+                    inbox.target.push(TargetChange::Deregistered { instance, started });
                 }
                 Event::TargetNotice { ticket, instance, notice } => {
                     inbox.target.push(TargetChange::Noticed { ticket, instance, notice });
--- a/crates/mustardpin-world/src/system/pacing.rs
+++ b/crates/mustardpin-world/src/system/pacing.rs
@@ -38,6 +38,9 @@
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
     for (from, message) in std::mem::take(&mut tick.inbox.target_messages) {
         let Message { target, leaving, rate, age } = message;
+        if leaving {
+            world.tables.departures.insert(target);
+        }
         let statement = Statement { target, leaving, rate, as_of: tick.now - age };
         if target == world.tables.target.process {
             recall(world, tick, from, statement);
--- a/crates/mustardpin-world/src/system/shedding.rs
+++ b/crates/mustardpin-world/src/system/shedding.rs
@@ -90,7 +90,7 @@
         demand: demand(world),
         revision: tables.configuration.revision,
         target: target.process,
-        leaving: target.says_leaving,
+        leaving: target.is_leaving,
         rate: pacing::target_rate(world),
     };
     let is_paced = target.pace.is_some();
--- a/crates/mustardpin-world/src/system/target.rs
+++ b/crates/mustardpin-world/src/system/target.rs
@@ -28,19 +28,15 @@
 };
 
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
-    let was_open = world.tables.target.is_open();
     for index in 0..tick.inbox.target.len() {
         match &tick.inbox.target[index] {
             TargetChange::Reported(report) => {
                 let report = report.clone();
                 apply_report(world, tick, report);
             }
-            TargetChange::Deregistered { instance } => {
-                let is_own = *instance == world.tables.target.report.instance;
-                if is_own && world.tables.target.is_open() {
-                    world.tables.target.report.draining = true;
-                    log_target(world, tick, "target_deregistered");
-                }
+            TargetChange::Deregistered { instance, started } => {
+                let (instance, started) = (instance.clone(), *started);
+                deregister(world, tick, instance, started);
             }
             TargetChange::Noticed { ticket, instance, notice } => {
                 let (ticket, instance, notice) = (*ticket, instance.clone(), *notice);
@@ -58,7 +54,7 @@
             tick.wake(silent_at);
         }
     }
-    if was_open && !world.tables.target.is_open() {
+    if !world.tables.target.is_open() {
         reroute_queue(world, tick);
     }
 }
@@ -124,11 +120,7 @@
     // A target without an identity is taken for another process when it returns.
     let is_other = is_new || (has_returned && target.process == TargetId::default());
     if is_other {
-        target.since = tick.now;
-        target.process = TargetId::of(&target.report.instance, target.report.started);
-        target.says_leaving = false;
-        target.pace = None;
-        target.unlimited_as_of = Millis::ZERO;
+        set_process(world, tick.now);
     }
     if has_moved {
         tick.commands.push(Command::Target(Some(target_address)));
@@ -144,7 +136,7 @@
 /// Whether a report is older than the last one that was applied.
 fn is_outdated(target: &Target, report: &TargetReport) -> bool {
     let known = &target.report;
-    if !target.present && known.sequence == 0 {
+    if !target.present && known.sequence == 0 && !target.is_leaving {
         return false;
     }
     if report.started != known.started {
@@ -190,6 +182,59 @@
     pacing::apply(world, tick, request, notice.rate_limit);
 }
 
+/// Records that a process has deregistered. Without a start time, it is the one that reports itself
+/// under this instance id now.
+fn deregister(
+    world: &mut World,
+    tick: &mut Tick,
+    instance: CompactString,
+    started: Option<Millis>,
+) {
+    let known = &world.tables.target.report;
+    let is_known =
+        instance == known.instance && started.is_none_or(|started| started == known.started);
+    if !is_known {
+        let entry = Entry::new(Level::Info, "target_deregistration_recorded")
+            .with("instance", instance.clone())
+            .with("started", started.unwrap_or_default())
+            .with("known_instance", known.instance.clone())
+            .with("known_started", known.started);
+        tick.log(entry);
+        let Some(started) = started else { return };
+        world.tables.departures.insert(TargetId::of(&instance, started));
+        if !is_successor(&world.tables.target, started) {
+            return;
+        }
+        // Peers learn of the departure by the identity of the target, before its first report.
+        let report = TargetReport { instance, started, ..TargetReport::default() };
+        world.tables.target.report = report;
+        set_process(world, tick.now);
+    }
+    let target = &mut world.tables.target;
+    world.tables.departures.insert(target.process);
+    if std::mem::replace(&mut target.is_leaving, true) {
+        return;
+    }
+    log_target(world, tick, "target_deregistered");
+}
+
+/// Whether a process that has not reported is the target: no other one has, or an earlier one that is
+/// lost.
+fn is_successor(target: &Target, started: Millis) -> bool {
+    let is_unknown = target.process == TargetId::default();
+    !target.present && (is_unknown || started > target.report.started)
+}
+
+/// Makes the process of the last report the target.
+fn set_process(world: &mut World, now: Millis) {
+    let target = &mut world.tables.target;
+    target.since = now;
+    target.process = TargetId::of(&target.report.instance, target.report.started);
+    target.is_leaving = world.tables.departures.contains(target.process);
+    target.pace = None;
+    target.unlimited_as_of = Millis::ZERO;
+}
+
 /// Records that the target is leaving, for the life of its process.
 pub(super) fn mark_leaving(
     world: &mut World,
@@ -198,10 +243,11 @@
     source: Source,
 ) {
     let target = &mut world.tables.target;
-    if target.says_leaving {
+    world.tables.departures.insert(target.process);
+    if target.is_leaving {
         return;
     }
-    target.says_leaving = true;
+    target.is_leaving = true;
     let entry = Entry::new(Level::Info, "target_leaving")
         .on(&request.unwrap_or_default())
         .with("instance", target.report.instance.clone())
@@ -221,6 +267,7 @@
         .with("sequence", report.sequence)
         .with("slots", report.slots.unwrap_or_default())
         .with("draining", report.draining)
+        .with("leaving", world.tables.target.is_leaving)
         .with("cold", report.warm_up);
     tick.log(entry);
 }
--- a/crates/mustardpin-world/src/table.rs
+++ b/crates/mustardpin-world/src/table.rs
@@ -4,6 +4,7 @@
 pub mod configuration;
 pub mod counter;
 pub mod demand;
+pub mod departure;
 pub mod exception;
 pub mod health;
 pub mod latency;
@@ -34,6 +35,8 @@
     pub exceptions: exception::Exceptions,
     /// The cost of each route at the services below, and the demand for it.
     pub demand: demand::Demand,
+    /// The processes behind this node that are known to be leaving.
+    pub departures: departure::Departures,
     /// Measured latencies.
     pub latencies: latency::Latencies,
     /// The other nodes that this node knows.
--- a/crates/mustardpin-world/src/table/target.rs
+++ b/crates/mustardpin-world/src/table/target.rs
@@ -25,9 +25,9 @@
     pub process: TargetId,
     /// When its process was first heard of.
     pub since: Millis,
-    /// Whether one of its responses stated that it is leaving. Holds for the life of its process,
+    /// Whether it has deregistered or stated that it is leaving. Holds for the life of its process,
     /// whatever its later reports say.
-    pub says_leaving: bool,
+    pub is_leaving: bool,
     /// Its rate limit, while it has one.
     pub pace: Option<Pace>,
     /// When the last request was sent that it answered without stating a rate limit; zero if there
@@ -81,8 +81,8 @@
         self.limit.min(self.throughput_limit)
     }
 
-    /// Whether the target accepts new requests, according to its last report and its responses.
+    /// Whether the target accepts new requests, according to its reports and its responses.
     pub fn is_open(&self) -> bool {
-        self.present && !self.report.draining && !self.says_leaving
+        self.present && !self.report.draining && !self.is_leaving
     }
 }
