Let the roster tell its past, so that no shard has two owners

Cause: a process took the first roster that it read for settled, though it may have changed less than a freshness window before. On related paths, a node that had missed a roster kept its buckets, and one that had been cut off handed its buckets over by the reply that refreshed its data.

Change: the roster's row names the version that it replaced and whether it is settled. A node that missed a roster drops its buckets. A roster is written again as settled once all earlier ones have expired; a process that starts grants at once only by such a one.

No request of a team within its rate is refused while four of twelve owners restart.

--- a/crates/mustardpin-virtual/tests/testsuite/faults.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/faults.rs
@@ -1,6 +1,6 @@
 //! Random failures that follow each other and overlap. The seed decides them.
 
-use mustardpin_virtual::{PlatformMode, Site, Snapshot};
+use mustardpin_virtual::{Fleet, PlatformMode, Service, Site, Snapshot};
 use mustardpin_world::Millis;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
@@ -13,6 +13,13 @@
 /// The maximum time between two restores of the platform's store.
 const MAX_RESTORE_INTERVAL: Millis = Millis::from_secs(12);
 
+/// The maximum time between two steps of the schedule of members, in milliseconds.
+const MAX_MEMBER_INTERVAL_MS: u64 = 2_000;
+/// The maximum number of nodes that join.
+const MAX_JOINERS: usize = 6;
+/// The data centres in which nodes join. No node is in the last one before.
+const JOINED_DATA_CENTRES: [&str; 4] = ["north", "south", "west", "east"];
+
 /// Injects failures at random times.
 pub struct Faults {
     rng: Pcg64Mcg,
@@ -20,6 +27,7 @@
     next_at: Millis,
     frozen: Vec<Site>,
     restores: Option<Restores>,
+    members: Option<Members>,
 }
 
 /// Restores of the platform's store, each from a snapshot that was taken some time before.
@@ -28,10 +36,45 @@
     next_at: Millis,
 }
 
+/// Nodes that join, and restarts and cuts from the store while the roster changes.
+struct Members {
+    rng: Pcg64Mcg,
+    next_at: Millis,
+    joined: Vec<Site>,
+}
+
+impl Members {
+    fn step(&mut self, fleet: &mut Fleet, frozen: &[Site]) {
+        if fleet.now < self.next_at {
+            return;
+        }
+        self.next_at = fleet.now + Millis(self.rng.random_range(50..MAX_MEMBER_INTERVAL_MS));
+        let data_centre = JOINED_DATA_CENTRES[self.rng.random_range(0..JOINED_DATA_CENTRES.len())];
+        match self.rng.random_range(0..6) {
+            0 if self.joined.len() < MAX_JOINERS => {
+                let site = fleet.add(data_centre, Service::leaf("search", 4, 5.0));
+                fleet.introduce(site, Site(0));
+                self.joined.push(site);
+            }
+            1 | 2 => {
+                if let Some(&site) = self.joined.last()
+                    && !frozen.contains(&site)
+                {
+                    fleet.restart_node(site);
+                    fleet.introduce(site, Site(0));
+                }
+            }
+            3 => fleet.network.cut_platform(data_centre),
+            4 => fleet.network.heal(),
+            _ => {}
+        }
+    }
+}
+
 impl Faults {
     pub fn new(seed: u64, now: Millis) -> Faults {
         let rng = Pcg64Mcg::seed_from_u64(seed ^ 0xfa17);
-        Faults { rng, next_at: now, frozen: Vec::new(), restores: None }
+        Faults { rng, next_at: now, frozen: Vec::new(), restores: None, members: None }
     }
 
     /// Like [`Faults::new`], with restores of the platform's store besides.
@@ -42,6 +85,13 @@
         Faults { restores: Some(restores), ..Faults::new(seed, now) }
     }
 
+    /// Like [`Faults::new`], with nodes that join, and restarts and cuts while they do.
+    pub fn with_members(seed: u64, now: Millis) -> Faults {
+        let rng = Pcg64Mcg::seed_from_u64(seed ^ 0x3e3b);
+        let members = Members { rng, next_at: now, joined: Vec::new() };
+        Faults { members: Some(members), ..Faults::new(seed, now) }
+    }
+
     /// Whether a node is frozen at present.
     pub fn is_frozen(&self, site: Site) -> bool {
         self.frozen.contains(&site)
@@ -64,6 +114,9 @@
     /// Begins or ends a random failure, if one is due.
     pub fn step(&mut self, scenario: &mut Scenario) {
         self.restore(scenario);
+        if let Some(members) = &mut self.members {
+            members.step(&mut scenario.fleet, &self.frozen);
+        }
         let fleet = &mut scenario.fleet;
         if fleet.now < self.next_at {
             return;
--- a/crates/mustardpin-virtual/tests/testsuite/rate_limit.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/rate_limit.rs
@@ -263,6 +263,56 @@
     insta::assert_snapshot!(table);
 }
 
+/// When shard owners restart in a test.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Restart {
+    Never,
+    /// Once no node uses an earlier roster any more.
+    Settled,
+    /// Right after a node has joined.
+    JustChanged,
+}
+
+/// The share of a team's requests that is refused while four nodes restart in turn.
+fn refused_while_owners_restart(seed: u64, burst: u32, restart: Restart) -> f64 {
+    let mut fleet = small_fleet(seed, burst, RateLimitPolicy::Sharded, 8);
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    fleet.run_for(Millis::from_secs(8));
+    fleet.add("north", Service::leaf("search", 200, 2.0));
+    let pause = if restart == Restart::JustChanged { 3 } else { 13 };
+    fleet.run_for(Millis::from_secs(pause));
+    for number in 0..4 {
+        if restart != Restart::Never {
+            fleet.restart_node(Site(number * 3));
+        }
+        let entry = |rng: &mut Pcg64Mcg, _| Site(1 + rng.random_range(0..2));
+        load(&mut fleet, &mut rng, f64::from(RATE) * 0.8, Millis(1_500), entry);
+    }
+    refused_by_rate_limit(&fleet) as f64 / fleet.received.len() as f64
+}
+
+/// Guards against a fence that starves a team at each restart of a shard owner. Only owners that
+/// restart soon after the roster has changed may not grant at once.
+#[test]
+fn a_team_within_its_rate_is_served_while_shard_owners_restart() {
+    let mut table =
+        String::from("burst, restarts, refused of a team at 80% of its rate, by seed\n");
+    for burst in [BURST, SMALL_BURST] {
+        for restart in [Restart::Never, Restart::Settled, Restart::JustChanged] {
+            table.push_str(&format!("{burst}, {restart:?}:"));
+            for seed in seeds(3) {
+                let share = refused_while_owners_restart(seed, burst, restart);
+                table.push_str(&format!(" {:.2}%", share * 100.0));
+                if burst == BURST && restart == Restart::Settled {
+                    assert!(share < 0.001, "seed {seed}: {share}");
+                }
+            }
+            table.push('\n');
+        }
+    }
+    insta::assert_snapshot!(table);
+}
+
 /// Tokens that nodes have leased ahead and not yet used count towards the burst.
 #[test]
 fn bursts_after_short_pauses_stay_within_the_burst() {
--- a/crates/mustardpin-virtual/tests/testsuite/roster.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/roster.rs
@@ -87,6 +87,28 @@
     }
 }
 
+/// Guards against two owners of a shard while the roster changes: a node that restarts within a window
+/// of the change does not know that the earlier owner may still grant, and one that missed a roster
+/// does not know of the owner by it.
+#[test]
+fn no_shard_has_two_owners_while_nodes_join_and_restart() {
+    for_seeds(|seed| {
+        let mut scenario = Scenario::start(seed, CutOffPolicy::Refuse);
+        let mut faults = Faults::with_members(seed, scenario.fleet.now);
+        for _ in 0..600 {
+            faults.step(&mut scenario);
+            scenario.fleet.run_for(Millis(100));
+            let duplicates = duplicate_owners(&mut scenario, &faults);
+            let now = scenario.fleet.now;
+            assert!(duplicates.is_empty(), "seed {seed}, {now}: {duplicates:?}");
+        }
+        faults.end(&mut scenario);
+        scenario.fleet.run_for(Millis::from_secs(30));
+        let count = scenario.fleet.sites().count();
+        assert_eq!(members(&scenario), vec![count; count], "seed {seed}");
+    });
+}
+
 pub fn members(scenario: &Scenario) -> Vec<usize> {
     let worlds = scenario.fleet.sites().map(|site| scenario.fleet.world_at(site));
     worlds.map(|world| world.tables().roster.len()).collect()
--- a/crates/mustardpin-wire/src/store.rs
+++ b/crates/mustardpin-wire/src/store.rs
@@ -8,7 +8,7 @@
 use derive_more::{Display, Error, From};
 use mustardpin_world::{
     config as world_config,
-    id::{Epoch, NodeId},
+    id::{Epoch, NodeId, StoreVersion},
     store::{self, Roster, RowKey, Value},
 };
 use serde::{Deserialize, Serialize};
@@ -100,13 +100,18 @@
     }
 }
 
-/// The members of the roster, each as a pair of data centre and node name, and its epoch.
+/// A roster: each member as a pair of data centre and node name, the epoch, the epoch and number of
+/// the version that it replaced, and whether it is settled.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 struct Members {
     members: Vec<(CompactString, CompactString)>,
     #[serde(default)]
     epoch: u32,
+    #[serde(default)]
+    previous: (u32, u64),
+    #[serde(default)]
+    settled: bool,
 }
 
 /// The ids of the last accepted changes, and the epoch of the newest one.
@@ -176,7 +181,9 @@
             let members = roster.members.iter();
             let members =
                 members.map(|member| (member.data_centre.clone(), member.name.clone())).collect();
-            serde_json::to_vec(&Members { members, epoch: roster.epoch.0 })?
+            let previous = (roster.previous.epoch.0, roster.previous.number);
+            let (epoch, settled) = (roster.epoch.0, roster.settled);
+            serde_json::to_vec(&Members { members, epoch, previous, settled })?
         }
         Value::Head(store::Head { recent, epoch }) => {
             serde_json::to_vec(&Head { recent: recent.clone(), epoch: epoch.0 })?
@@ -211,11 +218,12 @@
             Value::Node(announcement.try_into()?)
         }
         RowKey::Roster => {
-            let Members { members, epoch } = serde_json::from_slice(bytes)?;
+            let Members { members, epoch, previous, settled } = serde_json::from_slice(bytes)?;
             let members = members.into_iter();
             let members =
                 members.map(|(data_centre, name)| store::Member { name, data_centre }).collect();
-            Value::Roster(Roster { members, epoch: Epoch(epoch) })
+            let previous = StoreVersion::new(Epoch(previous.0), previous.1);
+            Value::Roster(Roster { members, epoch: Epoch(epoch), previous, settled })
         }
         RowKey::Head => {
             let (recent, epoch) = match serde_json::from_slice(bytes)? {
--- a/crates/mustardpin-wire/tests/testsuite/store.rs
+++ b/crates/mustardpin-wire/tests/testsuite/store.rs
@@ -6,7 +6,7 @@
 use mustardpin_world::{
     Millis,
     config::{self, Importance},
-    id::{Epoch, KeyDigest, NodeId},
+    id::{Epoch, KeyDigest, NodeId, StoreVersion},
     store::{Announcement, Head, Member, Roster, RowKey, Value},
 };
 use proptest::prelude::*;
@@ -59,7 +59,9 @@
         Value::Head(Head { recent: vec!["change-1".into()], epoch: Epoch(2) }),
     ));
     let member = Member { name: "north-1".into(), data_centre: "north".into() };
-    rows.push((RowKey::Roster, Value::Roster(Roster { members: vec![member], epoch: Epoch(2) })));
+    let previous = StoreVersion::new(Epoch(1), 7);
+    let roster = Roster { members: vec![member], epoch: Epoch(2), previous, settled: true };
+    rows.push((RowKey::Roster, Value::Roster(roster)));
     let announcement = Announcement {
         node: NodeId(1),
         name: "north-1".into(),
--- a/crates/mustardpin-world/src/store.rs
+++ b/crates/mustardpin-world/src/store.rs
@@ -45,6 +45,10 @@
     pub members: Vec<Member>,
     /// The latest epoch before which no node used a roster any more when it was proposed.
     pub epoch: Epoch,
+    /// The version of the roster that it replaced; zero if it is the first one.
+    pub previous: StoreVersion,
+    /// Whether no node used a roster with other members any more when it was written.
+    pub settled: bool,
 }
 
 /// The last accepted changes of the configuration. Every change writes them.
--- a/crates/mustardpin-world/src/system/rate_limit/ownership.rs
+++ b/crates/mustardpin-world/src/system/rate_limit/ownership.rs
@@ -64,8 +64,8 @@
 }
 
 /// When new buckets of this node may be used: once every previous owner has certainly stopped
-/// granting from them. If the roster hasn't changed since this node started, the only previous
-/// owner is an earlier process under the same node name, which has ended.
+/// granting from them. By a settled roster, the only previous owner is an earlier process under the
+/// same node name, which has ended.
 fn usable_from(world: &World, team: TeamKey, now: Millis) -> Millis {
     let roster = &world.tables.roster;
     if roster.is_settled { now } else { roster.learned_at + roster_validity(world, team) }
@@ -104,16 +104,15 @@
 }
 
 /// Removes the buckets of shards that this node no longer owns, and hands over to the new owners
-/// those from which it was certainly the only one to grant. Removes all buckets if the store was
-/// restored while this node's data was stale: by rosters that it has missed, other nodes may own any
-/// shard.
+/// those from which it was certainly the only one to grant. Removes all buckets if this node has
+/// missed a roster, by which other nodes may have owned any shard.
 pub(super) fn hand_over_lost_buckets(world: &mut World, tick: &mut Tick) {
     let version = world.tables.roster.version;
     let before = std::mem::replace(&mut world.tables.rate_limits.buckets_roster, version);
     if before == version {
         return;
     }
-    if before.epoch < version.epoch && !world.tables.roster.is_continuous {
+    if !world.tables.roster.is_continuous {
         return world.tables.rate_limits.clear_buckets();
     }
     let policy = policy::of(&world.options.rate_limit);
@@ -130,9 +129,7 @@
     }
     for (mut bucket, team, owner) in lost {
         world.tables.rate_limits.remove(bucket.team, bucket.shard);
-        // If this node's data was stale, it may have missed a roster in between by which another
-        // node owned the shard.
-        if tick.now < bucket.usable_from || !world.tables.freshness.fleet_fresh {
+        if tick.now < bucket.usable_from {
             continue;
         }
         let (Some(team), Some(owner)) = (team, owner) else { continue };
--- a/crates/mustardpin-world/src/system/roster.rs
+++ b/crates/mustardpin-world/src/system/roster.rs
@@ -2,10 +2,13 @@
 //!
 //! Any node may propose a roster; of concurrent proposals, the store accepts one. A node that is
 //! down for a short time does not change the roster: it keeps its row, and so its membership.
+//!
+//! Once no node uses a roster with other members any more, the roster is written again as settled, so
+//! that a process that starts later may grant tokens at once.
 
 use crate::{
     clock::Millis,
-    id::Epoch,
+    id::{Epoch, StoreVersion},
     log::{Entry, Level},
     store::{Member, Operation, Reply, Roster, RowKey, Ticket, Value},
     system::rate_limit,
@@ -15,12 +18,21 @@
 /// Interval between two comparisons of the roster with the rows of nodes.
 const CHECK_INTERVAL: Millis = Millis(250);
 
+/// How long another node than the roster's author waits for the author to write it as settled.
+const SETTLE_DELAY: Millis = Millis(4_000);
+/// The maximum jitter added to that time, so that few nodes write at once.
+const SETTLE_SPREAD: Millis = Millis(10_000);
+
 /// State of the system between ticks.
 #[derive(Debug, Default)]
 pub(crate) struct State {
     next_check: Millis,
     /// When the node proposes a roster, if the current one still differs then.
     due: Option<Millis>,
+    /// When the node writes the roster of this version as settled, if no other node has by then.
+    settle_at: Option<(StoreVersion, Millis)>,
+    /// The version that this node wrote last.
+    written: Option<StoreVersion>,
     pending: Option<Ticket>,
 }
 
@@ -42,7 +54,7 @@
         && !world.tables.roster.is_spoilt;
     if is_current || registered.is_empty() {
         world.systems.roster.due = None;
-        return;
+        return settle(world, tick, current);
     }
     let due = match world.systems.roster.due {
         Some(due) => due,
@@ -56,7 +68,29 @@
     if tick.now < due {
         return;
     }
-    propose(world, tick, registered);
+    propose(world, tick, registered, false);
+}
+
+/// Writes the current roster as settled once all rosters before it have expired.
+fn settle(world: &mut World, tick: &mut Tick, members: Vec<Member>) {
+    let roster = &world.tables.roster;
+    if roster.is_settled || roster.is_empty() {
+        return;
+    }
+    let (version, learned_at) = (roster.version, roster.learned_at);
+    let settle_at = match world.systems.roster.settle_at {
+        Some((planned, at)) if planned == version => at,
+        _ => {
+            let is_author = world.systems.roster.written == Some(version);
+            let delay =
+                if is_author { Millis::ZERO } else { SETTLE_DELAY + world.jitter(SETTLE_SPREAD) };
+            learned_at + rate_limit::longest_roster_validity(world) + delay
+        }
+    };
+    world.systems.roster.settle_at = Some((version, settle_at));
+    if tick.now >= settle_at {
+        propose(world, tick, members, true);
+    }
 }
 
 /// The latest epoch before which no node uses a roster any more: the current one, if this node knows
@@ -85,15 +119,17 @@
     members
 }
 
-fn propose(world: &mut World, tick: &mut Tick, members: Vec<Member>) {
+fn propose(world: &mut World, tick: &mut Tick, members: Vec<Member>, settled: bool) {
     let version = world.tables.roster.version;
     let entry = Entry::new(Level::Info, "roster_proposed")
         .with("members", members.len())
-        .with("after", version.number);
+        .with("after", version.number)
+        .with("settled", settled);
     tick.log(entry);
     let epoch = epoch(world, tick.now);
     let expected = vec![(RowKey::Roster, version)];
-    let puts = vec![(RowKey::Roster, Value::Roster(Roster { members, epoch }))];
+    let roster = Roster { members, epoch, previous: version, settled };
+    let puts = vec![(RowKey::Roster, Value::Roster(roster))];
     let operation = Operation::Write { expected, puts, removals: Vec::new() };
     world.systems.roster.pending = Some(world.call_store(tick, operation));
     world.systems.roster.due = None;
@@ -105,8 +141,14 @@
     for (_, reply) in replies {
         world.systems.roster.pending = None;
         // Whether or not the write succeeded, the roster's row arrives as a change.
-        if !matches!(reply, Reply::Written { .. }) {
-            world.systems.roster.due = None;
+        match reply {
+            Reply::Written { version } => world.systems.roster.written = Some(*version),
+            _ => {
+                world.systems.roster.due = None;
+                if let Some((_, settle_at)) = &mut world.systems.roster.settle_at {
+                    *settle_at = tick.now + SETTLE_DELAY;
+                }
+            }
         }
     }
 }
--- a/crates/mustardpin-world/src/table/roster.rs
+++ b/crates/mustardpin-world/src/table/roster.rs
@@ -21,12 +21,11 @@
     pub version: StoreVersion,
     /// When this node received the roster.
     pub learned_at: Millis,
-    /// Whether this is the roster that this node read first, rather than a later change, and no node
-    /// uses one of an earlier epoch any more.
+    /// Whether no node uses a roster with other members any more.
     pub is_settled: bool,
     /// The latest epoch before which no node uses a roster any more, as of the proposal.
     pub epoch: Epoch,
-    /// Whether this node has missed no roster that was in force for long enough to be used.
+    /// Whether this node has missed no roster since the one before that another node may have used.
     pub is_continuous: bool,
     /// Whether another program has overwritten the roster's row since.
     pub is_spoilt: bool,
@@ -36,7 +35,7 @@
 
 impl Roster {
     /// Replaces the roster by another version. `is_recent` is whether this node's data from the
-    /// store is too recent for it to have missed another owner of its shards.
+    /// store is too recent for it to have missed another owner of its shards by a restore.
     pub fn replace(
         &mut self,
         version: StoreVersion,
@@ -44,10 +43,13 @@
         is_recent: bool,
         now: Millis,
     ) {
-        let is_first = self.version == StoreVersion::default();
-        self.is_settled = is_first && roster.epoch == version.epoch;
+        self.is_settled = roster.settled && roster.epoch == version.epoch;
         let is_next_epoch = version.epoch.0.checked_sub(1) == Some(self.version.epoch.0);
-        self.is_continuous = self.version.epoch == version.epoch || (is_next_epoch && is_recent);
+        self.is_continuous = if self.version.epoch == version.epoch {
+            roster.previous == self.version && !self.is_spoilt
+        } else {
+            is_next_epoch && is_recent
+        };
         self.epoch = roster.epoch;
         self.is_spoilt = false;
         self.version = version;
--- a/crates/mustardpin-world/tests/testsuite/extreme.rs
+++ b/crates/mustardpin-world/tests/testsuite/extreme.rs
@@ -191,7 +191,11 @@
                     name: format!("north-{number}").into(),
                     data_centre: "north".into(),
                 };
-                let roster = Roster { members: vec![member(1), member(2)], epoch: Epoch(1) };
+                let roster = Roster {
+                    members: vec![member(1), member(2)],
+                    epoch: Epoch(1),
+                    ..Roster::default()
+                };
                 let nodes = [NodeId(1), PEER].map(|node| {
                     (RowKey::Node(announcement(node).name), Value::Node(announcement(node)))
                 });
