Handle a disconnect that comes in the tick of its request's arrival

Callers saw (GONE): requests were sent on after their callers had left.

Cause: one batch of events may hold a request and the disconnect of its caller: after a pause, a cut, or when the control thread lags. Disconnects were handled before arrivals, and one of an unknown ticket was dropped, so the request ran for nobody. By reading: with several traffic threads a batch of events could be overtaken by a later one between leaving the queue and being sent.

Change: disconnects of unknown tickets are kept until the tick's requests have been accepted. Batches are sent to the control thread under the lock of their queue. A line caller_gone tells when a node has heard that the caller of a forwarded or running request left, and whether the run goes on.

--- a/crates/mustardpin-node/src/traffic/outbox.rs
+++ b/crates/mustardpin-node/src/traffic/outbox.rs
@@ -33,9 +33,9 @@
         events.push(event);
         let count = events.len();
         if count >= MAX_BATCH {
-            let batch = std::mem::take(&mut *events);
-            drop(events);
-            return self.control.events(batch);
+            // Sent under the lock: another thread's later event must not overtake these.
+            self.control.events(std::mem::take(&mut *events));
+            return;
         }
         drop(events);
         if count == 1 {
@@ -53,10 +53,8 @@
         loop {
             self.added.notified().await;
             let mut events = self.events.lock().unwrap_or_else(PoisonError::into_inner);
-            let batch = std::mem::take(&mut *events);
-            drop(events);
-            if !batch.is_empty() {
-                self.control.events(batch);
+            if !events.is_empty() {
+                self.control.events(std::mem::take(&mut *events));
             }
         }
     }
--- a/crates/mustardpin-virtual/src/fleet.rs
+++ b/crates/mustardpin-virtual/src/fleet.rs
@@ -88,6 +88,7 @@
     Tick { epoch: u32 },
     Deliver { epoch: u32, event: Event },
     Arrive { inbound: InboundRequest },
+    Disconnect { requester: Requester },
     SendForward { epoch: u32, to: NodeId, inbound: InboundRequest },
     ForwardResponse { to: Site, epoch: u32, ticket: Ticket, result: FinalResponse, retries: u32 },
     StartRun { epoch: u32, run: request::Run },
@@ -393,10 +394,8 @@
     /// Disconnects the caller of a root request.
     pub fn disconnect_caller(&mut self, root: u64) {
         let Some((site, _, _)) = self.roots.get(root as usize) else { return };
-        let site = *site;
-        if let Some(ticket) = self.ticket_of(site, Requester::Caller { root }) {
-            self.deliver_later(site, Millis(0), Event::CallerGone(ticket));
-        }
+        let (site, requester) = (*site, Requester::Caller { root });
+        self.schedule(site, self.now, Step::Disconnect { requester });
     }
 
     /// Proposes a change through a node. The reply is stored in [`Fleet::proposal_replies`] under
--- a/crates/mustardpin-virtual/src/fleet/call.rs
+++ b/crates/mustardpin-virtual/src/fleet/call.rs
@@ -257,15 +257,18 @@
             return;
         }
         let Some(to) = self.nodes[site.0].forwarded.remove(&ticket) else { return };
-        let epoch = self.nodes[site.0].epoch;
-        if let Some((to, delay)) = self.reach(site, to)
-            && let Some(peer_ticket) = self.ticket_of(to, Requester::Node { site, epoch, ticket })
-        {
-            self.deliver_later(to, delay, Event::CallerGone(peer_ticket));
-        }
+        self.disconnect_forward(site, to, ticket);
         self.deliver_later(site, Millis(0), forward_ended(ticket, ForwardEnd::Cancelled));
     }
 
+    /// Tells a node that the sender of a request no longer waits, after the request has arrived.
+    pub(super) fn disconnect(&mut self, site: Site, requester: Requester) {
+        if let Some(ticket) = self.ticket_of(site, requester) {
+            self.nodes[site.0].pending.push(Event::CallerGone(ticket));
+            self.tick_at(site, self.now);
+        }
+    }
+
     pub(super) fn ticket_of(&self, site: Site, requester: Requester) -> Option<Ticket> {
         self.nodes[site.0].by_requester.get(&requester).copied()
     }
--- a/crates/mustardpin-virtual/src/fleet/link.rs
+++ b/crates/mustardpin-virtual/src/fleet/link.rs
@@ -1,8 +1,13 @@
 //! Connections between nodes: establishing, checking, losing and re-establishing them.
 
-use mustardpin_world::{Event, Millis, id::NodeId, request::ForwardEnd, store::Announcement};
+use mustardpin_world::{
+    Event, Millis,
+    id::NodeId,
+    request::{ForwardEnd, Ticket},
+    store::Announcement,
+};
 
-use crate::fleet::{Fleet, Site, Step, forward_ended};
+use crate::fleet::{Fleet, Requester, Site, Step, forward_ended};
 
 /// The interval between two checks of a node's connections.
 pub(super) const LINK_CHECK_INTERVAL: Millis = Millis(250);
@@ -145,10 +150,21 @@
             forwarded.iter().filter(|(_, peer)| **peer == to).map(|(&ticket, _)| ticket).collect();
         for ticket in lost {
             self.nodes[site.0].forwarded.remove(&ticket);
+            self.disconnect_forward(site, to, ticket);
             self.deliver_later(site, Millis(1), forward_ended(ticket, ForwardEnd::Broken));
         }
     }
 
+    /// Tells a peer that this node no longer waits for a request: by a message, or as it closes the
+    /// connection.
+    pub(super) fn disconnect_forward(&mut self, site: Site, to: NodeId, ticket: Ticket) {
+        let epoch = self.nodes[site.0].epoch;
+        let Some(receiver) = self.site_of(to) else { return };
+        let Some(delay) = self.delay(site, receiver) else { return };
+        let requester = Requester::Node { site, epoch, ticket };
+        self.schedule(receiver, self.now + delay, Step::Disconnect { requester });
+    }
+
     /// Ends the connections of all nodes that can reach the site of a process that has ended.
     pub(super) fn end_links_to(&mut self, site: Site) {
         let node = self.nodes[site.0].world.identity().node();
--- a/crates/mustardpin-virtual/src/fleet/step.rs
+++ b/crates/mustardpin-virtual/src/fleet/step.rs
@@ -47,6 +47,7 @@
                 }
             }
             Step::Arrive { inbound } => self.arrive(site, inbound),
+            Step::Disconnect { requester } => self.disconnect(site, requester),
             Step::SendForward { epoch, to, inbound } => self.send_forward(site, epoch, to, inbound),
             Step::ForwardResponse { to, epoch, ticket, result, retries } => {
                 self.receive_forward_response(site, (to, epoch, ticket), result, retries);
--- a/crates/mustardpin-virtual/tests/testsuite/main.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod bookings;
 mod configuration;
+mod disconnect;
 mod drain;
 mod faults;
 mod freshness;
--- a/crates/mustardpin-world/src/system/ending.rs
+++ b/crates/mustardpin-world/src/system/ending.rs
@@ -15,13 +15,7 @@
 const RETRY_AFTER_DECLINED: Millis = Millis(300);
 
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
-    for ticket in std::mem::take(&mut tick.inbox.callers_gone) {
-        if world.options.shedding.cancellation
-            && let Some(call) = world.tables.calls.by_ticket(ticket)
-        {
-            finish::abandon(world, tick, call);
-        }
-    }
+    abandon_known(world, tick);
     for (ticket, end) in std::mem::take(&mut tick.inbox.runs_ended) {
         run_ended(world, tick, ticket, end);
     }
@@ -30,6 +24,22 @@
     }
 }
 
+/// Abandons the calls whose callers have disconnected. Keeps the tickets that are not known: their
+/// requests may have arrived in this tick.
+pub(super) fn abandon_known(world: &mut World, tick: &mut Tick) {
+    let mut unknown = Vec::new();
+    for ticket in std::mem::take(&mut tick.inbox.callers_gone) {
+        match world.tables.calls.by_ticket(ticket) {
+            Some(call) if world.options.shedding.cancellation => {
+                finish::abandon(world, tick, call);
+            }
+            Some(_) => {}
+            None => unknown.push(ticket),
+        }
+    }
+    tick.inbox.callers_gone = unknown;
+}
+
 fn run_ended(world: &mut World, tick: &mut Tick, ticket: Ticket, end: RunEnd) {
     let Some(key) = world.tables.calls.by_ticket(ticket) else { return };
     let refusal = match end {
--- a/crates/mustardpin-world/src/system/finish.rs
+++ b/crates/mustardpin-world/src/system/finish.rs
@@ -140,6 +140,16 @@
         return;
     }
     call.abandoned = true;
+    if matches!(call.stage, Stage::Running | Stage::Forwarded) {
+        let entry = Entry::new(Level::Info, "caller_gone")
+            .on(&call.id)
+            .with("stage", call.stage.name())
+            .with("held", tick.now - call.arrived)
+            .with("since_sent", tick.now - call.since)
+            .with("left", call.deadline - tick.now)
+            .with("runs_on", call.stage == Stage::Running && !call.repeatable);
+        tick.log(entry);
+    }
     match call.stage {
         Stage::Running if !call.repeatable => {}
         Stage::Running | Stage::Forwarded => cancel(world, tick, key),
--- a/crates/mustardpin-world/src/system/intake.rs
+++ b/crates/mustardpin-world/src/system/intake.rs
@@ -11,7 +11,7 @@
     log::{self, Entry, Level},
     refusal::{Reason, Refusal},
     request::{CallToken, Forwarded, Nesting, Origin, Request, Verdict},
-    system::{finish, permission, resend, retry, shedding, stop},
+    system::{ending, finish, permission, resend, retry, shedding, stop},
     table::{
         call::{Call, Stage},
         counter::Work,
@@ -60,6 +60,7 @@
             Err(refusal) => refuse(world, tick, &request, refusal),
         }
     }
+    ending::abandon_known(world, tick);
 }
 
 /// Refuses a request for which no call was created.
--- a/crates/mustardpin-world/src/system/roster.rs
+++ b/crates/mustardpin-world/src/system/roster.rs
@@ -68,7 +68,9 @@
     if tick.now < due {
         return;
     }
-    propose(world, tick, registered, false);
+    // Before the first roster, no node has used one. A restore may have lost earlier ones.
+    let is_first = world.tables.roster.version == StoreVersion::default();
+    propose(world, tick, registered, is_first && world.systems.restore.epoch() == Epoch::default());
 }
 
 /// Writes the current roster as settled once all rosters before it have expired.
--- a/crates/mustardpin-world/tests/testsuite/main.rs
+++ b/crates/mustardpin-world/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the world's parts.
 
+mod disconnect;
 mod drain;
 mod extreme;
 mod fleet;
--- a/crates/mustardpin-world/tests/testsuite/node.rs
+++ b/crates/mustardpin-world/tests/testsuite/node.rs
@@ -69,17 +69,7 @@
 
     /// Runs a tick with a new request without a key.
     pub fn send(&mut self, ticket: u64, origin: Origin, timeout: Option<Millis>) -> Vec<Command> {
-        let request = Request {
-            ticket: Ticket(ticket),
-            origin,
-            id: ticket.to_string().into(),
-            host: Default::default(),
-            method: "POST".into(),
-            path: "/".into(),
-            fingerprint: Fingerprint(ticket),
-            timeout,
-        };
-        self.tick(vec![Event::Arrived(request)])
+        self.tick(vec![Event::Arrived(request(ticket, origin, timeout))])
     }
 
     /// Connects a peer of the same service that has a row in the store and an open target.
@@ -96,6 +86,20 @@
     }
 }
 
+/// A request to the open route.
+pub fn request(ticket: u64, origin: Origin, timeout: Option<Millis>) -> Request {
+    Request {
+        ticket: Ticket(ticket),
+        origin,
+        id: ticket.to_string().into(),
+        host: Default::default(),
+        method: "POST".into(),
+        path: "/".into(),
+        fingerprint: Fingerprint(ticket),
+        timeout,
+    }
+}
+
 /// Node `number` of the service.
 pub fn announcement(number: u64) -> Announcement {
     Announcement {
