List the earlier rosters that nodes may still use, so that restarts are fenced by shard

What callers lost: with the settled flag alone, a process that started within a window of a change of the roster granted nothing from any shard.

Cause: only shards that have moved can have another owner, but a process that starts could not tell which ones those are.

Change: a roster lists the members of the earlier rosters that nodes may still use, as differences. A process grants at once from the shards that it owned by all of them. A node that has missed a roster keeps those buckets too, empty, and removes the others.

--- a/crates/mustardpin-node/tests/testsuite/fake/fleet.rs
+++ b/crates/mustardpin-node/tests/testsuite/fake/fleet.rs
@@ -136,7 +136,7 @@
                 world.identity().name(),
                 tables.configuration.revision,
                 tables.target.is_open(),
-                tables.roster.len(),
+                tables.roster.members.len(),
                 tables.roster.version,
                 peers.collect::<Vec<_>>(),
                 tables.leaving,
@@ -153,7 +153,7 @@
             let is_ready = move |world: &World| {
                 let tables = world.tables();
                 let open = tables.peers.iter().filter(|(_, peer)| peer.is_open()).count();
-                let knows_peers = tables.roster.len() == peers + 1 && open == peers;
+                let knows_peers = tables.roster.members.len() == peers + 1 && open == peers;
                 tables.configuration.revision.0 > 0 && tables.target.is_open() && knows_peers
             };
             let report = || self.runtime.block_on(node.control().report(is_ready));
--- a/crates/mustardpin-virtual/tests/testsuite/roster.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/roster.rs
@@ -111,7 +111,7 @@
 
 pub fn members(scenario: &Scenario) -> Vec<usize> {
     let worlds = scenario.fleet.sites().map(|site| scenario.fleet.world_at(site));
-    worlds.map(|world| world.tables().roster.len()).collect()
+    worlds.map(|world| world.tables().roster.members.len()).collect()
 }
 
 /// The rosters that nodes have logged since a time: the store version and the number of members.
--- a/crates/mustardpin-wire/src/admin/status.rs
+++ b/crates/mustardpin-wire/src/admin/status.rs
@@ -166,7 +166,7 @@
         let as_of = tables.freshness.configuration_as_of;
         View {
             revision: tables.configuration.revision.0,
-            members: tables.roster.len() as u64,
+            members: tables.roster.members.len() as u64,
             fresh: tables.freshness.fresh,
             store_age_ms: as_of.map(|as_of| (now - as_of).0),
         }
--- a/crates/mustardpin-wire/src/store.rs
+++ b/crates/mustardpin-wire/src/store.rs
@@ -100,18 +100,52 @@
     }
 }
 
-/// A roster: each member as a pair of data centre and node name, the epoch, the epoch and number of
-/// the version that it replaced, and whether it is settled.
+/// A member of a roster: its data centre and node name.
+type Member = (CompactString, CompactString);
+
+/// How the members of an earlier roster differ from those of a roster.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+struct Former {
+    with: Vec<Member>,
+    without: Vec<Member>,
+}
+
+/// A roster: its members, the epoch, the epoch and number of the version that it replaced, and the
+/// earlier rosters that nodes may still use.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 struct Members {
-    members: Vec<(CompactString, CompactString)>,
+    members: Vec<Member>,
     #[serde(default)]
     epoch: u32,
     #[serde(default)]
     previous: (u32, u64),
     #[serde(default)]
-    settled: bool,
+    former: Option<Vec<Former>>,
+}
+
+fn encode_member(member: &store::Member) -> Member {
+    (member.data_centre.clone(), member.name.clone())
+}
+
+fn decode_member((data_centre, name): Member) -> store::Member {
+    store::Member { name, data_centre }
+}
+
+impl Former {
+    fn new(former: &[store::Member], members: &[store::Member]) -> Former {
+        let difference = |of: &[store::Member], from: &[store::Member]| {
+            of.iter().filter(|member| !from.contains(member)).map(encode_member).collect()
+        };
+        Former { with: difference(former, members), without: difference(members, former) }
+    }
+
+    fn members(self, members: &[store::Member]) -> Vec<store::Member> {
+        let without: Vec<store::Member> = self.without.into_iter().map(decode_member).collect();
+        let kept = members.iter().filter(|member| !without.contains(member)).cloned();
+        kept.chain(self.with.into_iter().map(decode_member)).collect()
+    }
 }
 
 /// The ids of the last accepted changes, and the epoch of the newest one.
@@ -178,12 +212,12 @@
     Ok(match value {
         Value::Node(announcement) => serde_json::to_vec(&Announcement::from(announcement.clone()))?,
         Value::Roster(roster) => {
-            let members = roster.members.iter();
-            let members =
-                members.map(|member| (member.data_centre.clone(), member.name.clone())).collect();
+            let members = roster.members.iter().map(encode_member).collect();
+            let former = roster.former.as_ref().map(|former| {
+                former.iter().map(|former| Former::new(former, &roster.members)).collect()
+            });
             let previous = (roster.previous.epoch.0, roster.previous.number);
-            let (epoch, settled) = (roster.epoch.0, roster.settled);
-            serde_json::to_vec(&Members { members, epoch, previous, settled })?
+            serde_json::to_vec(&Members { members, epoch: roster.epoch.0, previous, former })?
         }
         Value::Head(store::Head { recent, epoch }) => {
             serde_json::to_vec(&Head { recent: recent.clone(), epoch: epoch.0 })?
@@ -218,12 +252,12 @@
             Value::Node(announcement.try_into()?)
         }
         RowKey::Roster => {
-            let Members { members, epoch, previous, settled } = serde_json::from_slice(bytes)?;
-            let members = members.into_iter();
-            let members =
-                members.map(|(data_centre, name)| store::Member { name, data_centre }).collect();
+            let Members { members, epoch, previous, former } = serde_json::from_slice(bytes)?;
+            let members: Vec<_> = members.into_iter().map(decode_member).collect();
+            let former = former
+                .map(|former| former.into_iter().map(|former| former.members(&members)).collect());
             let previous = StoreVersion::new(Epoch(previous.0), previous.1);
-            Value::Roster(Roster { members, epoch: Epoch(epoch), previous, settled })
+            Value::Roster(Roster { members, epoch: Epoch(epoch), previous, former })
         }
         RowKey::Head => {
             let (recent, epoch) = match serde_json::from_slice(bytes)? {
--- a/crates/mustardpin-wire/tests/testsuite/store.rs
+++ b/crates/mustardpin-wire/tests/testsuite/store.rs
@@ -60,7 +60,9 @@
     ));
     let member = Member { name: "north-1".into(), data_centre: "north".into() };
     let previous = StoreVersion::new(Epoch(1), 7);
-    let roster = Roster { members: vec![member], epoch: Epoch(2), previous, settled: true };
+    let left = Member { name: "north-9".into(), data_centre: "north".into() };
+    let former = Some(vec![vec![left.clone()], vec![member.clone(), left]]);
+    let roster = Roster { members: vec![member], epoch: Epoch(2), previous, former };
     rows.push((RowKey::Roster, Value::Roster(roster)));
     let announcement = Announcement {
         node: NodeId(1),
--- a/crates/mustardpin-world/benches/decision.rs
+++ b/crates/mustardpin-world/benches/decision.rs
@@ -85,8 +85,10 @@
     let members = vec![Member { name: own.name.clone(), data_centre: own.data_centre.clone() }];
     let nodes = peers(size).map(|peer| (RowKey::Node(peer.name.clone()), Value::Node(peer)));
     let own = (RowKey::Node(own.name.clone()), Value::Node(own));
-    let roster =
-        (RowKey::Roster, Value::Roster(Roster { members, settled: true, ..Roster::default() }));
+    let roster = (
+        RowKey::Roster,
+        Value::Roster(Roster { members, former: Some(Vec::new()), ..Roster::default() }),
+    );
     let rows = configuration.chain(nodes).chain([own, roster]);
     rows.map(|(key, value)| store::Row {
         key,
--- a/crates/mustardpin-world/src/store.rs
+++ b/crates/mustardpin-world/src/store.rs
@@ -47,8 +47,9 @@
     pub epoch: Epoch,
     /// The version of the roster that it replaced; zero if it is the first one.
     pub previous: StoreVersion,
-    /// Whether no node used a roster with other members any more when it was written.
-    pub settled: bool,
+    /// The members of the earlier rosters that nodes may still have used when it was written; `None`
+    /// if they are not known.
+    pub former: Option<Vec<Vec<Member>>>,
 }
 
 /// The last accepted changes of the configuration. Every change writes them.
--- a/crates/mustardpin-world/src/system/fleet.rs
+++ b/crates/mustardpin-world/src/system/fleet.rs
@@ -130,8 +130,8 @@
                 world.tables.roster.replace(row.version, roster, is_recent, tick.now);
                 let entry = Entry::new(Level::Info, "roster")
                     .with("position", row.version.number)
-                    .with("members", world.tables.roster.len())
-                    .with("settled", world.tables.roster.is_settled);
+                    .with("members", world.tables.roster.members.len())
+                    .with("settled", world.tables.roster.is_settled());
                 tick.log(entry);
             }
             (RowKey::Roster, Some(Value::Unreadable)) => {
@@ -159,7 +159,7 @@
     }
     let has_roster = rows.iter().any(|row| row.key == RowKey::Roster);
     let roster = &mut world.tables.roster;
-    if !has_roster && !roster.is_empty() && roster.version.epoch < epoch {
+    if !has_roster && !roster.members.is_empty() && roster.version.epoch < epoch {
         // The restored store has no roster. This one stays in use until there is one.
         roster.version = StoreVersion::new(epoch, 0);
     }
--- a/crates/mustardpin-world/src/system/rate_limit.rs
+++ b/crates/mustardpin-world/src/system/rate_limit.rs
@@ -55,5 +55,5 @@
 fn parameters(world: &World, team: TeamKey) -> Option<BucketParameters> {
     let (rate, burst) = world.tables.rate_and_burst(team)?;
     let policy = policy::of(&world.options.rate_limit);
-    Some(policy.parameters(rate, burst, &world.tables.roster))
+    Some(policy.parameters(rate, burst, &world.tables.roster.members))
 }
--- a/crates/mustardpin-world/src/system/rate_limit/leasing.rs
+++ b/crates/mustardpin-world/src/system/rate_limit/leasing.rs
@@ -197,7 +197,7 @@
     team: TeamKey,
     parameters: &BucketParameters,
 ) -> Vec<ShardOwner> {
-    let (roster, own) = (&world.tables.roster, &world.identity);
+    let (members, own) = (&world.tables.roster.members, &world.identity);
     let policy = policy::of(&world.options.rate_limit);
     let Some(team) = world.tables.teams.get(team).map(|team| &team.name) else {
         return Vec::new();
@@ -207,7 +207,7 @@
     let mut owners: Vec<_> = (0..parameters.shards)
         .map(Shard)
         .filter_map(|shard| {
-            let (data_centre, name) = policy.shard_owner(roster, own, team, shard)?;
+            let (data_centre, name) = policy.shard_owner(members, own, team, shard)?;
             let is_own = name == own.name();
             let is_local = data_centre == own.data_centre();
             // Nodes begin with different shards, so that they don't all drain the same bucket.
--- a/crates/mustardpin-world/src/system/rate_limit/ownership.rs
+++ b/crates/mustardpin-world/src/system/rate_limit/ownership.rs
@@ -50,7 +50,7 @@
         if world.tables.rate_limits.bucket_mut(team, shard).is_some() {
             continue;
         }
-        let usable_from = usable_from(world, team, now);
+        let usable_from = usable_from(world, team, shard, now);
         world.tables.rate_limits.insert(Bucket { team, shard, level: 0, as_of: now, usable_from });
     }
     let (due, early_handovers) =
@@ -63,12 +63,23 @@
     }
 }
 
-/// When new buckets of this node may be used: once every previous owner has certainly stopped
-/// granting from them. By a settled roster, the only previous owner is an earlier process under the
-/// same node name, which has ended.
-fn usable_from(world: &World, team: TeamKey, now: Millis) -> Millis {
-    let roster = &world.tables.roster;
-    if roster.is_settled { now } else { roster.learned_at + roster_validity(world, team) }
+/// When a new bucket of this node may be used: once every previous owner has certainly stopped
+/// granting from it. An earlier process under the same node name has ended.
+fn usable_from(world: &World, team: TeamKey, shard: Shard, now: Millis) -> Millis {
+    let fenced_until = world.tables.roster.learned_at + roster_validity(world, team);
+    if has_owned(world, team, shard) { now } else { fenced_until }
+}
+
+/// Whether this node owns a shard by the roster, and by all earlier ones that nodes may still use.
+fn has_owned(world: &World, team: TeamKey, shard: Shard) -> bool {
+    let (roster, own) = (&world.tables.roster, &world.identity);
+    let Some(team) = world.tables.teams.get(team) else { return false };
+    let Some(former) = &roster.former else { return false };
+    let policy = policy::of(&world.options.rate_limit);
+    former.iter().chain([&roster.members]).all(|members| {
+        let owner = policy.shard_owner(members, own, &team.name, shard);
+        owner.is_some_and(|(_, name)| name == own.name())
+    })
 }
 
 /// How long after its last update from the store a node uses its roster for a team.
@@ -89,12 +100,12 @@
 /// The shards that this node owns by its roster.
 fn owned_shards(world: &World) -> Vec<(TeamKey, Shard)> {
     let policy = policy::of(&world.options.rate_limit);
-    let (roster, own) = (&world.tables.roster, &world.identity);
+    let (members, own) = (&world.tables.roster.members, &world.identity);
     let mut owned = Vec::new();
     for (key, team) in world.tables.teams.iter() {
         let Some(parameters) = parameters(world, key) else { continue };
         for shard in (0..parameters.shards).map(Shard) {
-            let owner = policy.shard_owner(roster, own, &team.name, shard);
+            let owner = policy.shard_owner(members, own, &team.name, shard);
             if owner.is_some_and(|(_, name)| name == own.name()) {
                 owned.push((key, shard));
             }
@@ -104,8 +115,8 @@
 }
 
 /// Removes the buckets of shards that this node no longer owns, and hands over to the new owners
-/// those from which it was certainly the only one to grant. Removes all buckets if this node has
-/// missed a roster, by which other nodes may have owned any shard.
+/// those from which it was certainly the only one to grant. If this node has missed a roster, it
+/// removes all buckets that another node may have owned meanwhile.
 pub(super) fn hand_over_lost_buckets(world: &mut World, tick: &mut Tick) {
     let version = world.tables.roster.version;
     let before = std::mem::replace(&mut world.tables.rate_limits.buckets_roster, version);
@@ -113,15 +124,15 @@
         return;
     }
     if !world.tables.roster.is_continuous {
-        return world.tables.rate_limits.clear_buckets();
+        return remove_doubtful_buckets(world, tick.now);
     }
     let policy = policy::of(&world.options.rate_limit);
-    let (roster, own) = (&world.tables.roster, &world.identity);
+    let (members, own) = (&world.tables.roster.members, &world.identity);
     let mut lost = Vec::new();
     for bucket in world.tables.rate_limits.buckets() {
         let team = world.tables.teams.get(bucket.team).map(|team| team.name.clone());
         let owner =
-            team.as_deref().and_then(|team| policy.shard_owner(roster, own, team, bucket.shard));
+            team.as_deref().and_then(|team| policy.shard_owner(members, own, team, bucket.shard));
         let owner = owner.map(|(_, name)| name.clone());
         if owner.as_ref() != Some(own.name()) {
             lost.push((*bucket, team, owner));
@@ -141,6 +152,18 @@
     }
 }
 
+/// Removes the buckets of shards that another node may own by a roster that nodes still use. The
+/// others are emptied, since another node may have granted their refill by a roster that has expired.
+fn remove_doubtful_buckets(world: &mut World, now: Millis) {
+    let buckets = world.tables.rate_limits.buckets();
+    let owned = |bucket: &&Bucket| has_owned(world, bucket.team, bucket.shard);
+    let kept: Vec<Bucket> = buckets.filter(owned).copied().collect();
+    world.tables.rate_limits.clear_buckets();
+    for bucket in kept {
+        world.tables.rate_limits.insert(Bucket { level: 0, as_of: now, ..bucket });
+    }
+}
+
 /// Takes tokens from a bucket of this node, for another node or for this one.
 pub(super) fn grant(
     world: &mut World,
--- a/crates/mustardpin-world/src/system/rate_limit/policy.rs
+++ b/crates/mustardpin-world/src/system/rate_limit/policy.rs
@@ -5,19 +5,19 @@
 use crate::{
     message::rate_limit::Shard,
     options::{RateLimit, RateLimitPolicy},
-    table::{rate_limit::BucketParameters, roster::Roster},
+    table::{rate_limit::BucketParameters, roster::Members},
     world::Identity,
 };
 
 /// A policy for splitting a team's rate between nodes.
 pub(super) trait Policy {
     /// Bucket parameters for a rate, in tokens per second, and a burst, in tokens.
-    fn parameters(&self, rate: u32, burst: u32, roster: &Roster) -> BucketParameters;
+    fn parameters(&self, rate: u32, burst: u32, members: &Members) -> BucketParameters;
 
     /// The data centre and member name of a shard's owner, as seen from `node`.
     fn shard_owner<'a>(
         &self,
-        roster: &'a Roster,
+        members: &'a Members,
         node: &'a Identity,
         team: &str,
         shard: Shard,
@@ -38,18 +38,18 @@
 }
 
 impl Policy for Sharded {
-    fn parameters(&self, rate: u32, burst: u32, _roster: &Roster) -> BucketParameters {
+    fn parameters(&self, rate: u32, burst: u32, _members: &Members) -> BucketParameters {
         BucketParameters::sharded(rate, burst, self.max_shards)
     }
 
     fn shard_owner<'a>(
         &self,
-        roster: &'a Roster,
+        members: &'a Members,
         _node: &'a Identity,
         team: &str,
         shard: Shard,
     ) -> Option<(&'a CompactString, &'a CompactString)> {
-        roster.shard_owner(team, shard)
+        members.shard_owner(team, shard)
     }
 }
 
@@ -57,18 +57,18 @@
 struct Even;
 
 impl Policy for Even {
-    fn parameters(&self, rate: u32, burst: u32, roster: &Roster) -> BucketParameters {
-        BucketParameters::even(rate, burst, roster.len())
+    fn parameters(&self, rate: u32, burst: u32, members: &Members) -> BucketParameters {
+        BucketParameters::even(rate, burst, members.len())
     }
 
     fn shard_owner<'a>(
         &self,
-        roster: &'a Roster,
+        members: &'a Members,
         node: &'a Identity,
         _team: &str,
         _shard: Shard,
     ) -> Option<(&'a CompactString, &'a CompactString)> {
-        let is_member = roster.contains(node.data_centre(), node.name());
+        let is_member = members.contains(node.data_centre(), node.name());
         is_member.then(|| (node.data_centre(), node.name()))
     }
 }
--- a/crates/mustardpin-world/src/system/roster.rs
+++ b/crates/mustardpin-world/src/system/roster.rs
@@ -3,8 +3,9 @@
 //! Any node may propose a roster; of concurrent proposals, the store accepts one. A node that is
 //! down for a short time does not change the roster: it keeps its row, and so its membership.
 //!
-//! Once no node uses a roster with other members any more, the roster is written again as settled, so
-//! that a process that starts later may grant tokens at once.
+//! A roster lists the earlier ones that nodes may still use, so that a process that starts knows which
+//! other nodes may grant tokens of its shards. Once all of them have expired, the roster is written
+//! again as settled, without the list.
 
 use crate::{
     clock::Millis,
@@ -23,6 +24,9 @@
 /// The maximum jitter added to that time, so that few nodes write at once.
 const SETTLE_SPREAD: Millis = Millis(10_000);
 
+/// The maximum number of earlier rosters that a roster lists. Beyond it, they count as unknown.
+const MAX_FORMER: usize = 8;
+
 /// State of the system between ticks.
 #[derive(Debug, Default)]
 pub(crate) struct State {
@@ -48,7 +52,7 @@
         return;
     }
     let registered = registered(world);
-    let current: Vec<Member> = world.tables.roster.members().collect();
+    let current: Vec<Member> = world.tables.roster.members.iter().collect();
     let is_current = registered == current
         && world.tables.roster.epoch >= epoch(world, tick.now)
         && !world.tables.roster.is_spoilt;
@@ -68,15 +72,33 @@
     if tick.now < due {
         return;
     }
-    // Before the first roster, no node has used one. A restore may have lost earlier ones.
-    let is_first = world.tables.roster.version == StoreVersion::default();
-    propose(world, tick, registered, is_first && world.systems.restore.epoch() == Epoch::default());
+    let former = former(world, tick.now);
+    propose(world, tick, registered, former);
+}
+
+/// The members of the rosters that nodes may use, besides a new one. `None` if they are not known.
+fn former(world: &World, now: Millis) -> Option<Vec<Vec<Member>>> {
+    let roster = &world.tables.roster;
+    let current: Vec<Member> = roster.members.iter().collect();
+    if roster.version == StoreVersion::default() {
+        // Before the first roster, no node has used one. A restore may have lost earlier ones.
+        return (world.systems.restore.epoch() == Epoch::default()).then(Vec::new);
+    }
+    if epoch(world, now) > roster.epoch {
+        return Some(vec![current]);
+    }
+    let mut former: Vec<Vec<Member>> =
+        roster.former.as_ref()?.iter().map(|members| members.iter().collect()).collect();
+    if !former.contains(&current) {
+        former.push(current);
+    }
+    (former.len() <= MAX_FORMER).then_some(former)
 }
 
 /// Writes the current roster as settled once all rosters before it have expired.
 fn settle(world: &mut World, tick: &mut Tick, members: Vec<Member>) {
     let roster = &world.tables.roster;
-    if roster.is_settled || roster.is_empty() {
+    if roster.is_settled() || roster.members.is_empty() {
         return;
     }
     let (version, learned_at) = (roster.version, roster.learned_at);
@@ -91,7 +113,7 @@
     };
     world.systems.roster.settle_at = Some((version, settle_at));
     if tick.now >= settle_at {
-        propose(world, tick, members, true);
+        propose(world, tick, members, Some(Vec::new()));
     }
 }
 
@@ -101,7 +123,7 @@
     let restore = &world.systems.restore;
     let validity = rate_limit::longest_roster_validity(world);
     let roster = &world.tables.roster;
-    let are_expired = roster.is_empty() || now - restore.since() >= validity;
+    let are_expired = roster.members.is_empty() || now - restore.since() >= validity;
     if are_expired { restore.epoch() } else { roster.epoch }
 }
 
@@ -121,16 +143,21 @@
     members
 }
 
-fn propose(world: &mut World, tick: &mut Tick, members: Vec<Member>, settled: bool) {
+fn propose(
+    world: &mut World,
+    tick: &mut Tick,
+    members: Vec<Member>,
+    former: Option<Vec<Vec<Member>>>,
+) {
     let version = world.tables.roster.version;
     let entry = Entry::new(Level::Info, "roster_proposed")
         .with("members", members.len())
         .with("after", version.number)
-        .with("settled", settled);
+        .with("settled", former.as_ref().is_some_and(Vec::is_empty));
     tick.log(entry);
     let epoch = epoch(world, tick.now);
     let expected = vec![(RowKey::Roster, version)];
-    let roster = Roster { members, epoch, previous: version, settled };
+    let roster = Roster { members, epoch, previous: version, former };
     let puts = vec![(RowKey::Roster, Value::Roster(roster))];
     let operation = Operation::Write { expected, puts, removals: Vec::new() };
     world.systems.roster.pending = Some(world.call_store(tick, operation));
