Take the delay of a request between nodes from the time left for it

Callers saw (GONE, BUDGET): a request that had lain in a connection between nodes ran long after its caller had left; in the users' record it had 2.5 s and reached the target after 8.2 s.

Cause: the frame carries the time left when it was written, and the receiver counted from when it read it.

Change: hello and request frames carry the time on the sender's clock. The receiver takes the excess over the least difference of the clocks on that connection from timeout and objective, and logs request_delayed from 250 ms on. Version 5 of the protocol between nodes.

Whether this was the cause in the users' record is not known.

The fake traffic side of the node's tests collects log entries that it reads, where it ended before.

--- a/crates/mustardpin-node/src/traffic/dispatch.rs
+++ b/crates/mustardpin-node/src/traffic/dispatch.rs
@@ -95,7 +95,8 @@
         return exchanges.forward_ended(ticket, ForwardEnd::Cancelled, 0, None);
     };
     let entry = entry_headers(exchanges, &request, forward.forwarded.team.as_deref());
-    match link.send_request(stream, &forward, &request, &entry) {
+    let now = exchanges.clock.now();
+    match link.send_request(stream, &forward, &request, &entry, now) {
         SendResult::Sent => {}
         SendResult::NotSent => exchanges.forward_ended(ticket, ForwardEnd::NotSent, 0, None),
         SendResult::BodyConsumed => exchanges.forward_ended(ticket, ForwardEnd::Broken, 0, None),
--- a/crates/mustardpin-node/src/traffic/link.rs
+++ b/crates/mustardpin-node/src/traffic/link.rs
@@ -9,6 +9,7 @@
 mod incoming;
 mod liveness;
 mod outgoing;
+mod transit;
 mod wire;
 
 use std::{
@@ -19,6 +20,7 @@
 
 use mustardpin_wire::frame::{Head, Hello, LoadReport, PROTOCOL_VERSION};
 use mustardpin_world::{
+    Millis,
     id::{KeyDigest, NodeId, Revision},
     message::Message,
     store::Announcement,
@@ -44,13 +46,14 @@
 impl Credentials {
     /// The hello frame for the other end of a connection; `to` is the expected node, if it is
     /// known.
-    fn hello(&self, to: Option<NodeId>, revision: Revision) -> Hello {
+    fn hello(&self, to: Option<NodeId>, revision: Revision, now: Millis) -> Hello {
         Hello {
             version: PROTOCOL_VERSION,
             credential: self.fleet.0,
             announcement: self.announcement.clone().into(),
             to: to.map_or(0, |node| node.0),
             revision: revision.0,
+            sent_ms: now.0,
         }
     }
 }
--- a/crates/mustardpin-node/src/traffic/link/incoming.rs
+++ b/crates/mustardpin-node/src/traffic/link/incoming.rs
@@ -14,6 +14,7 @@
 use mustardpin_world::{
     Event, Millis,
     id::{NodeId, Revision},
+    log::{Entry, Level},
     refusal::{Reason, Refusal},
     request::{Origin, Request},
     store::Announcement,
@@ -24,12 +25,17 @@
     body::{self, Body, Piece, Writer},
     exchange::{Attempt, Exchange, Outbound, OutboundHead, ResponseRecipient},
     exchanges::Exchanges,
-    link::wire::{Error, Wire},
+    link::{
+        transit::Transit,
+        wire::{Error, Wire},
+    },
     sender::Sender,
 };
 
 /// The timeout of the exchange of hello frames.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// A request that was held up for this long on its way has a line in the log.
+const MIN_LOGGED_DELAY: Millis = Millis(250);
 /// How long to wait for a peer to close its side when the node exits.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -42,7 +48,7 @@
 pub(in crate::traffic) async fn accept(exchanges: Arc<Exchanges>, stream: TcpStream) {
     let Ok(mut wire) = Wire::new(stream) else { return };
     let handshaken = time::timeout(HANDSHAKE_TIMEOUT, handshake(&exchanges, &mut wire)).await;
-    let Ok(Ok(peer)) = handshaken else { return };
+    let Ok(Ok((peer, transit))) = handshaken else { return };
     let from = peer.node;
     exchanges.outbox.push(Event::PeerSeen(peer));
     let sender = Arc::new(Sender::default());
@@ -55,7 +61,7 @@
         incoming.insert(connection, Arc::clone(&sender));
     }
     // The peer reports why the connection ended, since the peer made it.
-    let _ = process_frames(&exchanges, from, &mut wire, &sender).await;
+    let _ = process_frames(&exchanges, (from, transit), &mut wire, &sender).await;
     lock().remove(&connection);
     for ticket in sender.close() {
         exchanges.caller_gone(ticket);
@@ -63,8 +69,12 @@
 }
 
 /// Receives the peer's hello frame, verifies it, and sends this node's.
-async fn handshake(exchanges: &Exchanges, wire: &mut Wire) -> Result<Announcement, Error> {
+async fn handshake(
+    exchanges: &Exchanges,
+    wire: &mut Wire,
+) -> Result<(Announcement, Transit), Error> {
     let hello = wire.receive_hello().await?;
+    let transit = Transit::new(Millis(hello.sent_ms), exchanges.clock.now());
     let credentials = &exchanges.links.credentials;
     if hello.credential() != credentials.fleet || hello.version != frame::PROTOCOL_VERSION {
         return Err(Error::Credential);
@@ -72,17 +82,17 @@
     let own = credentials.announcement.node;
     let peer: Result<Announcement, _> = hello.announcement.try_into();
     let peer = peer.map_err(|_| Error::UnexpectedFrame)?;
-    wire.send_hello(credentials.hello(Some(peer.node), Revision(exchanges.load().revision)))
-        .await?;
+    let revision = Revision(exchanges.load().revision);
+    wire.send_hello(credentials.hello(Some(peer.node), revision, exchanges.clock.now())).await?;
     if hello.to != 0 && hello.to != own.0 {
         return Err(Error::WrongNode);
     }
-    Ok(peer)
+    Ok((peer, transit))
 }
 
 async fn process_frames(
     exchanges: &Arc<Exchanges>,
-    from: NodeId,
+    (from, mut transit): (NodeId, Transit),
     wire: &mut Wire,
     sender: &Arc<Sender>,
 ) -> Result<(), Error> {
@@ -90,6 +100,12 @@
     let mut stage = exchanges.stage();
     loop {
         while let Some((head, payload)) = wire.take()? {
+            let head = match head {
+                Head::Request(request) => {
+                    Head::Request(shorten(exchanges, from, &mut transit, request))
+                }
+                head => head,
+            };
             process_frame(exchanges, from, sender, &mut bodies, head, payload).await?;
         }
         wire.write(sender)?;
@@ -108,6 +124,27 @@
     }
 }
 
+/// Takes the time for which a request was held up on its way from the time that is left for it.
+fn shorten(
+    exchanges: &Exchanges,
+    from: NodeId,
+    transit: &mut Transit,
+    request: frame::Request,
+) -> frame::Request {
+    let delay = transit.delay(Millis(request.sent_ms), exchanges.clock.now());
+    let timeout_ms = request.timeout_ms.saturating_sub(delay.0);
+    let objective_ms = request.objective_ms.saturating_sub(delay.0);
+    if delay >= MIN_LOGGED_DELAY {
+        let entry = Entry::new(Level::Warn, "request_delayed")
+            .on(&request.id)
+            .with("from", from)
+            .with("delay", delay)
+            .with("left", Millis(timeout_ms));
+        exchanges.outbox.log(entry);
+    }
+    frame::Request { timeout_ms, objective_ms, ..request }
+}
+
 /// Processes a received frame.
 async fn process_frame(
     exchanges: &Arc<Exchanges>,
--- a/crates/mustardpin-node/src/traffic/link/outgoing.rs
+++ b/crates/mustardpin-node/src/traffic/link/outgoing.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use mustardpin_wire::frame::{self, Head};
 use mustardpin_world::{
-    Event,
+    Event, Millis,
     id::{NodeId, Revision},
     request::{Forward, ForwardEnd, Ticket},
     store::Announcement,
@@ -107,6 +107,7 @@
         forward: &Forward,
         request: &Outbound,
         entry: &[u8],
+        now: Millis,
     ) -> SendResult {
         let Some(sender) = self.sender() else { return SendResult::NotSent };
         let (complete_body, streamed, kind) = match request.payload() {
@@ -118,7 +119,7 @@
             Payload::Consumed => return SendResult::BodyConsumed,
         };
         let length = (request.header_lines.len() + entry.len()) as u32;
-        let head = request_head(stream, forward, request, length, kind);
+        let head = request_head(stream, forward, request, length, kind, now);
         let mut streams = self.streams();
         let Some(frame_offset) =
             sender.send(&head, &[&request.header_lines, entry, &complete_body])
@@ -185,6 +186,7 @@
     request: &Outbound,
     fields: u32,
     body: frame::Body,
+    now: Millis,
 ) -> Head {
     let forwarded = &forward.forwarded;
     Head::Request(frame::Request {
@@ -192,6 +194,7 @@
         id: request.id.clone(),
         method: request.method.clone(),
         target: request.target.clone(),
+        sent_ms: now.0,
         timeout_ms: forward.timeout.0,
         fingerprint: request.fingerprint.0,
         revision: forwarded.revision.0,
@@ -260,7 +263,8 @@
     let mut wire = Wire::new(stream)?;
     let credentials = &exchanges.links.credentials;
     let own = Revision(exchanges.load().revision);
-    wire.send_hello(credentials.hello(Some(link.announcement.node), own)).await?;
+    wire.send_hello(credentials.hello(Some(link.announcement.node), own, exchanges.clock.now()))
+        .await?;
     let hello = wire.receive_hello().await?;
     if hello.credential() != credentials.fleet || hello.version != frame::PROTOCOL_VERSION {
         return Err(Error::Credential);
@@ -444,7 +448,12 @@
 async fn query(exchanges: &Exchanges, seed: SocketAddr) -> Result<Announcement, Error> {
     let mut wire = Wire::new(TcpStream::connect(seed).await?)?;
     let credentials = &exchanges.links.credentials;
-    wire.send_hello(credentials.hello(None, Revision(exchanges.load().revision))).await?;
+    wire.send_hello(credentials.hello(
+        None,
+        Revision(exchanges.load().revision),
+        exchanges.clock.now(),
+    ))
+    .await?;
     let hello = wire.receive_hello().await?;
     if hello.credential() != credentials.fleet {
         return Err(Error::Credential);
--- a/crates/mustardpin-node/tests/testsuite/fake/side.rs
+++ b/crates/mustardpin-node/tests/testsuite/fake/side.rs
@@ -24,6 +24,7 @@
     Event, Millis,
     command::TargetAddress,
     id::{KeyDigest, NodeId},
+    log::Entry,
     request::{CallToken, Request, Run, Ticket, Verdict},
     store::Announcement,
 };
@@ -48,6 +49,8 @@
     dispatcher: Mutex<Dispatcher>,
     inputs: Receiver<Input>,
     unread: Mutex<VecDeque<Event>>,
+    /// The log entries among the inputs that were read.
+    pub logged: Mutex<Vec<Entry>>,
     _runtime: Runtime,
 }
 
@@ -118,6 +121,7 @@
             dispatcher: Mutex::new(dispatcher),
             inputs,
             unread: Mutex::default(),
+            logged: Mutex::default(),
             _runtime: runtime,
         };
         let target_address =
@@ -158,6 +162,9 @@
             }
             match self.inputs.recv_timeout(Duration::from_secs(5)) {
                 Ok(Input::Events(events)) => unread.extend(events),
+                Ok(Input::LogEntry(entry)) => {
+                    self.logged.lock().expect("the lock is not poisoned").push(entry);
+                }
                 Ok(_) => panic!("expected events, not another input"),
                 Err(_) => panic!("expected an event within five seconds"),
             }
--- a/crates/mustardpin-node/tests/testsuite/input.rs
+++ b/crates/mustardpin-node/tests/testsuite/input.rs
@@ -210,6 +210,7 @@
             announcement: announcement.into(),
             to: to.0,
             revision: 1,
+            sent_ms: 0,
         };
         let mut frame = Vec::new();
         frame::encode(&mut frame, &Head::Hello(hello), &[]).expect("the frame is small");
--- a/crates/mustardpin-node/tests/testsuite/link.rs
+++ b/crates/mustardpin-node/tests/testsuite/link.rs
@@ -233,16 +233,22 @@
         announcement: Announcement { node: NodeId(9), ..to.announcement.clone() }.into(),
         to: 1,
         revision: 0,
+        sent_ms: 0,
     }))
 }
 
 /// The frame of a request without a body.
 fn request(stream: u32, id: &str) -> Vec<u8> {
+    request_sent_at(stream, id, 0)
+}
+
+fn request_sent_at(stream: u32, id: &str, sent_ms: u64) -> Vec<u8> {
     encode(&Head::Request(frame::Request {
         stream,
         id: id.into(),
         method: "GET".into(),
         target: "/slots".into(),
+        sent_ms,
         timeout_ms: 10_000,
         fingerprint: 0,
         revision: 0,
@@ -381,6 +387,7 @@
             announcement: announcement.clone().into(),
             to: 2,
             revision: 0,
+            sent_ms: 0,
         }));
         peer
     }
@@ -507,3 +514,38 @@
     };
     assert_eq!((0..CONNECTIONS).filter(|&number| missed(number)).count(), 0);
 }
+
+/// Guards against a request that was held up between two nodes for longer than its caller waits, and
+/// that the target then gets with all the time that it had at first.
+#[test]
+fn the_time_for_which_a_request_was_held_up_is_taken_from_its_timeout() {
+    let one = node(1, "fleet");
+    one.set_time(Millis(50_000));
+    let mut peer = TcpStream::connect(&*one.announcement.address).expect("the node listens");
+    peer.write_all(&hello(&one)).expect("the node reads");
+    next_event(&one, |event| matches!(event, Event::PeerSeen(_)));
+    let mut report = String::new();
+    // The clock of the peer began 50 s later.
+    let cases = [(100, 100), (200, 350), (1_000, 4_200), (1_100, 30_000), (31_000, 31_010)];
+    for (stream, (sent, received)) in (1..).zip(cases) {
+        one.set_time(Millis(50_000 + received));
+        peer.write_all(&request_sent_at(stream, "one", sent)).expect("the node reads");
+        let Event::Arrived(request) = next_event(&one, |event| matches!(event, Event::Arrived(_)))
+        else {
+            continue;
+        };
+        let timeout = request.timeout.expect("a forwarded request has a timeout");
+        let mut logged = one.logged.lock().expect("the lock is not poisoned");
+        let logged: Vec<&str> = logged.drain(..).map(|entry| entry.event).collect();
+        let line = format!("sent {sent}, received {received}: {} left {logged:?}", timeout.0);
+        report.push_str(line.trim_end_matches(" []"));
+        report.push('\n');
+    }
+    insta::assert_snapshot!(report, @r#"
+    sent 100, received 100: 10000 left
+    sent 200, received 350: 9850 left
+    sent 1000, received 4200: 6800 left ["request_delayed"]
+    sent 1100, received 30000: 0 left ["request_delayed"]
+    sent 31000, received 31010: 9990 left
+    "#);
+}
--- a/crates/mustardpin-wire/src/frame.rs
+++ b/crates/mustardpin-wire/src/frame.rs
@@ -24,7 +24,7 @@
 /// The size of the prefix that holds a frame's length, in bytes.
 const PREFIX_BYTES: usize = 4;
 /// The version of the protocol between nodes.
-pub const PROTOCOL_VERSION: u16 = 4;
+pub const PROTOCOL_VERSION: u16 = 5;
 
 /// Why a frame can't be encoded or decoded.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -74,6 +74,8 @@
     pub to: u64,
     /// The revision of the sender's configuration.
     pub revision: u64,
+    /// The time on the sender's clock, in milliseconds.
+    pub sent_ms: u64,
 }
 
 impl Hello {
@@ -122,6 +124,8 @@
     pub id: CompactString,
     pub method: CompactString,
     pub target: CompactString,
+    /// The time on the sender's clock at which the frame was queued, in milliseconds.
+    pub sent_ms: u64,
     pub timeout_ms: u64,
     pub fingerprint: u64,
     pub revision: u64,
--- a/crates/mustardpin-wire/tests/testsuite/frame.rs
+++ b/crates/mustardpin-wire/tests/testsuite/frame.rs
@@ -99,6 +99,7 @@
             id: names[3].as_str().into(),
             method: "GET".into(),
             target: "/slots".into(),
+            sent_ms: 3,
             timeout_ms: 5,
             fingerprint: 6,
             revision: 9,
@@ -160,8 +161,9 @@
         service: "ledger".into(),
         address: "127.0.0.1:7101".into(),
     };
-    let hello =
-        Hello { version: PROTOCOL_VERSION, credential: [9; 32], announcement, to: 8, revision: 5 };
+    let credential = [9; 32];
+    let version = PROTOCOL_VERSION;
+    let hello = Hello { version, credential, announcement, to: 8, revision: 5, sent_ms: 6 };
     let mut out = Vec::new();
     frame::encode(&mut out, &Head::Hello(hello.clone()), &[]).expect("the frame is small");
     let read = frame::decode(&mut BytesMut::from(&out[..])).expect("the frame can be decoded");
