Join the pieces of a kept body, and limit incomplete responses together

Callers saw (LOST): an endpoint that answers in one-byte chunks without end cost its node about 10 MB a request; the node was killed for its memory, and requests of other callers ended without an answer.

Cause: the limit of kept bodies counted their bytes, while each chunk was kept as a piece of its own, with the receive buffer that it lay in. Incomplete responses had no limit together.

Change: mustardpin_http::body::Buffer joins pieces as they arrive, for responses and uploads. Incomplete responses count against a limit of the size of kept-size, beyond which they are streamed. Chunks that were received together are passed on as one piece.

--- a/crates/mustardpin-http/src/body.rs
+++ b/crates/mustardpin-http/src/body.rs
@@ -171,3 +171,62 @@
         _ => Err(Error::Chunk),
     }
 }
+
+/// The part of a body that has been received. Its pieces are joined as they arrive, so that many
+/// small ones take no more memory than twice their bytes.
+#[derive(Debug, Default)]
+pub struct Buffer {
+    /// The only piece so far, which is not copied.
+    first: Bytes,
+    joined: BytesMut,
+}
+
+impl Buffer {
+    /// Appends a piece.
+    ///
+    /// ```
+    /// use bytes::Bytes;
+    /// use mustardpin_http::body::Buffer;
+    ///
+    /// let mut buffer = Buffer::default();
+    /// buffer.push("ab".into());
+    /// buffer.push("c".into());
+    /// assert_eq!(Bytes::from(buffer), "abc");
+    /// ```
+    pub fn push(&mut self, piece: Bytes) {
+        if self.is_empty() {
+            self.first = piece;
+            return;
+        }
+        if !self.first.is_empty() {
+            let first = std::mem::take(&mut self.first);
+            self.joined.reserve(first.len() + piece.len());
+            self.joined.extend_from_slice(&first);
+        }
+        self.joined.extend_from_slice(&piece);
+    }
+
+    /// The length of the part in bytes.
+    pub fn len(&self) -> usize {
+        self.first.len() + self.joined.len()
+    }
+
+    /// Whether there are no bytes.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// The memory that the part takes, in bytes.
+    pub fn capacity(&self) -> usize {
+        self.first.len() + self.joined.capacity()
+    }
+}
+
+impl From<Buffer> for Bytes {
+    fn from(buffer: Buffer) -> Bytes {
+        match buffer.joined.is_empty() {
+            true => buffer.first,
+            false => buffer.joined.freeze(),
+        }
+    }
+}
--- a/crates/mustardpin-http/tests/testsuite/body.rs
+++ b/crates/mustardpin-http/tests/testsuite/body.rs
@@ -2,10 +2,10 @@
 
 use std::fmt::Write as _;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use mustardpin_http::{
     Error,
-    body::{Body, Piece},
+    body::{Body, Buffer, Piece},
     framing::Framing,
 };
 use proptest::prelude::*;
@@ -105,3 +105,23 @@
         assert!(decode(Framing::Chunked, [text.as_bytes()].into_iter()).is_ok(), "{text:?}");
     }
 }
+
+/// Guards against a body in one-byte chunks that takes many times its bytes, as each piece is kept for
+/// itself with the receive buffer that it lies in.
+#[test]
+fn many_small_pieces_take_no_more_than_twice_their_bytes() {
+    const LENGTH: usize = 256 * 1024;
+    const READ_BYTES: usize = 8 * 1024;
+    let mut buffer = Buffer::default();
+    let mut largest = 0.0_f64;
+    while buffer.len() < LENGTH {
+        let mut read = BytesMut::from("1\r\nx\r\n".repeat(READ_BYTES / 6).as_str());
+        let mut body = Body::from(Framing::Chunked);
+        while let Ok(Piece::Data(piece)) = body.take(&mut read) {
+            buffer.push(piece);
+            largest = largest.max(buffer.capacity() as f64 / buffer.len().max(64) as f64);
+        }
+    }
+    assert!(largest <= 2.0, "{largest} times the bytes");
+    assert!(Bytes::from(buffer).iter().all(|byte| *byte == b'x'));
+}
--- a/crates/mustardpin-node/src/traffic/budget.rs
+++ b/crates/mustardpin-node/src/traffic/budget.rs
@@ -1,11 +1,11 @@
-//! The limit on the memory for request bodies.
+//! The limit on the memory for bodies that are kept.
 
 use std::sync::{
     Arc,
     atomic::{AtomicUsize, Ordering},
 };
 
-/// The limit on the bytes of all request bodies that are kept at once.
+/// The limit on the bytes of all bodies of one kind that are kept at once.
 #[derive(Debug)]
 pub(super) struct Budget {
     limit: usize,
@@ -33,7 +33,7 @@
     }
 }
 
-/// The bytes of a budget that one request body uses. Dropping it releases them.
+/// The bytes of a budget that one body uses. Dropping it releases them.
 #[derive(Debug)]
 pub(super) struct Reservation {
     budget: Arc<Budget>,
--- a/crates/mustardpin-node/src/traffic/caller/reading.rs
+++ b/crates/mustardpin-node/src/traffic/caller/reading.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use mustardpin_http::{
     Error,
-    body::{Body as Decoder, Piece as Decoded},
+    body::{Body as Decoder, Buffer, Piece as Decoded},
     framing::Framing,
     head::Request,
 };
@@ -23,8 +23,7 @@
 struct BufferedRequest {
     head: Request,
     decoder: Decoder,
-    pieces: Vec<Bytes>,
-    buffered_bytes: usize,
+    buffered: Buffer,
     /// The length of the body in bytes, if it was declared.
     length: Option<u64>,
     /// The trailers as encoded lines.
@@ -151,8 +150,7 @@
         let incoming = BufferedRequest {
             head,
             decoder,
-            pieces: Vec::new(),
-            buffered_bytes: 0,
+            buffered: Buffer::default(),
             length,
             trailers: Bytes::new(),
             reservation,
@@ -176,14 +174,13 @@
                     if incoming.received_bytes > exchanges.caller_limits().body_size {
                         return refuse(connection, Reason::BodyTooLarge);
                     }
-                    incoming.buffered_bytes += bytes.len();
-                    if !incoming.reservation.grow_to(incoming.buffered_bytes) {
+                    incoming.buffered.push(bytes);
+                    if !incoming.reservation.grow_to(incoming.buffered.len()) {
                         let BufferedRequest { head, decoder, received_bytes, .. } = incoming;
                         let body = DiscardedBody { decoder, received_bytes };
                         return self.refuse_body(connection, buffer, &head, body);
                     }
-                    incoming.pieces.push(bytes);
-                    if incoming.buffered_bytes > exchanges.limits.retry_body_size {
+                    if incoming.buffered.len() > exchanges.limits.retry_body_size {
                         return self.begin_streaming(connection, buffer, incoming);
                     }
                 }
@@ -193,7 +190,7 @@
                 }
                 Ok(Decoded::End) => {
                     self.last_received = None;
-                    let body = Body::complete(join(incoming.pieces), incoming.trailers);
+                    let body = Body::complete(incoming.buffered.into(), incoming.trailers);
                     accept(connection, incoming.head, body, incoming.reservation);
                     return true;
                 }
@@ -216,9 +213,9 @@
     ) -> bool {
         let (writer, streamed) = body::channel(incoming.length);
         let BufferedRequest {
-            head, decoder, pieces, trailers, reservation, received_bytes, ..
+            head, decoder, buffered, trailers, reservation, received_bytes, ..
         } = incoming;
-        let body = Body::Stream(streamed.with_first(join(pieces)));
+        let body = Body::Stream(streamed.with_first(buffered.into()));
         accept(connection, head.clone(), body, reservation);
         let request =
             StreamedRequest { head, decoder, trailers, writer, pending: None, received_bytes };
@@ -477,10 +474,3 @@
         }
     }
 }
-
-fn join(mut pieces: Vec<Bytes>) -> Bytes {
-    if pieces.len() == 1 {
-        return pieces.pop().unwrap_or_default();
-    }
-    pieces.concat().into()
-}
--- a/crates/mustardpin-node/src/traffic/exchanges.rs
+++ b/crates/mustardpin-node/src/traffic/exchanges.rs
@@ -66,6 +66,8 @@
     pub(super) links: Links,
     /// The memory for request bodies, of callers and of peers.
     pub(super) body_budget: Arc<Budget>,
+    /// The memory for responses of the target that are not complete.
+    pub(super) response_budget: Arc<Budget>,
     table: Mutex<SlotMap<ExchangeKey, Exchange>>,
     callers: Mutex<CallerLimits>,
     load: Mutex<Load>,
@@ -82,6 +84,7 @@
             target: Target::new(),
             links: Links::new(credentials),
             body_budget: Budget::new(limits.buffered_size),
+            response_budget: Budget::new(limits.buffered_size),
             table: Mutex::default(),
             callers: Mutex::new(limits.caller_limits()),
             load: Mutex::default(),
--- a/crates/mustardpin-node/src/traffic/target/run.rs
+++ b/crates/mustardpin-node/src/traffic/target/run.rs
@@ -2,10 +2,10 @@
 
 use std::{io, sync::Arc};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use derive_more::{Display, Error, From};
 use mustardpin_http::{
-    body::{Body as Decoder, Piece as Decoded},
+    body::{Body as Decoder, Buffer, Piece as Decoded},
     framing::Framing,
     head::Response,
     write,
@@ -168,6 +168,8 @@
     written: usize,
     /// Whether bytes of the response were received.
     has_read: bool,
+    /// The end of the body, if it was read together with the last piece.
+    body_end: Option<Piece>,
     is_reusable: bool,
 }
 
@@ -187,6 +189,7 @@
             begun,
             written: 0,
             has_read: false,
+            body_end: None,
             is_reusable: false,
         }
     }
@@ -341,14 +344,18 @@
             return Ok(Outcome { end, response: Some(response) });
         }
         let mut decoder = Decoder::from(framing);
-        let mut buffered = BufferedBody::default();
+        let mut buffered = Buffer::default();
+        let mut reservation = self.exchanges.response_budget.reservation();
         let is_large =
             matches!(framing, Framing::Length(length) if length > MAX_BUFFERED_BYTES as u64);
-        while !is_large && buffered.size <= MAX_BUFFERED_BYTES {
+        while !is_large
+            && buffered.len() <= MAX_BUFFERED_BYTES
+            && reservation.grow_to(buffered.capacity())
+        {
             match self.next_body_piece(&mut decoder).await? {
                 Piece::Data(bytes) => buffered.push(bytes),
                 Piece::End(trailers) => {
-                    let body = Body::complete(buffered.join(), trailers);
+                    let body = Body::complete(buffered.into(), trailers);
                     let response = CallerResponse { status, header_lines, body };
                     return Ok(Outcome { end, response: Some(response) });
                 }
@@ -361,19 +368,19 @@
         let (writer, streamed) = body::channel(length);
         let response = CallerResponse { status, header_lines, body: Body::Stream(streamed) };
         self.exchanges.stream_response(self.run.ticket, response);
-        self.stream_body(&writer, buffered, &mut decoder).await?;
+        self.stream_body(&writer, buffered.into(), &mut decoder).await?;
         Ok(Outcome { end, response: None })
     }
 
     async fn stream_body(
         &mut self,
         writer: &Writer,
-        buffered: BufferedBody,
+        buffered: Bytes,
         decoder: &mut Decoder,
     ) -> Result<(), Failure> {
         let abandoned = |_| Failure::Abandoned;
-        for bytes in buffered.pieces {
-            writer.send(Piece::Data(bytes)).await.map_err(abandoned)?;
+        if !buffered.is_empty() {
+            writer.send(Piece::Data(buffered)).await.map_err(abandoned)?;
         }
         loop {
             let piece = self.next_body_piece(decoder).await?;
@@ -385,13 +392,23 @@
         }
     }
 
-    /// Reads the next piece of the body.
+    /// Reads the next piece of the body. Small chunks that have arrived together are joined.
     async fn next_body_piece(&mut self, decoder: &mut Decoder) -> Result<Piece, Failure> {
+        if let Some(end) = self.body_end.take() {
+            return Ok(end);
+        }
         let dialect = &self.exchanges.dialect;
         let Connection { stream, buffer, .. } = &mut self.connection;
-        loop {
+        let mut joined = Buffer::default();
+        let end = loop {
             match decoder.take(buffer)? {
-                Decoded::Data(bytes) => return Ok(Piece::Data(bytes)),
+                Decoded::Data(bytes) => {
+                    joined.push(bytes);
+                    if buffer.is_empty() || joined.len() >= READ_BYTES {
+                        return Ok(Piece::Data(joined.into()));
+                    }
+                }
+                Decoded::Pending if !joined.is_empty() => return Ok(Piece::Data(joined.into())),
                 Decoded::Trailers(trailers) => {
                     let mut lines = Vec::new();
                     scrub::copy_headers(
@@ -399,17 +416,23 @@
                         |name, _| dialect.forwards_response_header(name),
                         &mut lines,
                     );
-                    return Ok(Piece::End(lines.into()));
+                    break Piece::End(lines.into());
+                }
+                Decoded::End => break Piece::End(Bytes::new()),
+                Decoded::Pending => {
+                    buffer.reserve(READ_BYTES);
+                    if stream.read_buf(buffer).await? == 0 {
+                        decoder.end_of_stream()?;
+                        break Piece::End(Bytes::new());
+                    }
                 }
-                Decoded::End => return Ok(Piece::End(Bytes::new())),
-                Decoded::Pending => {}
-            }
-            buffer.reserve(READ_BYTES);
-            if stream.read_buf(buffer).await? == 0 {
-                decoder.end_of_stream()?;
-                return Ok(Piece::End(Bytes::new()));
             }
+        };
+        if joined.is_empty() {
+            return Ok(end);
         }
+        self.body_end = Some(end);
+        Ok(Piece::Data(joined.into()))
     }
 }
 
@@ -456,28 +479,3 @@
         None => None,
     }
 }
-
-/// Pieces of a body that are buffered until it is complete.
-#[derive(Default)]
-struct BufferedBody {
-    pieces: Vec<Bytes>,
-    size: usize,
-}
-
-impl BufferedBody {
-    fn push(&mut self, bytes: Bytes) {
-        self.size += bytes.len();
-        self.pieces.push(bytes);
-    }
-
-    fn join(mut self) -> Bytes {
-        if self.pieces.len() == 1 {
-            return self.pieces.pop().unwrap_or_default();
-        }
-        let mut joined = BytesMut::with_capacity(self.size);
-        for piece in &self.pieces {
-            joined.extend_from_slice(piece);
-        }
-        joined.freeze()
-    }
-}
--- a/crates/mustardpin-node/tests/testsuite/endless.rs
+++ b/crates/mustardpin-node/tests/testsuite/endless.rs
@@ -37,6 +37,14 @@
                 endless(&format!("{ok}transfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"), &line)
             }
             "body" => endless(&format!("{ok}\r\n"), &body),
+            "chunks" => endless(
+                &format!("{ok}transfer-encoding: chunked\r\n\r\n"),
+                &"1\r\nx\r\n".repeat(1_000),
+            ),
+            "extensions" => endless(
+                &format!("{ok}transfer-encoding: chunked\r\n\r\n"),
+                &"1;x=y\r\nx\r\n".repeat(1_000),
+            ),
             "declined" => endless(
                 "HTTP/1.1 503 Service Unavailable\r\ntarget-outcome: not-run\r\n\
                  transfer-encoding: chunked\r\n\r\n",
@@ -51,8 +59,18 @@
 fn an_endless_response_ends_at_the_deadline_and_its_connection_is_closed() {
     let fleet = Fleet::start(&[("slots", script()), ("ledger", script())]);
     let mut lines = Vec::new();
-    let cases =
-        ["garbage", "head", "header", "interim", "chunk-size", "trailers", "body", "declined"];
+    let cases = [
+        "garbage",
+        "head",
+        "header",
+        "interim",
+        "chunk-size",
+        "trailers",
+        "body",
+        "chunks",
+        "extensions",
+        "declined",
+    ];
     for (node, path) in [(0, "target"), (1, "peer")] {
         for case in cases {
             // Several consecutive failures would eject the target.
