--- a/crates/mustardpin-virtual/tests/testsuite/restore.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/restore.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     faults::Faults,
-    roster::{duplicate_owners, members},
+    roster::{check_owners, members},
     scenario::{Scenario, VALID_KEY, WITHDRAWN_KEY, for_seeds, key, route, team, withdrawal},
 };
 
@@ -223,15 +223,7 @@
     for_seeds(|seed| {
         let mut scenario = Scenario::start(seed, CutOffPolicy::Refuse);
         let mut faults = Faults::with_restores(seed, &scenario);
-        for _ in 0..1_200 {
-            faults.step(&mut scenario);
-            scenario.fleet.run_for(Millis(100));
-            let duplicates = duplicate_owners(&mut scenario, &faults);
-            let now = scenario.fleet.now;
-            assert!(duplicates.is_empty(), "seed {seed}, {now}: {duplicates:?}");
-        }
-        faults.end(&mut scenario);
-        scenario.fleet.run_for(Millis::from_secs(30));
+        check_owners(&mut scenario, &mut faults, 1_200, &format!("seed {seed}"));
         assert_eq!(members(&scenario), [9; 9], "seed {seed}: not all nodes are back");
         assert_eq!(wrong_rows(&scenario), Vec::<String>::new(), "seed {seed}");
     });
--- a/crates/mustardpin-virtual/tests/testsuite/roster.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/roster.rs
@@ -41,10 +41,7 @@
 }
 
 /// The shards from which more than one node would grant leases, with these nodes.
-pub fn duplicate_owners(
-    scenario: &mut Scenario,
-    faults: &Faults,
-) -> Vec<((String, Shard), Vec<Site>)> {
+fn duplicate_owners(scenario: &mut Scenario, faults: &Faults) -> Vec<((String, Shard), Vec<Site>)> {
     let sites: Vec<Site> = scenario.fleet.sites().filter(|&site| !faults.is_frozen(site)).collect();
     for &site in &sites {
         // Any event runs a tick, in which the node reads the time.
@@ -61,6 +58,19 @@
     owners.into_iter().filter(|(_, owners)| owners.len() > 1).collect()
 }
 
+/// Injects failures, and checks after each step that no shard has two owners.
+pub fn check_owners(scenario: &mut Scenario, faults: &mut Faults, steps: usize, name: &str) {
+    for _ in 0..steps {
+        faults.step(scenario);
+        scenario.fleet.run_for(Millis(100));
+        let duplicates = duplicate_owners(scenario, faults);
+        let now = scenario.fleet.now;
+        assert!(duplicates.is_empty(), "{name}, {now}: {duplicates:?}");
+    }
+    faults.end(scenario);
+    scenario.fleet.run_for(Millis::from_secs(30));
+}
+
 /// Nodes are frozen, restarted and cut off at random, and the platform fails. No shard may ever
 /// have two owners that grant leases.
 #[test]
@@ -69,15 +79,7 @@
         for_seeds(|seed| {
             let mut scenario = Scenario::start(seed, policy);
             let mut faults = Faults::new(seed, scenario.fleet.now);
-            for _ in 0..1_200 {
-                faults.step(&mut scenario);
-                scenario.fleet.run_for(Millis(100));
-                let duplicates = duplicate_owners(&mut scenario, &faults);
-                let now = scenario.fleet.now;
-                assert!(duplicates.is_empty(), "{policy:?}, seed {seed}, {now}: {duplicates:?}");
-            }
-            faults.end(&mut scenario);
-            scenario.fleet.run_for(Millis::from_secs(30));
+            check_owners(&mut scenario, &mut faults, 1_200, &format!("{policy:?}, seed {seed}"));
             assert_eq!(
                 members(&scenario),
                 [9; 9],
@@ -95,15 +97,7 @@
     for_seeds(|seed| {
         let mut scenario = Scenario::start(seed, CutOffPolicy::Refuse);
         let mut faults = Faults::with_members(seed, scenario.fleet.now);
-        for _ in 0..600 {
-            faults.step(&mut scenario);
-            scenario.fleet.run_for(Millis(100));
-            let duplicates = duplicate_owners(&mut scenario, &faults);
-            let now = scenario.fleet.now;
-            assert!(duplicates.is_empty(), "seed {seed}, {now}: {duplicates:?}");
-        }
-        faults.end(&mut scenario);
-        scenario.fleet.run_for(Millis::from_secs(30));
+        check_owners(&mut scenario, &mut faults, 600, &format!("seed {seed}"));
         let count = scenario.fleet.sites().count();
         assert_eq!(members(&scenario), vec![count; count], "seed {seed}");
     });
