Count a kept response of a known length with its bytes only

Suspected cause: responses of a known length counted against the limit of incomplete ones with the memory of a growing buffer, up to twice their bytes. The test has 240 of 250 kB at once, 60 MB; counted twice they exceed 64 MiB, so that some were streamed to the peer that reads nothing, and did not end.

Change: a buffer for a body of a known length has that capacity.

Whether the failure had this cause is not shown.

--- a/crates/mustardpin-http/src/body.rs
+++ b/crates/mustardpin-http/src/body.rs
@@ -179,9 +179,16 @@
     /// The only piece so far, which is not copied.
     first: Bytes,
     joined: BytesMut,
+    /// The length of the whole body, if it is known.
+    expected: usize,
 }
 
 impl Buffer {
+    /// An empty buffer for a body of this length, which then takes no more memory than its bytes.
+    pub fn with_length(length: usize) -> Buffer {
+        Buffer { expected: length, ..Buffer::default() }
+    }
+
     /// Appends a piece.
     ///
     /// ```
@@ -200,7 +207,7 @@
         }
         if !self.first.is_empty() {
             let first = std::mem::take(&mut self.first);
-            self.joined.reserve(first.len() + piece.len());
+            self.joined.reserve(self.expected.max(first.len() + piece.len()));
             self.joined.extend_from_slice(&first);
         }
         self.joined.extend_from_slice(&piece);
--- a/crates/mustardpin-http/tests/testsuite/body.rs
+++ b/crates/mustardpin-http/tests/testsuite/body.rs
@@ -125,3 +125,14 @@
     assert!(largest <= 2.0, "{largest} times the bytes");
     assert!(Bytes::from(buffer).iter().all(|byte| *byte == b'x'));
 }
+
+/// Guards against a body of a known length that counts against a limit with twice its bytes.
+#[test]
+fn a_body_of_a_known_length_takes_no_more_than_its_bytes() {
+    const LENGTH: usize = 250_000;
+    let mut buffer = Buffer::with_length(LENGTH);
+    while buffer.len() < LENGTH {
+        buffer.push(vec![0; 1_000].into());
+        assert!(buffer.capacity() <= LENGTH, "{} bytes", buffer.capacity());
+    }
+}
--- a/crates/mustardpin-node/src/traffic/target/run.rs
+++ b/crates/mustardpin-node/src/traffic/target/run.rs
@@ -344,10 +344,13 @@
             return Ok(Outcome { end, response: Some(response) });
         }
         let mut decoder = Decoder::from(framing);
-        let mut buffered = Buffer::default();
-        let mut reservation = self.exchanges.response_budget.reservation();
         let is_large =
             matches!(framing, Framing::Length(length) if length > MAX_BUFFERED_BYTES as u64);
+        let mut buffered = match framing {
+            Framing::Length(length) if !is_large => Buffer::with_length(length as usize),
+            _ => Buffer::default(),
+        };
+        let mut reservation = self.exchanges.response_budget.reservation();
         while !is_large
             && buffered.len() <= MAX_BUFFERED_BYTES
             && reservation.grow_to(buffered.capacity())
