Bound the tokens of a grant

Cause: the tokens of a grant were taken as they are, and doubled. An older fault, found by chance.

Change: a grant counts for no more tokens than a request may ask for, and sums saturate.

--- a/crates/mustardpin-world/src/system/rate_limit/leasing.rs
+++ b/crates/mustardpin-world/src/system/rate_limit/leasing.rs
@@ -78,7 +78,8 @@
         if grant.tokens == 0 {
             shard_state.backoff_until = now + grant.next_in.max(EMPTY_BACKOFF);
         } else {
-            cache.leases.push_back((sent.sent_at + parameters.lease_duration, grant.tokens));
+            let tokens = grant.tokens.min(MAX_REQUESTED_TOKENS);
+            cache.leases.push_back((sent.sent_at + parameters.lease_duration, tokens));
         }
         world.systems.rate_limit.leasing.due.push(team);
     }
@@ -230,10 +231,10 @@
     let prefetch = (demand * horizon.0 as f64 / 1_000.0) as u32;
     let waiting = cache.waiting.len() as u32;
     let cached = cache.tokens(now);
-    if waiting == 0 && cached * 2 > prefetch {
+    if waiting == 0 && cached.saturating_mul(2) > prefetch {
         return 0;
     }
-    (waiting + prefetch).saturating_sub(cached).min(MAX_REQUESTED_TOKENS)
+    waiting.saturating_add(prefetch).saturating_sub(cached).min(MAX_REQUESTED_TOKENS)
 }
 
 /// Leases the missing tokens from the nearest shard owner that may have them.
--- a/crates/mustardpin-world/src/table/rate_limit.rs
+++ b/crates/mustardpin-world/src/table/rate_limit.rs
@@ -204,7 +204,7 @@
         while self.leases.front().is_some_and(|&(expires, _)| expires <= now) {
             self.leases.pop_front();
         }
-        self.leases.iter().map(|&(_, tokens)| tokens).sum()
+        self.leases.iter().fold(0, |sum: u32, &(_, tokens)| sum.saturating_add(tokens))
     }
 
     /// Spends the token that expires first. Returns false if the cache is empty.
