Reset a connection between nodes that is given up

Callers saw (GONE, the users' record): requests of one node reached targets 7.6 s after their callers had left, 29 at once.

Cause: a node closes the connection to a peer that no longer responds, and reports its requests as broken. The socket was closed regularly, so what it still held was delivered once the two could reach each other again, and the end of the connection, by which the peer learns that nobody waits, only after it. Whether this is the cause of the record is not known.

Evidence: link::played::a_connection_that_is_given_up_is_reset failed before (the peer saw a regular end), and passes now. The virtual links discard what they hold when they end, so no schedule there could show it.

Change: the connection is reset, unless it is closed because its peer has been removed and no request uses it.

The tests with a peer that the test plays move to a file of their own.

--- a/crates/mustardpin-node/src/traffic/link/outgoing.rs
+++ b/crates/mustardpin-node/src/traffic/link/outgoing.rs
@@ -234,6 +234,11 @@
                 // Peers send no requests over this connection.
                 let _ = sender.close();
                 fail_streams(&exchanges, &link, wire.total_written);
+                if !matches!(error, Error::Closed) {
+                    // The requests that the connection holds have ended. Fails if the connection
+                    // has ended too.
+                    let _ = wire.reset();
+                }
                 error
             }
         };
--- a/crates/mustardpin-node/src/traffic/link/wire.rs
+++ b/crates/mustardpin-node/src/traffic/link/wire.rs
@@ -150,6 +150,13 @@
         }
     }
 
+    /// Resets the connection. What it still holds is discarded, and does not reach the peer once the
+    /// two can reach each other again.
+    pub(super) fn reset(self) -> io::Result<()> {
+        // With zero linger time, dropping the socket resets the connection.
+        SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))
+    }
+
     /// Writes as much as the socket accepts.
     pub(super) fn write(&mut self, sender: &Sender) -> Result<(), Error> {
         loop {
--- /dev/null
+++ b/crates/mustardpin-node/tests/testsuite/link/played.rs
@@ -0,0 +1,178 @@
+//! Connections to a peer that the test plays.
+
+use std::{
+    io::{Read as _, Write as _},
+    net::{TcpListener, TcpStream},
+    thread,
+    time::Duration,
+};
+
+use bytes::BytesMut;
+use mustardpin_node::traffic::TrafficCommand;
+use mustardpin_wire::frame::{self, Head, Hello};
+use mustardpin_world::{
+    Event, Millis,
+    id::{KeyDigest, NodeId},
+    refusal::{Reason, Refusal},
+    request::{ForwardEnd, Load, Ticket},
+    store::Announcement,
+};
+
+use crate::{
+    fake::{End, read_all},
+    link::{forward, is_link_up, next_event, node},
+};
+
+/// Listens as node 1.
+fn listen() -> (TcpListener, Announcement) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("a bound address").to_string();
+    let announcement = Announcement {
+        node: NodeId(1),
+        name: "node-1".into(),
+        data_centre: "north".into(),
+        service: "slots".into(),
+        address: address.into(),
+    };
+    (listener, announcement)
+}
+
+/// A peer that the test plays: it accepts the connection of a node.
+struct FakePeer {
+    stream: TcpStream,
+    received: BytesMut,
+}
+
+impl FakePeer {
+    /// Accepts a connection and exchanges hello frames.
+    fn accept(listener: &TcpListener, announcement: &Announcement) -> FakePeer {
+        let (stream, _) = listener.accept().expect("the node connects");
+        stream.set_read_timeout(Some(Duration::from_secs(5))).expect("the timeout is not zero");
+        let mut peer = FakePeer { stream, received: BytesMut::new() };
+        assert!(matches!(peer.next(), Head::Hello(_)));
+        peer.send(&Head::Hello(Hello {
+            version: frame::PROTOCOL_VERSION,
+            credential: KeyDigest::of("fleet").0,
+            announcement: announcement.clone().into(),
+            to: 2,
+            revision: 0,
+            sent_ms: 0,
+        }));
+        peer
+    }
+
+    fn send(&mut self, head: &Head) {
+        let mut bytes = Vec::new();
+        frame::encode(&mut bytes, head, &[]).expect("the frame is small");
+        self.stream.write_all(&bytes).expect("the node reads");
+    }
+
+    fn next(&mut self) -> Head {
+        let mut bytes = [0; 4096];
+        loop {
+            if let Some((head, _)) = frame::decode(&mut self.received).expect("a valid frame") {
+                return head;
+            }
+            let count = self.stream.read(&mut bytes).expect("the node sends a frame");
+            self.received.extend_from_slice(&bytes[..count]);
+        }
+    }
+
+    /// Returns the stream of the next request.
+    fn next_request(&mut self) -> u32 {
+        loop {
+            if let Head::Request(request) = self.next() {
+                return request.stream;
+            }
+        }
+    }
+}
+
+/// Guards against a refusal that arrives once more, or after the connection was made anew, and is
+/// taken for that of another request.
+#[test]
+fn a_late_refusal_of_a_peer_belongs_to_no_other_request() {
+    let two = node(2, "fleet");
+    let (listener, announcement) = listen();
+    two.dispatch(TrafficCommand::OpenLink(announcement.clone()));
+    let mut peer = FakePeer::accept(&listener, &announcement);
+    next_event(&two, is_link_up);
+    let send = || {
+        let callers = two.callers;
+        thread::spawn(move || crate::fake::get(callers, "/slots"));
+        let ticket = two.accept().ticket;
+        two.dispatch(TrafficCommand::Forward(forward(ticket)));
+        ticket
+    };
+    let end = |ended: Ticket| {
+        let is_end = |event: &Event| matches!(event, Event::ForwardEnded { .. });
+        let Event::ForwardEnded { ticket, end, .. } = next_event(&two, is_end) else {
+            panic!("no end")
+        };
+        assert_eq!(ticket, ended);
+        end
+    };
+    let load = frame::LoadReport::from(Load::default());
+    let refusal = |stream| {
+        let refusal = Refusal::not_run(Reason::QueueFull);
+        Head::Refused(frame::Refused::new(stream, &refusal, 0, load))
+    };
+    let answer = |stream| {
+        let body = frame::Body::Whole;
+        Head::Answer(frame::Response { stream, status: 200, retries: 0, load, fields: 0, body })
+    };
+    let answered = ForwardEnd::Answered { status: 200 };
+
+    let ticket = send();
+    let refused = peer.next_request();
+    peer.send(&refusal(refused));
+    assert!(matches!(end(ticket), ForwardEnd::Refused(_)));
+    let ticket = send();
+    let stream = peer.next_request();
+    peer.send(&refusal(refused));
+    peer.send(&answer(stream));
+    assert_eq!(end(ticket), answered, "on the same connection");
+
+    drop(peer);
+    let mut peer = FakePeer::accept(&listener, &announcement);
+    next_event(&two, is_link_up);
+    let ticket = send();
+    let last = peer.next_request();
+    for earlier in [refused, stream] {
+        assert_ne!(earlier, last);
+        peer.send(&refusal(earlier));
+    }
+    peer.send(&answer(last));
+    assert_eq!(end(ticket), answered, "on the next connection");
+}
+
+/// Guards against requests that run for nobody: a connection to a peer that does not respond is
+/// given up, and what it still holds reaches the peer once the two can reach each other again.
+#[test]
+fn a_connection_that_is_given_up_is_reset() {
+    const STEP: Millis = Millis(100);
+    let two = node(2, "fleet");
+    let (listener, announcement) = listen();
+    two.dispatch(TrafficCommand::OpenLink(announcement.clone()));
+    let peer = FakePeer::accept(&listener, &announcement);
+    next_event(&two, is_link_up);
+    let callers = two.callers;
+    thread::spawn(move || crate::fake::get(callers, "/slots"));
+    let ticket = two.accept().ticket;
+    two.dispatch(TrafficCommand::Forward(forward(ticket)));
+    let mut now = Millis::ZERO;
+    let mut ends = Vec::new();
+    while ends.is_empty() {
+        assert!(now < Millis::from_secs(4), "the connection is still in use");
+        now = now + STEP;
+        two.set_time(now);
+        thread::sleep(Duration::from_millis(STEP.0));
+        while !two.has_no_events() {
+            if let Event::ForwardEnded { end, .. } = two.event() {
+                ends.push(end);
+            }
+        }
+    }
+    assert_eq!(ends, [ForwardEnd::Broken]);
+    assert_eq!(read_all(peer.stream).end, End::Reset);
+}
