Refuse a nested call whose parent is being cancelled

Callers saw (GONE): work began for callers that had left. A nested call that arrives in the tick in which the caller of its parent leaves was run, and cancelled in the next tick.

Cause: the parent stays in the table until the end of its run is reported, so its call token was still valid.

Evidence: disconnect::a_nested_call_ends_with_its_parent_whatever_comes_in_one_tick (world) showed `cancel 2; run 3, then cancel 3` before, and shows `cancel 2; refuse 3: caller_gone` now. A parent that may run at most once runs on, and its nested calls too.

--- a/crates/mustardpin-world/src/system/intake.rs
+++ b/crates/mustardpin-world/src/system/intake.rs
@@ -91,6 +91,9 @@
             let parent = tables.calls.by_token(*token);
             let call = parent.and_then(|parent| tables.calls.get(parent));
             let call = call.ok_or(Refusal::not_run(Reason::CallTokenInvalid))?;
+            if call.cancelling {
+                return Err(Refusal::not_run(Reason::CallerGone));
+            }
             (parent, call.tenant, Nesting::Linked)
         }
         Origin::Target { token: None } => (None, None, Nesting::Unlinked),
--- a/crates/mustardpin-world/tests/testsuite/disconnect.rs
+++ b/crates/mustardpin-world/tests/testsuite/disconnect.rs
@@ -1,7 +1,7 @@
 //! Callers that disconnect in the tick of another event of their request.
 
 use mustardpin_world::{
-    Event, Millis, Options,
+    Command, Event, Millis, Options,
     refusal::{Reason, Refusal},
     request::{ForwardEnd, Origin, RunEnd, Ticket},
 };
@@ -70,3 +70,58 @@
     forwarded, lost target: cancel 2, then nothing
     ");
 }
+
+/// Guards against a nested call that runs on for nobody: it arrives in the tick in which the caller
+/// of its parent leaves, or in which the parent's run ends.
+#[test]
+fn a_nested_call_ends_with_its_parent_whatever_comes_in_one_tick() {
+    let gone = |ticket| Event::CallerGone(Ticket(ticket));
+    let cancelled = || Event::RunEnded(Ticket(2), RunEnd::Cancelled);
+    let answered = || Event::RunEnded(Ticket(2), RunEnd::Answered { status: 200, report: None });
+    type Events = fn(Event) -> Vec<Event>;
+    let cases: [(&str, Events); 5] = [
+        ("caller of the parent leaves", |nested| vec![nested, Event::CallerGone(Ticket(2))]),
+        ("the same, other order", |nested| vec![Event::CallerGone(Ticket(2)), nested]),
+        ("parent ends", |nested| {
+            let end = RunEnd::Answered { status: 200, report: None };
+            vec![nested, Event::RunEnded(Ticket(2), end)]
+        }),
+        ("parent breaks", |nested| vec![nested, Event::RunEnded(Ticket(2), RunEnd::Broken)]),
+        ("target lost", |nested| vec![nested, Event::TargetLost]),
+    ];
+    let mut report = String::new();
+    for repeatable in [false, true] {
+        for (name, events) in &cases {
+            let mut node = Node::start(Options::default());
+            node.set_repeatable(repeatable);
+            let commands = node.send(2, Origin::Caller { key: None }, None);
+            let token = commands.iter().find_map(|command| match command {
+                Command::Run(run) => Some(run.token),
+                _ => None,
+            });
+            assert!(token.is_some(), "{name}: the parent runs");
+            node.connect(2);
+            let nested = Event::Arrived(request(3, Origin::Target { token }, None));
+            let mut ticks = vec![node.tick(events(nested))];
+            for events in [vec![cancelled()], vec![gone(3)], vec![answered()]] {
+                node.now = node.now + Millis(5);
+                ticks.push(node.tick(events));
+            }
+            let ticks: Vec<String> = ticks.iter().map(|commands| describe(commands)).collect();
+            let case = if repeatable { "repeatable" } else { "at most once" };
+            report.push_str(&format!("{case}, {name}: {}\n", ticks.join(", then ")));
+        }
+    }
+    insta::assert_snapshot!(report, @r"
+    at most once, caller of the parent leaves: run 3, then refuse 2: caller_gone, unknown, then nothing, then nothing
+    at most once, the same, other order: run 3, then refuse 2: caller_gone, unknown, then nothing, then nothing
+    at most once, parent ends: refuse 3: call_token_invalid, not-run, then nothing, then nothing, then nothing
+    at most once, parent breaks: refuse 2: target_failed, unknown; refuse 3: call_token_invalid, not-run, then nothing, then nothing, then nothing
+    at most once, target lost: forward 3, then cancel 3; refuse 2: leaving, unknown, then nothing, then nothing
+    repeatable, caller of the parent leaves: cancel 2; refuse 3: caller_gone, not-run, then refuse 2: caller_gone, unknown, then nothing, then nothing
+    repeatable, the same, other order: cancel 2; refuse 3: caller_gone, not-run, then refuse 2: caller_gone, unknown, then nothing, then nothing
+    repeatable, parent ends: refuse 3: call_token_invalid, not-run, then nothing, then nothing, then nothing
+    repeatable, parent breaks: refuse 2: target_failed, unknown; refuse 3: call_token_invalid, not-run, then nothing, then nothing, then nothing
+    repeatable, target lost: forward 3, then cancel 3; refuse 2: leaving, unknown, then nothing, then nothing
+    ");
+}
--- a/crates/mustardpin-world/tests/testsuite/node.rs
+++ b/crates/mustardpin-world/tests/testsuite/node.rs
@@ -25,9 +25,7 @@
         let world = World::new(identity, options, 1);
         let mut node = Node { now: Millis::ZERO, world, reads: Vec::new() };
         node.tick(Vec::new());
-        let route = Route::new("slots", "/", "slots", Millis::from_secs(10));
-        let route = config::Row::Route(Route { open: true, ..route });
-        let update = Update::Whole { revision: Revision(1), rows: vec![route] };
+        let update = configuration(1, false);
         let report = TargetReport {
             address: "127.0.0.1:1".into(),
             instance: "target-1".into(),
@@ -44,6 +42,12 @@
         node
     }
 
+    /// Changes whether requests of the route may run twice.
+    pub fn set_repeatable(&mut self, repeatable: bool) {
+        let update = configuration(2, repeatable);
+        self.change(Area::Configuration, 2, Changes::Document(update));
+    }
+
     /// Runs one tick.
     pub fn tick(&mut self, events: Vec<Event>) -> Vec<Command> {
         let commands = self.world.tick(self.now, events);
@@ -86,6 +90,13 @@
     }
 }
 
+/// A configuration with the open route only.
+fn configuration(revision: u64, repeatable: bool) -> Update {
+    let route = Route::new("slots", "/", "slots", Millis::from_secs(10));
+    let route = config::Row::Route(Route { open: true, repeatable, ..route });
+    Update::Whole { revision: Revision(revision), rows: vec![route] }
+}
+
 /// A request to the open route.
 pub fn request(ticket: u64, origin: Origin, timeout: Option<Millis>) -> Request {
     Request {
