Notice callers that leave while nothing is read from them

Callers saw (GONE): a request went on for a caller that had left while its upload was held up by a slow target.

Cause: the connection is read up to 1 MiB ahead, and then not at all until a part has been passed on. The end of the connection lies behind the data that has not been read.

Change: while nothing may be read, the connection waits for the event that the other side has closed, which needs no read.

--- a/crates/mustardpin-node/src/traffic/caller.rs
+++ b/crates/mustardpin-node/src/traffic/caller.rs
@@ -14,7 +14,7 @@
 use mustardpin_world::{Millis, request::Ticket};
 use socket2::SockRef;
 use tokio::{
-    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    io::{AsyncReadExt as _, AsyncWriteExt as _, Interest},
     net::{
         TcpStream,
         tcp::{ReadHalf, WriteHalf},
@@ -313,7 +313,7 @@
             _ => None,
         };
         select! {
-            read = reader.read_buf(buffer), if may_read => {
+            read = receive(reader, buffer, may_read) => {
                 if read? == 0 {
                     // A caller that closes its side, even if only half, counts as disconnected:
                     // pending responses are dropped.
@@ -395,6 +395,24 @@
     }
 }
 
+/// Reads bytes into a buffer; if none may be read, waits until the caller has closed its side.
+/// Returns the number of bytes, which is zero at the end of the connection.
+async fn receive(
+    reader: &mut ReadHalf<'_>,
+    buffer: &mut BytesMut,
+    may_read: bool,
+) -> io::Result<usize> {
+    if may_read {
+        return reader.read_buf(buffer).await;
+    }
+    // The end of the connection may lie behind data that has not been read, so a read would not
+    // tell. This interest becomes ready with the end, and with urgent data, which callers don't send.
+    match reader.ready(Interest::PRIORITY).await?.is_read_closed() {
+        true => Ok(0),
+        false => std::future::pending().await,
+    }
+}
+
 async fn receive_response(
     response: Option<&mut oneshot::Receiver<CallerResponse>>,
 ) -> Option<CallerResponse> {
--- a/crates/mustardpin-node/tests/testsuite/main.rs
+++ b/crates/mustardpin-node/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the node library: real sockets on the loopback interface, with small fakes of the
 //! platform and the targets.
 
+mod abandoned;
 mod admin;
 mod connections;
 mod control;
