--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -40,6 +40,8 @@
 pub struct Slot {
     /// The node's address for callers.
     pub callers: SocketAddr,
+    /// The node's address for its target.
+    pub local: SocketAddr,
     /// The node's administration API.
     pub admin: SocketAddr,
     /// The address that the target listens on.
@@ -196,7 +198,7 @@
             .args(&plan.target);
         let target_process =
             Process::start(&mut command, &self.directory, &format!("{name}-target"));
-        Slot { callers, admin, target, node, target_process, relays, settings }
+        Slot { callers, local, admin, target, node, target_process, relays, settings }
     }
 
     /// Runs the `mustardpin` command with the administration APIs of these slots.
@@ -395,13 +397,15 @@
     }
 }
 
-fn start_node(settings: &std::path::Path, directory: &std::path::Path, name: &str) -> Process {
+/// Starts a node with a settings file. Its log is `NAME.log` in the directory.
+pub fn start_node(settings: &std::path::Path, directory: &std::path::Path, name: &str) -> Process {
     let mut command = Command::new(program("mustardpin"));
     command.args(["node", "--settings"]).arg(settings);
     Process::start(&mut command, directory, name)
 }
 
-fn scratch_directory() -> PathBuf {
+/// Creates a directory for one test.
+pub fn scratch_directory() -> PathBuf {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
     let name = format!("mustardpin-test-{}-{number}", std::process::id());
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod keys;
 mod kill;
+mod memory;
 mod operators;
 mod pages;
 mod pause;
--- /dev/null
+++ b/tests/testsuite/memory.rs
@@ -0,0 +1,210 @@
+//! The memory of a node while others send bytes without end, or do not read what it has for them.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use futures::future::join_all;
+use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+    time,
+};
+
+use crate::{
+    fleet::{Fleet, SlotPlan, scratch_directory, slot, start_node},
+    process::free_address,
+};
+
+/// The memory of the smallest instance on which a node runs.
+const MAX_MEMORY_BYTES: usize = 160 * 1_000 * 1_000;
+/// The requests that the target reports to run at once.
+const SLOTS: u32 = 300;
+/// The time for which bytes are sent, which is also the timeout of the requests.
+const TROUBLE: Duration = Duration::from_secs(3);
+/// The limits of the users' deployment.
+const LIMITS: &str = "limits:\n  traffic-threads: 1\n  replay-size: 256KiB\n  kept-size: 24MiB\n\
+                      limit:\n  algorithm: slots\n";
+
+fn limited(plan: SlotPlan) -> SlotPlan {
+    SlotPlan { settings: LIMITS.to_owned(), ..plan }
+}
+
+/// Starts two nodes, of which the first has a target that the test plays, and issues a key.
+async fn start<F: Future<Output = ()> + Send + 'static>(
+    serve: impl Fn(TcpStream) -> F + Send + 'static,
+) -> (Fleet, String) {
+    let plans = [limited(slot("north", "search")), limited(slot("south", "ledger"))];
+    let mut fleet = Fleet::start(&plans).await;
+    let key = fleet.issue_key("garage-1").await;
+    let search = &mut fleet.slots[0];
+    search.target_process.kill();
+    let listener = TcpListener::bind(search.target).await.expect("the port is free");
+    let (target, local) = (search.target, search.local);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve(stream));
+        }
+    });
+    tokio::spawn(async move {
+        let body = json!({
+            "address": target.to_string(), "service": "search", "slots": SLOTS, "healthy": true,
+        });
+        let body = body.to_string();
+        let length = body.len();
+        let report = format!(
+            "POST /target/announce HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\
+             content-length: {length}\r\n\r\n{body}"
+        );
+        while let Ok(mut stream) = TcpStream::connect(local).await {
+            let _sent = stream.write_all(report.as_bytes()).await;
+            let _received = stream.read(&mut [0; 1_024]).await;
+            time::sleep(Duration::from_millis(200)).await;
+        }
+    });
+    fleet.wait_for(0, "the target is there", |status| status.target.limit >= SLOTS / 2).await;
+    (fleet, key)
+}
+
+/// Reads up to the end of a request's head. Returns its path.
+async fn read_head(stream: &mut TcpStream) -> String {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        match stream.read_u8().await {
+            Ok(byte) => head.push(byte),
+            Err(_) => return String::new(),
+        }
+    }
+    String::from_utf8_lossy(&head).split(' ').nth(1).unwrap_or_default().to_owned()
+}
+
+/// Sends the same bytes until the connection ends, at most 400 times a second.
+async fn send_without_end(mut stream: TcpStream, start: &str, repeated: &str) {
+    let repeated = repeated.repeat(4_096 / repeated.len());
+    let mut bytes = start.as_bytes();
+    while stream.write_all(bytes).await.is_ok() {
+        bytes = repeated.as_bytes();
+        time::sleep(Duration::from_micros(2_500)).await;
+    }
+}
+
+fn assert_memory(fleet: &mut Fleet) {
+    let peaks: Vec<usize> = fleet.slots.iter().map(|slot| slot.node.peak_memory()).collect();
+    for slot in &mut fleet.slots {
+        assert!(!slot.node.has_ended(), "a node has ended");
+    }
+    println!("peak memory in bytes: {peaks:?}");
+    assert!(peaks.iter().all(|peak| *peak < MAX_MEMORY_BYTES), "peak memory in bytes: {peaks:?}");
+}
+
+fn request(line: &str, key: &str, rest: &str) -> String {
+    format!(
+        "{line} HTTP/1.1\r\nhost: fleet\r\nauthorization: Bearer {key}\r\n\
+         request-timeout-ms: {}\r\n{rest}\r\n",
+        TROUBLE.as_millis()
+    )
+}
+
+async fn serve_without_end(mut stream: TcpStream) {
+    let path = read_head(&mut stream).await;
+    let ok = "HTTP/1.1 200 OK\r\n";
+    let chunked = format!("{ok}transfer-encoding: chunked\r\n\r\n");
+    let line = format!("x-line: {}\r\n", "x".repeat(100));
+    let extension = format!("1;{}\r\nx\r\n", "x".repeat(100));
+    match path.trim_start_matches("/slots/") {
+        "interim" => send_without_end(stream, "", "HTTP/1.1 103 Hints\r\nx: y\r\n\r\n").await,
+        "head" => send_without_end(stream, ok, &line).await,
+        "header" => send_without_end(stream, &format!("{ok}x-header: "), "x").await,
+        "chunks" => send_without_end(stream, &chunked, "1\r\nx\r\n").await,
+        "extensions" => send_without_end(stream, &chunked, &extension).await,
+        "trailers" => send_without_end(stream, &format!("{chunked}1\r\nx\r\n0\r\n"), &line).await,
+        "body" => send_without_end(stream, &format!("{ok}\r\n"), "x").await,
+        path => panic!("an unknown path: {path:?}"),
+    }
+}
+
+/// Guards against a node that runs out of memory, and takes the requests of its other callers with
+/// it, because a target sends a response without end.
+#[tokio::test(flavor = "multi_thread")]
+async fn responses_without_end() {
+    const CALLERS: usize = 12;
+    let forms = ["interim", "head", "header", "chunks", "extensions", "trailers", "body"];
+    let (mut fleet, key) = start(serve_without_end).await;
+    let addresses = [fleet.slots[0].callers, fleet.slots[1].callers];
+    let calls = forms.iter().flat_map(|form| {
+        let request = request(&format!("GET /slots/{form}"), &key, "");
+        addresses.map(|address| call_often(address, request.clone(), CALLERS))
+    });
+    join_all(calls).await;
+    assert_memory(&mut fleet);
+}
+
+/// Sends the request on many connections at once, and reads all responses.
+async fn call_often(address: SocketAddr, request: String, count: usize) {
+    let calls = (0..count).map(|_| async {
+        let mut stream = TcpStream::connect(address).await.expect("the node listens");
+        stream.write_all(request.as_bytes()).await.expect("the node reads");
+        let mut bytes = [0; 4_096];
+        let read = async { while let Ok(1..) = stream.read(&mut bytes).await {} };
+        let _timeout = time::timeout(2 * TROUBLE, read).await;
+    });
+    join_all(calls).await;
+}
+
+/// Guards against a node that runs out of memory because the store sends a response without end.
+#[tokio::test(flavor = "multi_thread")]
+async fn store_without_end() {
+    let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let large_chunk = format!("400\r\n{}\r\n", " ".repeat(1_024));
+    join_all([
+        start_with_store(chunked, "1\r\n \r\n"),
+        start_with_store(chunked, &large_chunk),
+        start_with_store("HTTP/1.1 200 OK\r\n", "x-line: y\r\n"),
+        start_with_store("", "HTTP/1.1 103 Hints\r\n\r\n"),
+    ])
+    .await;
+}
+
+/// Starts a node whose store sends the same bytes until the connection ends.
+async fn start_with_store(start: &str, repeated: &str) {
+    const TIMEOUT: Duration = Duration::from_secs(8);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let store = listener.local_addr().expect("a bound address");
+    let (first, repeated) = (start.to_owned(), repeated.repeat(65_536 / repeated.len()));
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let (first, repeated) = (first.clone(), repeated.clone());
+            tokio::spawn(async move {
+                let _path = read_head(&mut stream).await;
+                let mut bytes = first.as_bytes();
+                while stream.write_all(bytes).await.is_ok() {
+                    bytes = repeated.as_bytes();
+                }
+            });
+        }
+    });
+    let directory = scratch_directory();
+    let [callers, local, peers] = std::array::from_fn(|_| free_address());
+    let settings = directory.join("node.yaml");
+    let yaml = format!(
+        "name: north-1\ndata-centre: north\nservice: search\naddresses:\n  \
+         callers: {callers}\n  local: {local}\n  peers: {peers}\n\
+         fleet-credential: test-fleet-credential\n\
+         platform:\n  address: {store}\n  timeout: {}s\n",
+        TIMEOUT.as_secs()
+    );
+    fs::write(&settings, yaml).expect("the scratch directory can be written");
+    let mut node = start_node(&settings, &directory, "node");
+    let begun = Instant::now();
+    while begun.elapsed() < TIMEOUT {
+        assert!(!node.has_ended(), "{start:?}: the node has ended");
+        time::sleep(Duration::from_millis(50)).await;
+    }
+    let peak = node.peak_memory();
+    println!("{start:?}: peak memory {peak} bytes");
+    assert!(peak < MAX_MEMORY_BYTES, "{start:?}: peak memory {peak} bytes");
+    let _removed = fs::remove_dir_all(&directory);
+}
--- a/tests/testsuite/process.rs
+++ b/tests/testsuite/process.rs
@@ -134,6 +134,15 @@
         }
     }
 
+    /// The most memory that the process has held at once, in bytes.
+    pub fn peak_memory(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the process runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kib = line.and_then(|line| line.trim().strip_suffix(" kB"));
+        1_024 * kib.and_then(|kib| kib.trim().parse::<usize>().ok()).expect("a size in kB")
+    }
+
     /// Whether the process has exited.
     pub fn has_ended(&mut self) -> bool {
         self.child.try_wait().expect("the process is ours").is_some()
