Read at most 32 KiB ahead of an upload

Callers would see (LOST): a node that is killed for its memory, with all requests in progress, while a target does not read the uploads that it gets.

Cause: up to 1 MiB of an upload was read ahead and passed on as one piece, and four pieces may be queued.

--- a/crates/mustardpin-node/src/traffic/caller.rs
+++ b/crates/mustardpin-node/src/traffic/caller.rs
@@ -40,6 +40,8 @@
 const MAX_PIPELINED_REQUESTS: usize = 64;
 /// The maximum number of unparsed bytes; reading stops at this size.
 const MAX_BUFFERED_BYTES: usize = 1024 * 1024;
+/// Like `MAX_BUFFERED_BYTES`, within a body. A piece of a streamed body has at most this size.
+const MAX_BUFFERED_BODY_BYTES: usize = 32 * 1024;
 /// How long to wait for a caller to close the connection after its request was not read in full.
 const UNREAD_REQUEST_LINGER: Duration = Duration::from_millis(1_000);
 /// How long a connection without a place may take to send the request that is refused.
@@ -302,7 +304,11 @@
         writing: &mut Writing,
     ) -> io::Result<()> {
         let deadline = pin!(time::sleep_until(self.deadline(reading, writing)));
-        let may_read = buffer.len() < MAX_BUFFERED_BYTES;
+        let max_buffered = match reading.is_in_body() {
+            true => MAX_BUFFERED_BODY_BYTES,
+            false => MAX_BUFFERED_BYTES,
+        };
+        let may_read = buffer.len() < max_buffered;
         if may_read {
             buffer.reserve(READ_BYTES);
         }
--- a/tests/testsuite/memory.rs
+++ b/tests/testsuite/memory.rs
@@ -11,6 +11,7 @@
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
+    task::JoinHandle,
     time,
 };
 
@@ -154,6 +155,33 @@
     join_all(calls).await;
 }
 
+/// Guards against a node that runs out of memory for uploads of which the target reads nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn uploads_that_are_not_read() {
+    const UPLOADS: usize = 60;
+    const UPLOAD_BYTES: usize = 8_000_000;
+    let (mut fleet, key) = start(|mut stream| async move {
+        let _path = read_head(&mut stream).await;
+        time::sleep(4 * TROUBLE).await;
+    })
+    .await;
+    let addresses = [fleet.slots[0].callers, fleet.slots[1].callers];
+    let head = request("GET /slots", &key, &format!("content-length: {UPLOAD_BYTES}\r\n"));
+    let uploads: Vec<JoinHandle<()>> = (0..UPLOADS)
+        .map(|number| {
+            let (address, head) = (addresses[number % 2], head.clone());
+            tokio::spawn(async move {
+                let mut stream = TcpStream::connect(address).await.expect("the node listens");
+                stream.write_all(head.as_bytes()).await.expect("the node reads");
+                let body = vec![b'x'; UPLOAD_BYTES];
+                let _timeout = time::timeout(TROUBLE, stream.write_all(&body)).await;
+            })
+        })
+        .collect();
+    join_all(uploads).await;
+    assert_memory(&mut fleet);
+}
+
 /// Guards against a node that runs out of memory because the store sends a response without end.
 #[tokio::test(flavor = "multi_thread")]
 async fn store_without_end() {
