Tell of responses of the target that cannot be used

On-call engineers saw nothing of a target that sends bytes without end: the reason for which a response was given up was dropped, and one that was cancelled at the deadline left no line at all.

Cause: the end of a run tells only that it was broken or cancelled.

Change: the line response_unusable with the bytes received, the time and the cause, and the counter `unusable`.

The sending of streamed request bodies moves to a file of its own.

--- a/crates/mustardpin-node/src/traffic/target.rs
+++ b/crates/mustardpin-node/src/traffic/target.rs
@@ -1,8 +1,10 @@
 //! Runs requests on the local target over HTTP/1.1, without pipelining.
 
 mod connection;
+mod reception;
 mod request;
 mod run;
+mod sending;
 
 use std::{
     net::{IpAddr, SocketAddr},
--- a/crates/mustardpin-node/src/traffic/target/run.rs
+++ b/crates/mustardpin-node/src/traffic/target/run.rs
@@ -3,6 +3,7 @@
 use std::{io, sync::Arc};
 
 use bytes::Bytes;
+use compact_str::{CompactString, ToCompactString as _, format_compact};
 use derive_more::{Display, Error, From};
 use mustardpin_http::{
     body::{Body as Decoder, Buffer, Piece as Decoded},
@@ -29,7 +30,9 @@
     target::{
         Endpoint,
         connection::Connection,
+        reception::Reception,
         request::{BodyFraming, encode},
+        sending::Sending,
     },
 };
 
@@ -68,6 +71,14 @@
     Abandoned,
 }
 
+/// The text of a failure and of its cause.
+fn causes(failure: &Failure) -> CompactString {
+    match std::error::Error::source(failure) {
+        Some(source) => format_compact!("{failure}: {source}"),
+        None => failure.to_compact_string(),
+    }
+}
+
 /// The result of a run.
 struct Outcome {
     end: RunEnd,
@@ -166,8 +177,7 @@
     begun: Millis,
     /// The number of bytes of the encoded request that were written.
     written: usize,
-    /// Whether bytes of the response were received.
-    has_read: bool,
+    reception: Reception<'a>,
     /// The end of the body, if it was read together with the last piece.
     body_end: Option<Piece>,
     is_reusable: bool,
@@ -181,6 +191,7 @@
         connection: Connection,
     ) -> TargetExchange<'a> {
         let begun = exchanges.clock.now();
+        let reception = Reception::new(exchanges, &request.id);
         TargetExchange {
             exchanges,
             run,
@@ -188,7 +199,7 @@
             connection,
             begun,
             written: 0,
-            has_read: false,
+            reception,
             body_end: None,
             is_reusable: false,
         }
@@ -198,11 +209,12 @@
     /// uncertain, it is assumed only for requests that may be sent again.
     fn was_stale(&self) -> bool {
         let ended_early = self.exchanges.clock.now() - self.begun <= STALE_CONNECTION_WINDOW;
-        self.written == 0 || (self.run.repeatable && !self.has_read && ended_early)
+        self.written == 0 || (self.run.repeatable && self.reception.count == 0 && ended_early)
     }
 
     /// Ends the exchange. Keeps the connection if it can be reused.
-    fn finish(self, end: Result<Outcome, Failure>) -> Outcome {
+    fn finish(mut self, end: Result<Outcome, Failure>) -> Outcome {
+        self.reception.is_done = matches!(end, Ok(_) | Err(Failure::Abandoned));
         match end {
             Ok(outcome) => {
                 if self.is_reusable {
@@ -210,8 +222,11 @@
                 }
                 outcome
             }
-            Err(_) if self.written == 0 => RunEnd::NotSent.into(),
-            Err(_) => RunEnd::Broken.into(),
+            Err(failure) => {
+                self.reception.cause = Some(causes(&failure));
+                let was_sent = self.written > 0;
+                if was_sent { RunEnd::Broken.into() } else { RunEnd::NotSent.into() }
+            }
         }
     }
 
@@ -223,7 +238,7 @@
     ) -> Result<Outcome, Failure> {
         let is_chunked = streamed.as_ref().is_some_and(|streamed| streamed.length.is_none());
         let is_done = streamed.is_none();
-        let mut sending = Sending { chunk: Vec::new(), sent: 0, is_chunked, is_done };
+        let mut sending = Sending::new(is_chunked, is_done);
         loop {
             let head = Response::take(&mut self.connection.buffer, MAX_HEAD_BYTES)?;
             if let Some(head) = head {
@@ -260,10 +275,11 @@
                 false => self.written += count?,
             },
             count = reader.read_buf(buffer) => {
-                if count? == 0 {
+                let count = count?;
+                if count == 0 {
                     return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
                 }
-                self.has_read = true;
+                self.reception.count += count;
             }
             piece = next_piece(streamed), if !has_unsent && !sending.is_done => {
                 sending.load(piece.ok_or(Failure::Abandoned)?);
@@ -424,10 +440,12 @@
                 Decoded::End => break Piece::End(Bytes::new()),
                 Decoded::Pending => {
                     buffer.reserve(READ_BYTES);
-                    if stream.read_buf(buffer).await? == 0 {
+                    let count = stream.read_buf(buffer).await?;
+                    if count == 0 {
                         decoder.end_of_stream()?;
                         break Piece::End(Bytes::new());
                     }
+                    self.reception.count += count;
                 }
             }
         };
@@ -439,43 +457,6 @@
     }
 }
 
-/// The part of a streamed request body that is being sent.
-struct Sending {
-    /// The current piece as it is written to the connection.
-    chunk: Vec<u8>,
-    /// The number of bytes of `chunk` that were written.
-    sent: usize,
-    is_chunked: bool,
-    /// Whether the last piece was loaded into `chunk`.
-    is_done: bool,
-}
-
-impl Sending {
-    fn load(&mut self, piece: Piece) {
-        self.chunk.clear();
-        self.sent = 0;
-        match piece {
-            Piece::Data(bytes) if !self.is_chunked => self.chunk.extend_from_slice(&bytes),
-            Piece::Data(bytes) => {
-                write::chunk_size(&mut self.chunk, bytes.len());
-                self.chunk.extend_from_slice(&bytes);
-                self.chunk.extend_from_slice(b"\r\n");
-            }
-            Piece::End(trailers) => {
-                if self.is_chunked {
-                    write::last_chunk(&mut self.chunk, &trailers);
-                }
-                self.is_done = true;
-            }
-        }
-    }
-
-    /// Whether the whole body was written.
-    fn is_done(&self) -> bool {
-        self.is_done && self.sent >= self.chunk.len()
-    }
-}
-
 async fn next_piece(streamed: &mut Option<Stream>) -> Option<Piece> {
     match streamed {
         Some(streamed) => streamed.next().await,
--- a/crates/mustardpin-node/tests/testsuite/endless.rs
+++ b/crates/mustardpin-node/tests/testsuite/endless.rs
@@ -3,10 +3,16 @@
 
 use std::{
     sync::Arc,
+    thread,
     time::{Duration, Instant},
 };
 
-use crate::fake::{End, Fleet, KEY, Script, Step, exchange, get, text, wait_until};
+use mustardpin_node::{launch::Limits, traffic::TrafficCommand};
+use mustardpin_world::{Event, log::Entry};
+
+use crate::fake::{
+    End, Fleet, KEY, Script, Step, Target, TrafficSide, call, exchange, get, run, text, wait_until,
+};
 
 /// Longer than the timeout of the route.
 const ENDLESS_MS: usize = 20_000;
@@ -92,9 +98,72 @@
             wait_until(|| open() <= ended);
         }
     }
+    let metrics = fleet.nodes[0].addresses().metrics.expect("the node serves metrics");
+    let page = call(metrics, "GET /metrics", &[], "");
+    let counted = page.body().lines().filter(|line| line.contains("unusable")).map(str::to_owned);
+    lines.extend(counted);
     insta::assert_snapshot!(lines.join("\n"));
 }
 
+/// Guards against responses without end of which no line tells, so that nobody finds the target
+/// that sends them.
+#[test]
+fn a_response_that_cannot_be_used_has_a_line_in_the_log() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n";
+    let wait = || Step::Wait(Duration::from_secs(5));
+    let cases = [
+        ("complete", vec![Step::Send(format!("{HEAD}complete!").into())]),
+        ("nothing", vec![Step::Close]),
+        ("a part of the head", vec![Step::Send(HEAD[..20].into()), Step::Close]),
+        ("a part of the body", vec![Step::Send(format!("{HEAD}part").into()), Step::Close]),
+        ("garbage", vec![Step::Send("no response\r\n\r\n".into()), wait()]),
+        ("nothing, cancelled", vec![wait()]),
+        ("a part of the body, cancelled", vec![Step::Send(format!("{HEAD}part").into()), wait()]),
+        (
+            "interim responses, cancelled",
+            vec![Step::Send("HTTP/1.1 103 Hints\r\n\r\n".into()), wait()],
+        ),
+    ];
+    let mut report = String::new();
+    for (name, steps) in cases {
+        let target = Target::start(Arc::new(move |_| steps.clone()));
+        let node = TrafficSide::start(target.address, Limits::default());
+        let callers = node.callers;
+        thread::spawn(move || get(callers, "/slots"));
+        let ticket = node.accept().ticket;
+        node.dispatch(TrafficCommand::Run(run(ticket)));
+        wait_until(|| !target.seen().is_empty());
+        if name.ends_with("cancelled") {
+            thread::sleep(Duration::from_millis(100));
+            node.dispatch(TrafficCommand::Cancel(ticket));
+        }
+        let mut events = Vec::new();
+        while !matches!(events.last(), Some(Event::RunEnded(..))) {
+            events.push(node.event());
+        }
+        let counted = events.iter().filter(|event| **event == Event::ResponseUnusable).count();
+        let logged = node.logged.lock().expect("the lock is not poisoned");
+        let lines: Vec<String> = logged.iter().map(describe).collect();
+        report.push_str(&format!("{name}: counted {counted}, {lines:?}\n"));
+    }
+    insta::assert_snapshot!(report, @r#"
+    complete: counted 0, []
+    nothing: counted 0, []
+    a part of the head: counted 1, ["response_unusable received=20 cause=the connection failed: unexpected end of file"]
+    a part of the body: counted 1, ["response_unusable received=42 cause=the response is malformed: the connection ended inside a message"]
+    garbage: counted 1, ["response_unusable received=15 cause=the response is malformed: the protocol version is not HTTP/1.0 or HTTP/1.1"]
+    nothing, cancelled: counted 0, []
+    a part of the body, cancelled: counted 1, ["response_unusable received=42 cause=cancelled"]
+    interim responses, cancelled: counted 1, ["response_unusable received=22 cause=cancelled"]
+    "#);
+}
+
+fn describe(entry: &Entry) -> String {
+    let fields = entry.fields.iter().filter(|(name, _)| *name != "took");
+    let fields: Vec<String> = fields.map(|(name, value)| format!("{name}={value}")).collect();
+    format!("{} {}", entry.event, fields.join(" "))
+}
+
 /// A caller of HTTP/1.0 takes the end of the connection for the end of a response without a length.
 #[test]
 fn a_truncated_response_that_ends_with_its_connection_is_reset() {
--- a/crates/mustardpin-world/src/system.rs
+++ b/crates/mustardpin-world/src/system.rs
@@ -111,6 +111,8 @@
     pub(crate) refused: Vec<Reason>,
     pub(crate) callers_gone: Vec<Ticket>,
     pub(crate) runs_ended: Vec<(Ticket, RunEnd)>,
+    /// The number of responses of the local target that could not be used.
+    pub(crate) unusable_responses: usize,
     pub(crate) forwards_ended: Vec<(Ticket, ForwardEnd, u32)>,
     pub(crate) loads: Vec<(NodeId, Load)>,
     pub(crate) links: Vec<LinkChange>,
@@ -140,6 +142,7 @@
                 Event::LagProbe(due) => inbox.lag_probes.push(due),
                 Event::CallerGone(ticket) => inbox.callers_gone.push(ticket),
                 Event::RunEnded(ticket, end) => inbox.runs_ended.push((ticket, end)),
+                Event::ResponseUnusable => inbox.unusable_responses += 1,
                 Event::ForwardEnded { ticket, end, retries } => {
                     inbox.forwards_ended.push((ticket, end, retries));
                 }
--- a/crates/mustardpin-world/src/system/ending.rs
+++ b/crates/mustardpin-world/src/system/ending.rs
@@ -7,6 +7,7 @@
     refusal::{Outcome, Reason, Refusal},
     request::{ForwardEnd, RunEnd, Ticket, Verdict, is_final_status},
     system::finish,
+    table::counter::Work,
     world::{Tick, World},
 };
 
@@ -16,6 +17,9 @@
 
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
     abandon_known(world, tick);
+    for _ in 0..tick.inbox.unusable_responses {
+        world.tables.counters.count_work(Work::Unusable);
+    }
     for (ticket, end) in std::mem::take(&mut tick.inbox.runs_ended) {
         run_ended(world, tick, ticket, end);
     }
