Let virtual connections hold requests and their ends during a cut

A request that a cut holds up together with its cancellation, the order that the users' record suggests, could not be drawn: the virtual connection dropped a request that was cancelled meanwhile, and lost the cancellation of one that had arrived.

Change: while two nodes are cut off from each other, requests, cancellations and ends of connections are sent again until they arrive; a connection that is lost discards the requests that it holds, as the real one does since it is reset.

--- a/crates/mustardpin-virtual/src/fleet/call.rs
+++ b/crates/mustardpin-virtual/src/fleet/call.rs
@@ -14,7 +14,7 @@
 
 /// The interval at which requests and responses between two nodes that are cut off from each other
 /// are sent again, as TCP does, for as long as the connection lasts.
-const RETRANSMIT_INTERVAL: Millis = Millis(100);
+pub(super) const RETRANSMIT_INTERVAL: Millis = Millis(100);
 /// The time until the forwarding node detects that a response was lost.
 const LOSS_DETECTION_DELAY: Millis = Millis(100);
 
@@ -148,8 +148,9 @@
         result: FinalResponse,
         retries: u32,
     ) {
-        let node = &self.nodes[to.0];
-        if node.epoch != epoch || !node.forwarded.contains_key(&ticket) {
+        let (node, peer) = (&self.nodes[to.0], self.nodes[from.0].world.identity().node());
+        // The request may have been forwarded to another peer since.
+        if node.epoch != epoch || node.forwarded.get(&ticket) != Some(&peer) {
             return;
         }
         if self.delay(from, to).is_none() {
@@ -157,7 +158,6 @@
             return self.schedule(from, self.now + RETRANSMIT_INTERVAL, step);
         }
         self.nodes[to.0].forwarded.remove(&ticket);
-        let peer = self.nodes[from.0].world.identity().node();
         let load = self.nodes[from.0].load;
         self.deliver_later(to, Millis(0), Event::Load { from: peer, load });
         let end = match result {
@@ -189,10 +189,10 @@
         let epoch = self.nodes[site.0].epoch;
         let ticket = forward.ticket;
         let Some(exchange) = self.nodes[site.0].exchanges.get(&ticket).cloned() else { return };
-        if !self.is_linked(site, forward.to) {
+        let Some(connection) = self.connection(site, forward.to) else {
             let event = forward_ended(ticket, ForwardEnd::NotSent);
             return self.deliver_later(site, Millis(0), event);
-        }
+        };
         self.nodes[site.0].forwarded.insert(ticket, forward.to);
         let mut request = exchange.request;
         request.timeout = Some(forward.timeout);
@@ -202,35 +202,38 @@
             requester: Requester::Node { site, epoch, ticket },
             root: exchange.root,
         };
-        self.send_forward(site, epoch, forward.to, inbound);
+        self.send_forward(site, epoch, (forward.to, connection), inbound);
         self.schedule(site, forward.deadline, Step::ForwardDeadline { epoch, ticket });
     }
 
-    /// Sends a request over a connection. While the receiver is cut off, tries again for as long as
-    /// the connection lasts.
+    /// Sends a request over a connection, which holds it while the receiver is cut off. If the
+    /// request was cancelled meanwhile, it arrives together with that. A connection that is lost
+    /// discards what it holds.
     pub(super) fn send_forward(
         &mut self,
         site: Site,
         epoch: u32,
-        to: NodeId,
+        (to, connection): (NodeId, u64),
         inbound: InboundRequest,
     ) {
-        let Requester::Node { ticket, .. } = inbound.requester else { return };
+        let requester = inbound.requester;
+        let Requester::Node { ticket, .. } = requester else { return };
         let node = &self.nodes[site.0];
-        if node.epoch != epoch || node.forwarded.get(&ticket) != Some(&to) {
+        if node.epoch != epoch || self.connection(site, to) != Some(connection) {
             return;
         }
+        let is_cancelled = node.forwarded.get(&ticket) != Some(&to);
         let receiver = self.site_of(to);
         match receiver.and_then(|receiver| Some((receiver, self.delay(site, receiver)?))) {
             Some((receiver, delay)) => {
                 self.schedule(receiver, self.now + delay, Step::Arrive { inbound });
+                if is_cancelled {
+                    self.schedule(receiver, self.now + delay, Step::Disconnect { requester });
+                }
             }
             None => {
-                self.schedule(
-                    site,
-                    self.now + RETRANSMIT_INTERVAL,
-                    Step::SendForward { epoch, to, inbound },
-                );
+                let step = Step::SendForward { epoch, to: (to, connection), inbound };
+                self.schedule(site, self.now + RETRANSMIT_INTERVAL, step);
             }
         }
     }
--- a/crates/mustardpin-virtual/src/fleet/link.rs
+++ b/crates/mustardpin-virtual/src/fleet/link.rs
@@ -7,7 +7,7 @@
     store::Announcement,
 };
 
-use crate::fleet::{Fleet, Requester, Site, Step, forward_ended};
+use crate::fleet::{Fleet, Requester, Site, Step, call::RETRANSMIT_INTERVAL, forward_ended};
 
 /// The interval between two checks of a node's connections.
 pub(super) const LINK_CHECK_INTERVAL: Millis = Millis(250);
@@ -22,7 +22,8 @@
 #[derive(Debug)]
 pub(super) struct Link {
     announcement: Announcement,
-    is_up: bool,
+    /// The current connection; `None` if there is none.
+    connection: Option<u64>,
     /// Since when the peer has been unreachable; `None` if it is reachable.
     silent_since: Option<Millis>,
     is_silent: bool,
@@ -32,7 +33,7 @@
     pub(super) fn open_link(&mut self, site: Site, announcement: Announcement) {
         let node = &mut self.nodes[site.0];
         let (epoch, to) = (node.epoch, announcement.node);
-        let link = Link { announcement, is_up: false, silent_since: None, is_silent: false };
+        let link = Link { announcement, connection: None, silent_since: None, is_silent: false };
         node.links.insert(to, link);
         self.schedule(site, self.now, Step::Connect { epoch, to });
     }
@@ -44,7 +45,12 @@
 
     /// Whether a node has a connection to a peer.
     pub(super) fn is_linked(&self, site: Site, to: NodeId) -> bool {
-        self.nodes[site.0].links.get(&to).is_some_and(|link| link.is_up)
+        self.connection(site, to).is_some()
+    }
+
+    /// The number of a node's current connection to a peer.
+    pub(super) fn connection(&self, site: Site, to: NodeId) -> Option<u64> {
+        self.nodes[site.0].links.get(&to).and_then(|link| link.connection)
     }
 
     /// Returns the site of a process and the one-way delay to it; `None` if the process is
@@ -81,8 +87,9 @@
         let revision = self.nodes[receiver.0].world.tables().configuration.revision;
         let load = self.nodes[receiver.0].load;
         let own = self.nodes[site.0].world.identity().announcement.clone();
+        let connection = Some(self.next_number());
         let Some(link) = self.nodes[site.0].links.get_mut(&to) else { return };
-        (link.is_up, link.silent_since, link.is_silent) = (true, None, false);
+        (link.connection, link.silent_since, link.is_silent) = (connection, None, false);
         let peer = link.announcement.clone();
         let round_trip = delay + delay;
         self.deliver_later(receiver, delay, Event::PeerSeen(own));
@@ -104,7 +111,7 @@
             return;
         }
         self.schedule(site, self.now + LINK_CHECK_INTERVAL, Step::CheckLinks { epoch });
-        let up = self.nodes[site.0].links.iter().filter(|(_, link)| link.is_up);
+        let up = self.nodes[site.0].links.iter().filter(|(_, link)| link.connection.is_some());
         let up: Vec<NodeId> = up.map(|(&to, _)| to).collect();
         for to in up {
             let is_reachable = self.reach(site, to).is_some();
@@ -135,7 +142,7 @@
     /// Ends a connection and fails all forwarded requests on it.
     fn lose_link(&mut self, site: Site, to: NodeId, delay: Millis) {
         let Some(link) = self.nodes[site.0].links.get_mut(&to) else { return };
-        if !std::mem::take(&mut link.is_up) {
+        if link.connection.take().is_none() {
             return;
         }
         let epoch = self.nodes[site.0].epoch;
@@ -160,9 +167,17 @@
     pub(super) fn disconnect_forward(&mut self, site: Site, to: NodeId, ticket: Ticket) {
         let epoch = self.nodes[site.0].epoch;
         let Some(receiver) = self.site_of(to) else { return };
-        let Some(delay) = self.delay(site, receiver) else { return };
         let requester = Requester::Node { site, epoch, ticket };
-        self.schedule(receiver, self.now + delay, Step::Disconnect { requester });
+        self.end_forward(site, receiver, requester);
+    }
+
+    /// Sends the end of a request, or tries again while the two nodes are cut off from each other.
+    pub(super) fn end_forward(&mut self, from: Site, site: Site, requester: Requester) {
+        let (delay, step) = match self.delay(from, site) {
+            Some(delay) => (delay, Step::Disconnect { requester }),
+            None => (RETRANSMIT_INTERVAL, Step::EndForward { from, requester }),
+        };
+        self.schedule(site, self.now + delay, step);
     }
 
     /// Ends the connections of all nodes that can reach the site of a process that has ended.
--- a/crates/mustardpin-virtual/src/fleet/step.rs
+++ b/crates/mustardpin-virtual/src/fleet/step.rs
@@ -34,7 +34,11 @@
 
     pub(super) fn run_step(&mut self, site: Site, step: Step) {
         let node = &mut self.nodes[site.0];
-        if node.frozen && !matches!(step, Step::ServiceDone { .. } | Step::ChildDone { .. }) {
+        let is_deferred = !matches!(
+            step,
+            Step::ServiceDone { .. } | Step::ChildDone { .. } | Step::EndForward { .. }
+        );
+        if node.frozen && is_deferred {
             node.deferred.push(step);
             return;
         }
@@ -49,6 +53,7 @@
             Step::Arrive { inbound } => self.arrive(site, inbound),
             Step::Disconnect { requester } => self.disconnect(site, requester),
             Step::SendForward { epoch, to, inbound } => self.send_forward(site, epoch, to, inbound),
+            Step::EndForward { from, requester } => self.end_forward(from, site, requester),
             Step::ForwardResponse { to, epoch, ticket, result, retries } => {
                 self.receive_forward_response(site, (to, epoch, ticket), result, retries);
             }
