Send responses without end to the test before those that are given up early

memory::responses_without_end guarded nothing: it sent all forms at once, the target was ejected after those that are given up early, and most of the others were refused.

Change: the forms that last until the deadline come first, and at least 100 of their requests must reach the target.

--- a/tests/testsuite/memory.rs
+++ b/tests/testsuite/memory.rs
@@ -3,6 +3,10 @@
 use std::{
     fs,
     net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -131,15 +135,30 @@
 /// it, because a target sends a response without end.
 #[tokio::test(flavor = "multi_thread")]
 async fn responses_without_end() {
-    const CALLERS: usize = 12;
-    let forms = ["interim", "head", "header", "chunks", "extensions", "trailers", "body"];
-    let (mut fleet, key) = start(serve_without_end).await;
+    const CALLERS: usize = 20;
+    /// Some requests are refused, since the node learns how long others take.
+    const MIN_SERVED: usize = 100;
+    let served = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&served);
+    let (mut fleet, key) = start(move |stream| {
+        let count = Arc::clone(&count);
+        async move {
+            count.fetch_add(1, Ordering::Relaxed);
+            serve_without_end(stream).await;
+        }
+    })
+    .await;
     let addresses = [fleet.slots[0].callers, fleet.slots[1].callers];
-    let calls = forms.iter().flat_map(|form| {
-        let request = request(&format!("GET /slots/{form}"), &key, "");
-        addresses.map(|address| call_often(address, request.clone(), CALLERS))
-    });
-    join_all(calls).await;
+    // Those of the second group are given up at once, after which the target is ejected.
+    for forms in [&["interim", "chunks", "extensions", "body"][..], &["head", "header", "trailers"]]
+    {
+        let calls = forms.iter().flat_map(|form| {
+            let request = request(&format!("GET /slots/{form}"), &key, "");
+            addresses.map(|address| call_often(address, request.clone(), CALLERS))
+        });
+        join_all(calls).await;
+        assert!(served.load(Ordering::Relaxed) >= MIN_SERVED, "{served:?}");
+    }
     assert_memory(&mut fleet);
 }
 
