Test that a queued request ends with its caller

A slot that becomes free in the tick of the disconnect, before or after it, goes to the next request. The test passes without a change of the code.

--- a/crates/mustardpin-world/tests/testsuite/disconnect.rs
+++ b/crates/mustardpin-world/tests/testsuite/disconnect.rs
@@ -125,3 +125,44 @@
     repeatable, target lost: forward 3, then cancel 3; refuse 2: leaving, unknown, then nothing, then nothing
     ");
 }
+
+/// Guards against a queued request that runs for a caller that has left, since a slot becomes free in
+/// the tick of the disconnect.
+#[test]
+fn a_queued_request_does_not_run_once_its_caller_has_left() {
+    let mut report = String::new();
+    let ended = || Event::RunEnded(Ticket(1), RunEnd::Answered { status: 200, report: None });
+    type Events = fn(Event) -> Vec<Event>;
+    let cases: [(&str, Events); 4] = [
+        ("alone", |gone| vec![gone]),
+        ("before a slot is free", |gone| vec![gone, Event::RunEnded(Ticket(1), RunEnd::NotSent)]),
+        ("after a slot is free", |gone| vec![Event::RunEnded(Ticket(1), RunEnd::NotSent), gone]),
+        ("target lost", |gone| vec![Event::TargetLost, gone]),
+    ];
+    for (name, events) in cases {
+        let mut node = Node::start(Options::default());
+        let arrivals = (1..=10)
+            .map(|ticket| Event::Arrived(request(ticket, Origin::Caller { key: None }, None)));
+        let commands = node.tick(arrivals.collect());
+        let starts: Vec<u64> = commands
+            .iter()
+            .filter_map(|command| match command {
+                Command::Run(run) => Some(run.ticket.0),
+                Command::Finish { ticket, .. } => Some(ticket.0),
+                _ => None,
+            })
+            .collect();
+        let queued = (1..=10).find(|ticket| !starts.contains(ticket));
+        let queued = queued.expect("a request waits for a slot");
+        let at_once = describe(&node.tick(events(Event::CallerGone(Ticket(queued)))));
+        node.now = node.now + Millis(5);
+        let next = describe(&node.tick(vec![ended()]));
+        report.push_str(&format!("{queued} queued, {name}: {at_once}, then {next}\n"));
+    }
+    insta::assert_snapshot!(report, @r"
+    9 queued, alone: refuse 9: caller_gone, not-run, then run 10
+    9 queued, before a slot is free: refuse 9: caller_gone, not-run; refuse 1: target_failed, not-run; run 10, then nothing
+    9 queued, after a slot is free: refuse 9: caller_gone, not-run; refuse 1: target_failed, not-run; run 10, then nothing
+    9 queued, target lost: refuse 9: caller_gone, not-run; refuse 10: no_target, not-run, then nothing
+    ");
+}
