--- a/tests/testsuite/memory.rs
+++ b/tests/testsuite/memory.rs
@@ -174,6 +174,41 @@
     join_all(calls).await;
 }
 
+/// Guards against a node that runs out of memory because callers send requests without end.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_without_end() {
+    const CALLERS: usize = 20;
+    let (mut fleet, key) = start(|mut stream| async move {
+        let _path = read_head(&mut stream).await;
+        let mut bytes = [0; 4_096];
+        while let Ok(1..) = stream.read(&mut bytes).await {}
+    })
+    .await;
+    let addresses = [fleet.slots[0].callers, fleet.slots[1].callers];
+    let chunked = request("GET /slots", &key, "transfer-encoding: chunked\r\n");
+    let trailers = format!("{chunked}1\r\nx\r\n0\r\n");
+    let head = chunked.trim_end().to_owned() + "\r\n";
+    let line = format!("x-line: {}\r\n", "x".repeat(100));
+    let extension = format!("1;{}\r\nx\r\n", "x".repeat(100));
+    let forms = [
+        ("", "\r\n"),
+        (&head, &line),
+        (&chunked, "1\r\nx\r\n"),
+        (&chunked, &extension),
+        (&trailers, &line),
+    ];
+    let callers = forms.into_iter().flat_map(|(start, repeated)| {
+        let senders = (0..CALLERS).map(move |number| async move {
+            let stream = TcpStream::connect(addresses[number % 2]).await;
+            let send = send_without_end(stream.expect("the node listens"), start, repeated);
+            let _timeout = time::timeout(TROUBLE, send).await;
+        });
+        senders.collect::<Vec<_>>()
+    });
+    join_all(callers).await;
+    assert_memory(&mut fleet);
+}
+
 /// Guards against a node that runs out of memory for uploads of which the target reads nothing.
 #[tokio::test(flavor = "multi_thread")]
 async fn uploads_that_are_not_read() {
