--- a/review/common-2/common.rs
+++ b/review/common-2/common.rs
@@ -747,6 +747,7 @@
     born: u64,
     sequence: AtomicU64,
     pub beats: AtomicBool,
+    pub is_draining: AtomicBool,
     pub runs: Mutex<Vec<String>>,
 }
 
@@ -766,6 +767,7 @@
             born: born.as_millis() as u64,
             sequence: AtomicU64::new(0),
             beats: AtomicBool::new(true),
+            is_draining: AtomicBool::new(false),
             runs: Mutex::default(),
         });
         let shared = Arc::clone(&endpoint);
@@ -791,14 +793,26 @@
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
         let Machine { service, application, zone, .. } = &self.machine;
         let born = self.born;
+        let state = if self.is_draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
         let body = format!(
             "{{\"service\":\"{service}\",\"address\":\"{application}\",\"zone\":\"{zone}\",\
-             \"version\":\"v1\",\"slots\":223,\"state\":\"ready\",\"coldRemainingS\":0,\
+             \"version\":\"v1\",\"slots\":223,\"state\":\"{state}\",\"coldRemainingS\":0,\
              \"sequence\":{sequence},\"born\":{born}}}"
         );
         self.call("instances.heartbeat", &body)
     }
 
+    /// A heartbeat that another writer sends in the endpoint's name: `zone` and `version` are missing.
+    pub fn beat_of_other_writer(&self, sequence: u64) -> String {
+        let Machine { service, application, .. } = &self.machine;
+        let body = format!(
+            "{{\"service\":\"{service}\",\"address\":\"{application}\",\"slots\":223,\
+             \"state\":\"ready\",\"coldRemainingS\":0,\"sequence\":{sequence},\"born\":{}}}",
+            self.born
+        );
+        self.call("instances.heartbeat", &body)
+    }
+
     /// The call by which the endpoint says that it is gone.
     pub fn deregistration(&self) -> String {
         self.call("instances.deregister", &format!("{{\"born\":{}}}", self.born))
