--- a/review/7/main.rs
+++ b/review/7/main.rs
@@ -69,7 +69,8 @@
 fn client(deployment: &Deployment, number: usize, stop: &AtomicBool) -> (usize, usize) {
     let (mut served, mut failed) = (0, 0);
     while !stop.load(Ordering::Relaxed) {
-        thread::sleep(Duration::from_millis(50));
+        // Different pauses, so that the clients don't send at the same moments.
+        thread::sleep(Duration::from_millis(40 + 9 * number as u64));
         let id = next_id();
         let text = request("POST", "/leny950/x", &id, 2_000, "Content-Length: 0\r\nConnection: close\r\n");
         deployment.record.line(format!("client {number} sends {id}"));
