--- a/review/common-2/common.rs
+++ b/review/common-2/common.rs
@@ -608,8 +608,21 @@
     }
 }
 
-/// A loopback address with a free port. Every machine has an address of its own.
+/// A loopback address with a free port, never the same one twice. Every machine has an address of its
+/// own.
 pub fn free_address(machine: usize) -> SocketAddr {
+    static GIVEN: Mutex<Vec<SocketAddr>> = Mutex::new(Vec::new());
+    let mut given = GIVEN.lock().unwrap();
+    loop {
+        let address = any_address(machine);
+        if !given.contains(&address) {
+            given.push(address);
+            return address;
+        }
+    }
+}
+
+fn any_address(machine: usize) -> SocketAddr {
     let process = std::process::id();
     let second = 64 + process % 128;
     let third = process / 128 % 254;
