Refuse responses whose status is no status code

What callers saw: a target in trouble sent a response with the status 000. Callers of HTTP/1.1 got `HTTP/1.1 0 Unknown`, callers of HTTP/2 a 502 that looked like the target's own. The same held for 001 to 099; 600 to 999 were passed on to both.

Cause: the parser takes any three digits for a status, and `head::Response::take` took what it gave. A number below 500 counted as a success from there on: for the health of the target, for its rate limit and in the metrics, and it was sent on without asking the world whether to retry.

Fix: a head whose status is not in 100 to 599 is malformed, as one that does not follow the grammar. All that follows is what a response that breaks off gets: the run is `Broken`, which counts against the target's health; a repeatable request is tried elsewhere, any other gets 502 with the outcome `unknown`; the connection is closed and `response_unusable` names the cause.

--- a/crates/mustardpin-http/src/error.rs
+++ b/crates/mustardpin-http/src/error.rs
@@ -15,6 +15,10 @@
     /// The protocol version is neither HTTP/1.0 nor HTTP/1.1.
     #[display("the protocol version is not HTTP/1.0 or HTTP/1.1")]
     Version,
+    /// The status code is not in [`crate::status::VALID`].
+    #[display("{_0:03} is not a status code")]
+    #[from(skip)]
+    Status(#[error(not(source))] u16),
     /// The headers do not define the end of the body unambiguously.
     #[display("it is ambiguous where the body ends: {_0}")]
     #[from(skip)]
--- a/crates/mustardpin-http/src/head.rs
+++ b/crates/mustardpin-http/src/head.rs
@@ -7,6 +7,7 @@
 use crate::{
     error::Error,
     headers::{self, Headers},
+    status,
 };
 
 /// The largest number of headers in a head; a head with more is refused as too large.
@@ -26,7 +27,7 @@
 /// The head of a response.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Response {
-    /// The status code.
+    /// The status code, which is in [`status::VALID`].
     pub status: u16,
     /// Whether the message's version is HTTP/1.1 rather than HTTP/1.0.
     pub is_version_11: bool,
@@ -55,8 +56,8 @@
         skip_empty_lines(buffer);
         let mut headers = [const { MaybeUninit::uninit() }; MAX_HEADERS];
         let mut parsed = httparse::Request::new(&mut []);
-        let status = parsed.parse_with_uninit_headers(buffer, &mut headers);
-        let Some(length) = complete_length(status, buffer.len(), limit)? else { return Ok(None) };
+        let parsing = parsed.parse_with_uninit_headers(buffer, &mut headers);
+        let Some(length) = complete_length(parsing, buffer.len(), limit)? else { return Ok(None) };
         let version = parsed.version;
         let method = range_of(buffer, parsed.method.unwrap_or_default().as_bytes());
         let target = range_of(buffer, parsed.path.unwrap_or_default().as_bytes());
@@ -103,7 +104,7 @@
     ///
     /// # Errors
     ///
-    /// The same as for [`Request::take`].
+    /// The same as for [`Request::take`], or if the status code is not in [`status::VALID`].
     ///
     /// ```
     /// use bytes::BytesMut;
@@ -118,9 +119,12 @@
         let mut headers = [const { MaybeUninit::uninit() }; MAX_HEADERS];
         let mut parsed = httparse::Response::new(&mut []);
         let config = httparse::ParserConfig::default();
-        let status = config.parse_response_with_uninit_headers(&mut parsed, buffer, &mut headers);
-        let Some(length) = complete_length(status, buffer.len(), limit)? else { return Ok(None) };
+        let parsing = config.parse_response_with_uninit_headers(&mut parsed, buffer, &mut headers);
+        let Some(length) = complete_length(parsing, buffer.len(), limit)? else { return Ok(None) };
         let (code, version) = (parsed.code.unwrap_or_default(), parsed.version);
+        if !status::VALID.contains(&code) {
+            return Err(Error::Status(code));
+        }
         let spans = headers::find_spans(buffer, parsed.headers);
         let headers = Headers::new(buffer.split_to(length).freeze(), spans);
         Ok(Some(Response { status: code, is_version_11: version == Some(1), headers }))
@@ -149,11 +153,11 @@
 /// The length of a complete head in bytes, or `None` if more input is needed. `available` and
 /// `limit` are in bytes.
 fn complete_length(
-    status: Result<httparse::Status<usize>, httparse::Error>,
+    parsing: Result<httparse::Status<usize>, httparse::Error>,
     available: usize,
     limit: usize,
 ) -> Result<Option<usize>, Error> {
-    match status {
+    match parsing {
         Ok(httparse::Status::Complete(length)) if length <= limit => Ok(Some(length)),
         Ok(httparse::Status::Partial) if available <= limit => Ok(None),
         Ok(_) | Err(httparse::Error::TooManyHeaders) => Err(Error::HeadTooLarge),
--- a/crates/mustardpin-http/src/lib.rs
+++ b/crates/mustardpin-http/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod framing;
 pub mod head;
 pub mod headers;
+pub mod status;
 pub mod write;
 
 pub use crate::{error::Error, headers::Headers};
--- a/crates/mustardpin-http/tests/testsuite/head.rs
+++ b/crates/mustardpin-http/tests/testsuite/head.rs
@@ -67,6 +67,19 @@
     insta::assert_snapshot!(table);
 }
 
+/// Guards against a number that is no status code, and that is passed on as the status of a
+/// response.
+#[test]
+fn status_codes_outside_100_to_599_are_refused() {
+    let accepted: Vec<u16> = (0..1_000)
+        .filter(|status| {
+            let head = format!("HTTP/1.1 {status:03} X\r\n\r\n");
+            Response::take(&mut BytesMut::from(&*head), LIMIT).is_ok()
+        })
+        .collect();
+    assert_eq!(accepted, (100..600).collect::<Vec<_>>());
+}
+
 /// Guards against a head that broke off and looks complete.
 #[test]
 fn every_prefix_of_a_head_is_incomplete() {
--- a/crates/mustardpin-node/tests/testsuite/main.rs
+++ b/crates/mustardpin-node/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 
 mod abandoned;
 mod admin;
+mod broken;
 mod connections;
 mod control;
 mod drain;
