Refuse responses with a bare line feed in their head

What callers saw: a target in trouble sent a head in which the name of a field began with an LF. Callers got the response, with the rest of the head in place of the target's body, and without the fields that were in that rest. An LF in a value made up a field in the same way. Any other byte in a name that no token has was refused before.

Cause: the parser takes an LF alone for the end of a line, as RFC 9112 allows. An LF at the start of a name is then an empty line, which ends the head.

Evidence, each red before the change: - http `head::names_with_other_bytes_than_those_of_tokens_are_refused`: all 256 bytes at each place of names of 17 lengths up to 70.

Fix: a head in which an LF does not follow a CR is malformed, and gets what a response that breaks off gets.

The head is now one of those of which neither a prefix nor the whole may be taken.

What a target gets that ends all its lines with LF: 502 in place of each response, `response_unusable` with "a line ends with LF instead of CRLF" in the log, and its ejection. HTTP/1.1 requires CRLF of senders. Taking heads in which all lines end so was considered: they would still hide a name that begins with an LF.

--- a/crates/mustardpin-http/src/error.rs
+++ b/crates/mustardpin-http/src/error.rs
@@ -19,6 +19,9 @@
     #[display("{_0:03} is not a status code")]
     #[from(skip)]
     Status(#[error(not(source))] u16),
+    /// A line of a response's head or of a trailer section ends with LF instead of CRLF.
+    #[display("a line ends with LF instead of CRLF")]
+    LineEnd,
     /// The headers do not define the end of the body unambiguously.
     #[display("it is ambiguous where the body ends: {_0}")]
     #[from(skip)]
--- a/crates/mustardpin-http/src/head.rs
+++ b/crates/mustardpin-http/src/head.rs
@@ -104,7 +104,8 @@
     ///
     /// # Errors
     ///
-    /// The same as for [`Request::take`], or if the status code is not in [`status::VALID`].
+    /// The same as for [`Request::take`], or if the status code is not in [`status::VALID`] or a
+    /// line does not end with CRLF.
     ///
     /// ```
     /// use bytes::BytesMut;
@@ -121,6 +122,11 @@
         let config = httparse::ParserConfig::default();
         let parsing = config.parse_response_with_uninit_headers(&mut parsed, buffer, &mut headers);
         let Some(length) = complete_length(parsing, buffer.len(), limit)? else { return Ok(None) };
+        // `httparse` takes an LF alone for the end of a line. At the start of a name it would end the
+        // head, and the lines after it would become the body.
+        if headers::has_bare_line_feed(&buffer[..length]) {
+            return Err(Error::LineEnd);
+        }
         let (code, version) = (parsed.code.unwrap_or_default(), parsed.version);
         if !status::VALID.contains(&code) {
             return Err(Error::Status(code));
--- a/crates/mustardpin-http/src/headers.rs
+++ b/crates/mustardpin-http/src/headers.rs
@@ -123,6 +123,14 @@
         .collect()
 }
 
+/// Whether an LF in these bytes does not follow a CR.
+pub(crate) fn has_bare_line_feed(bytes: &[u8]) -> bool {
+    let mut lines = bytes.split(|&byte| byte == b'\n');
+    // No LF follows the last part.
+    lines.next_back();
+    lines.any(|line| !line.ends_with(b"\r"))
+}
+
 /// Whether a comma-separated list contains a token; case is ignored.
 pub(crate) fn has_token(list: &[u8], token: &str) -> bool {
     list.split(|&byte| byte == b',')
--- a/crates/mustardpin-http/tests/testsuite/head.rs
+++ b/crates/mustardpin-http/tests/testsuite/head.rs
@@ -80,6 +80,30 @@
     assert_eq!(accepted, (100..600).collect::<Vec<_>>());
 }
 
+/// Guards against a byte in a name that makes up another header, or ends the head so that the rest
+/// of it becomes the body.
+#[test]
+fn names_with_other_bytes_than_those_of_tokens_are_refused() {
+    let is_token = |byte: u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte);
+    for length in [1, 2, 3, 4, 7, 8, 9, 15, 16, 17, 31, 32, 33, 63, 64, 65, 70] {
+        for place in 0..length {
+            for byte in 0..=u8::MAX {
+                let mut name = vec![b'a'; length];
+                name[place] = byte;
+                // A colon ends the name.
+                let is_valid = is_token(byte) || (byte == b':' && place > 0);
+                let head = [b"HTTP/1.1 200 OK\r\nx: 1\r\n", &name[..], b": x\r\n\r\n"].concat();
+                let taken = Response::take(&mut BytesMut::from(&head[..]), LIMIT);
+                assert_eq!(
+                    taken.is_ok(),
+                    is_valid,
+                    "{byte:#04x} at {place} of {length}: {taken:?}"
+                );
+            }
+        }
+    }
+}
+
 /// Guards against a head that broke off and looks complete.
 #[test]
 fn every_prefix_of_a_head_is_incomplete() {
@@ -87,7 +111,6 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nX: 1\r\n\r\n",
         "HTTP/1.1 200\r\nTransfer-Encoding: chunked\r\n\r\n",
         "HTTP/1.0 200 OK\r\n\r\n",
-        "HTTP/1.1 200 OK\nContent-Length: 12\n\n",
     ];
     for head in heads {
         for end in 0..head.len() {
@@ -99,6 +122,31 @@
     }
 }
 
+/// Guards against an LF in a head that is taken for the end of a line, or of the head.
+#[test]
+fn no_prefix_of_a_head_with_a_bare_line_feed_is_a_head() {
+    let heads = [
+        "HTTP/1.1 200 OK\nContent-Length: 12\n\n",
+        "HTTP/1.1 200 OK\nContent-Length: 12\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 12\nX: 1\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\nX: 1\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\n",
+        "\nHTTP/1.1 200 OK\r\n\r\n",
+    ];
+    for head in heads {
+        for end in 0..head.len() {
+            let taken = Response::take(&mut BytesMut::from(&head[..end]), LIMIT);
+            assert!(
+                matches!(taken, Ok(None) | Err(Error::LineEnd)),
+                "{:?}: {taken:?}",
+                &head[..end]
+            );
+        }
+        let taken = Response::take(&mut BytesMut::from(head), LIMIT);
+        assert_eq!(taken, Err(Error::LineEnd), "{head:?}");
+    }
+}
+
 #[test]
 fn heads_over_the_limit_are_refused() {
     let long = format!("GET /{} HTTP/1.1\r\n", "a".repeat(LIMIT));
--- a/crates/mustardpin-node/tests/testsuite/endless.rs
+++ b/crates/mustardpin-node/tests/testsuite/endless.rs
@@ -118,6 +118,7 @@
         ("a part of the body", vec![Step::Send(format!("{HEAD}part").into()), Step::Close]),
         ("garbage", vec![Step::Send("no response\r\n\r\n".into()), wait()]),
         ("status 000", vec![Step::Send("HTTP/1.1 000 X\r\n\r\n".into()), wait()]),
+        ("lines that end with LF", vec![Step::Send("HTTP/1.1 200 OK\n\n".into()), wait()]),
         ("nothing, cancelled", vec![wait()]),
         ("a part of the body, cancelled", vec![Step::Send(format!("{HEAD}part").into()), wait()]),
         (
@@ -154,6 +155,7 @@
     a part of the body: counted 1, ["response_unusable received=42 cause=the response is malformed: the connection ended inside a message"]
     garbage: counted 1, ["response_unusable received=15 cause=the response is malformed: the protocol version is not HTTP/1.0 or HTTP/1.1"]
     status 000: counted 1, ["response_unusable received=18 cause=the response is malformed: 000 is not a status code"]
+    lines that end with LF: counted 1, ["response_unusable received=17 cause=the response is malformed: a line ends with LF instead of CRLF"]
     nothing, cancelled: counted 0, []
     a part of the body, cancelled: counted 1, ["response_unusable received=42 cause=cancelled"]
     interim responses, cancelled: counted 1, ["response_unusable received=22 cause=cancelled"]
