Refuse trailers with a bare line feed

What callers saw: a response in chunks whose trailer section had a name that began with an LF reached them as whole, without the trailers after the LF. Those stayed on the connection to the target, which was closed.

Cause: as for heads, the parser takes an LF alone for the end of a line, here for the empty line that ends the section.

Evidence, each red before the change: - http `body::names_of_trailers_with_other_bytes_than_...`: all 256 bytes at each place of names of 17 lengths up to 70; LF as the first byte was the only one accepted. Three rows more in `body::chunked_bodies_follow_the_grammar`, all accepted. - node `broken::a_response_with_a_malformed_trailer_name_...`: 2 of 14 lines were passed on. - node `broken::a_large_response_with_a_malformed_trailer_name_...`: a response of 600,000 bytes, which is streamed, looked complete.

Fix: such a section is malformed. A response that is still kept gets what one that breaks off gets; one that has begun is cut, so that it does not look complete. Trailers of requests are read by the same code, and get 400.

--- a/crates/mustardpin-http/src/body.rs
+++ b/crates/mustardpin-http/src/body.rs
@@ -2,7 +2,11 @@
 
 use bytes::{Bytes, BytesMut};
 
-use crate::{error::Error, framing::Framing, headers::Headers};
+use crate::{
+    error::Error,
+    framing::Framing,
+    headers::{self, Headers},
+};
 
 /// The longest chunk-size line, in bytes, including chunk extensions.
 const MAX_CHUNK_SIZE_LINE_BYTES: usize = 256;
@@ -162,6 +166,10 @@
     let mut headers = [httparse::EMPTY_HEADER; MAX_TRAILER_COUNT];
     match httparse::parse_headers(buffer, &mut headers) {
         Ok(httparse::Status::Complete((length, parsed))) if length <= MAX_TRAILERS_BYTES => {
+            // At the start of a name, an LF alone would end the section before its last line.
+            if headers::has_bare_line_feed(&buffer[..length]) {
+                return Err(Error::LineEnd);
+            }
             let headers = parsed.iter().map(|header| (header.name, header.value));
             let trailers = headers.collect();
             let _ = buffer.split_to(length);
--- a/crates/mustardpin-http/tests/testsuite/body.rs
+++ b/crates/mustardpin-http/tests/testsuite/body.rs
@@ -41,6 +41,9 @@
         "x\r\n",
         "ffffffffffffffffff\r\n",
         "5\nhello\n0\n\n",
+        "0\r\n\n",
+        "0\r\nTrailer: x\n\r\n",
+        "0\r\n\nTrailer: x\r\n\r\n",
         "5\r\nhello\r\n\r\n\r\n",
         "5\r\nhello\r\n;name=value\r\n\r\n",
         "5\r\nhello\r\n \r\n\r\n",
@@ -106,6 +109,26 @@
     }
 }
 
+/// Guards against a byte in the name of a trailer that ends the body early, so that the rest of the
+/// trailers stays on the connection.
+#[test]
+fn names_of_trailers_with_other_bytes_than_those_of_tokens_are_refused() {
+    let is_token = |byte: u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte);
+    for length in [1, 2, 3, 4, 7, 8, 9, 15, 16, 17, 31, 32, 33, 63, 64, 65, 70] {
+        for place in 0..length {
+            for byte in 0..=u8::MAX {
+                let mut name = vec![b'a'; length];
+                name[place] = byte;
+                // A colon ends the name.
+                let is_valid = is_token(byte) || (byte == b':' && place > 0);
+                let text = [b"1\r\nx\r\n0\r\nx: 1\r\n", &name[..], b": x\r\n\r\n"].concat();
+                let decoded = decode(Framing::Chunked, [&text[..]].into_iter());
+                assert_eq!(decoded.is_ok(), is_valid, "{byte:#04x} at {place} of {length}");
+            }
+        }
+    }
+}
+
 /// Guards against a body in one-byte chunks that takes many times its bytes, as each piece is kept for
 /// itself with the receive buffer that it lies in.
 #[test]
--- a/crates/mustardpin-node/tests/testsuite/broken.rs
+++ b/crates/mustardpin-node/tests/testsuite/broken.rs
@@ -141,6 +141,39 @@
     insta::assert_snapshot!(responses_to(cases.into()));
 }
 
+/// Guards against trailers that are none at the end of a response that counts as whole.
+#[test]
+fn a_response_with_a_malformed_trailer_name_is_not_passed_on() {
+    let cases = LINES.map(|line| {
+        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        (format!("{line:?}"), format!("{head}5\r\nhello\r\n0\r\nx: 1\r\n{line}\r\n"))
+    });
+    insta::assert_snapshot!(responses_to(cases.into()));
+}
+
+/// Guards against the same at the end of a response so large that it has begun, and that then looks
+/// complete.
+#[test]
+fn a_large_response_with_a_malformed_trailer_name_does_not_look_complete() {
+    const LARGE_BYTES: usize = 600_000;
+    let messages = ["x: 1\r\n", "\nx: 1\r\n"].map(|line| {
+        let data = "x".repeat(LARGE_BYTES);
+        format!(
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n\
+             {LARGE_BYTES:x}\r\n{data}\r\n0\r\n{line}\r\n"
+        )
+    });
+    let fleet = start(&messages);
+    for node in [0, 1] {
+        let is_complete = [0, 1].map(|number| {
+            let response = send(&fleet, node, &format!("/slots/{node}/{number}"));
+            assert_eq!(response.status(), 200);
+            response.body().contains("\r\n0\r\n")
+        });
+        assert_eq!(is_complete, [true, false], "at node {node}");
+    }
+}
+
 /// Guards against a repeatable request that fails although another target can answer it, and against
 /// any other that is sent again although it may have run.
 #[test]
