Refuse control bytes in chunk extensions

What callers saw: nothing on its own. A chunk whose extension holds an LF was taken for one chunk; a parser that takes an LF for the end of a line reads other chunks from the same bytes, so the body that callers get need not be the target's.

Cause: the parser skips all bytes of an extension up to CR.

Evidence: six rows more in http `body::chunked_bodies_follow_the_grammar`, of which four were accepted before the change: LF and other control bytes.

Fix: a line with the size of a chunk that holds a control byte other than a tab is malformed. Bodies of requests are read by the same code.

--- a/crates/mustardpin-http/src/body.rs
+++ b/crates/mustardpin-http/src/body.rs
@@ -153,7 +153,12 @@
     }
     match httparse::parse_chunk_size(buffer) {
         Ok(httparse::Status::Complete((length, size))) => {
-            let _ = buffer.split_to(length);
+            let line = buffer.split_to(length);
+            // `httparse` skips extensions, in which other parsers take an LF for the end of the line.
+            let extensions = line.strip_suffix(b"\r\n").unwrap_or(&line);
+            if extensions.iter().any(|&byte| byte.is_ascii_control() && byte != b'\t') {
+                return Err(Error::Chunk);
+            }
             Ok(Some(size))
         }
         Ok(httparse::Status::Partial) if buffer.len() <= MAX_CHUNK_SIZE_LINE_BYTES => Ok(None),
--- a/crates/mustardpin-http/tests/testsuite/body.rs
+++ b/crates/mustardpin-http/tests/testsuite/body.rs
@@ -33,6 +33,12 @@
     let cases = [
         "5\r\nhello\r\n0\r\n\r\nnext",
         "5;name=value\r\nhello\r\n0\r\n\r\n",
+        "5;name=\nvalue\r\nhello\r\n0\r\n\r\n",
+        "5;\n\r\nhello\r\n0\r\n\r\n",
+        "5;name=\rvalue\r\nhello\r\n0\r\n\r\n",
+        "5;\u{0}\u{1}=\u{7f}\r\nhello\r\n0\r\n\r\n",
+        "5 \n\r\nhello\r\n0\r\n\r\n",
+        "0;\n\r\n\r\n",
         "0\r\nTrailer: x\r\n\r\nnext",
         "5\r\nhello0\r\n\r\n",
         "5\r\nhello\r\n0\r\n",
