Refuse responses of peers whose status is no status code

What callers saw: nothing yet; a node of an earlier version can still pass on such a status, as versions of the protocol between nodes do not change with this. Callers would get any number up to 65535, and 101 or other interim statuses as the only response to their request.

Cause: the status of a frame was taken as it came.

Evidence, red before the change: node `link::played::a_response_of_a_peer_without_a_valid_status_...`, with a peer that the test plays: 0, 99, 100, 101, 199, 600, 999, 1000 and 65535 ended the request as answered, in one frame and streamed.

Fix: only 200 to 599 are taken for the status of a response. Any other ends the request as a connection that breaks does: it counts against the peer's health, a repeatable request is tried elsewhere, any other gets 502 with the outcome `unknown`. The peer is told to stop sending the body. The connection and its other requests go on, which the test shows by a sound response after them. `response_unusable` names the peer and the cause.

--- a/crates/mustardpin-http/src/error.rs
+++ b/crates/mustardpin-http/src/error.rs
@@ -15,8 +15,9 @@
     /// The protocol version is neither HTTP/1.0 nor HTTP/1.1.
     #[display("the protocol version is not HTTP/1.0 or HTTP/1.1")]
     Version,
-    /// The status code is not in [`crate::status::VALID`].
-    #[display("{_0:03} is not a status code")]
+    /// The status code is not in [`crate::status::VALID`], or not in [`crate::status::FINAL`] where
+    /// only a final response is expected.
+    #[display("the status code {_0:03} is not valid")]
     #[from(skip)]
     Status(#[error(not(source))] u16),
     /// A line of a response's head or of a trailer section ends with LF instead of CRLF.
--- a/crates/mustardpin-node/src/traffic/exchanges.rs
+++ b/crates/mustardpin-node/src/traffic/exchanges.rs
@@ -8,11 +8,12 @@
     time::Duration,
 };
 
-use compact_str::CompactString;
+use compact_str::{CompactString, ToCompactString as _};
 use mustardpin_wire::{dialect::Dialect, frame::LoadReport};
 use mustardpin_world::{
     Event, Millis,
     config::CallerLimits,
+    log::{Entry, Level},
     notice::Notice,
     refusal::Refusal,
     request::{ForwardEnd, Load, Request, RunEnd, Ticket, is_final_status},
@@ -216,6 +217,27 @@
         self.outbox.push(Event::ForwardEnded { ticket, end, retries });
     }
 
+    /// Ends an attempt that was forwarded to a peer, and whose response cannot be passed on.
+    pub(super) fn forward_unusable(
+        &self,
+        ticket: Ticket,
+        peer: &CompactString,
+        retries: u32,
+        cause: mustardpin_http::Error,
+    ) {
+        let request =
+            self.table().get(key_of(ticket)).map(|exchange| Arc::clone(&exchange.request));
+        if let Some(request) = request {
+            let entry = Entry::new(Level::Warn, "response_unusable")
+                .on(&request.id)
+                .with("peer", peer.clone())
+                .with("cause", cause.to_compact_string());
+            self.outbox.log(entry);
+            self.outbox.push(Event::ResponseUnusable);
+        }
+        self.forward_ended(ticket, ForwardEnd::Broken, retries, None);
+    }
+
     /// Starts sending a response whose body is still being received.
     pub(super) fn stream_response(&self, ticket: Ticket, response: CallerResponse) {
         let recipient = {
--- a/crates/mustardpin-node/src/traffic/link/outgoing.rs
+++ b/crates/mustardpin-node/src/traffic/link/outgoing.rs
@@ -12,6 +12,7 @@
 };
 
 use bytes::Bytes;
+use mustardpin_http::status;
 use mustardpin_wire::frame::{self, Head};
 use mustardpin_world::{
     Event, Millis,
@@ -376,6 +377,10 @@
 ) -> Result<(), Error> {
     let (header_lines, complete_body) = frame::split_payload(payload, head.fields)?;
     let status = head.status;
+    if !status::FINAL.contains(&status) {
+        reject_response(exchanges, link, &head, mustardpin_http::Error::Status(status));
+        return Ok(());
+    }
     let mut streams = link.streams();
     let Some(stream) = streams.get_mut(&head.stream) else { return Ok(()) };
     let ticket = stream.ticket;
@@ -401,6 +406,19 @@
     Ok(())
 }
 
+/// Ends a request whose response cannot be passed on. The peer may still be sending its body.
+fn reject_response(
+    exchanges: &Exchanges,
+    link: &OutgoingLink,
+    head: &frame::Response,
+    cause: mustardpin_http::Error,
+) {
+    let ticket = link.streams().get(&head.stream).map(|stream| stream.ticket);
+    let Some(ticket) = ticket else { return };
+    link.cancel(head.stream);
+    exchanges.forward_unusable(ticket, &link.announcement.name, head.retries, cause);
+}
+
 /// Forwards a piece of a streamed response. The peer sends a piece only if it has a credit, so the
 /// channel has capacity for it.
 async fn receive_chunk(
--- a/crates/mustardpin-node/tests/testsuite/endless.rs
+++ b/crates/mustardpin-node/tests/testsuite/endless.rs
@@ -154,7 +154,7 @@
     a part of the head: counted 1, ["response_unusable received=20 cause=the connection failed: unexpected end of file"]
     a part of the body: counted 1, ["response_unusable received=42 cause=the response is malformed: the connection ended inside a message"]
     garbage: counted 1, ["response_unusable received=15 cause=the response is malformed: the protocol version is not HTTP/1.0 or HTTP/1.1"]
-    status 000: counted 1, ["response_unusable received=18 cause=the response is malformed: 000 is not a status code"]
+    status 000: counted 1, ["response_unusable received=18 cause=the response is malformed: the status code 000 is not valid"]
     lines that end with LF: counted 1, ["response_unusable received=17 cause=the response is malformed: a line ends with LF instead of CRLF"]
     nothing, cancelled: counted 0, []
     a part of the body, cancelled: counted 1, ["response_unusable received=42 cause=cancelled"]
--- a/crates/mustardpin-node/tests/testsuite/link/played.rs
+++ b/crates/mustardpin-node/tests/testsuite/link/played.rs
@@ -14,12 +14,12 @@
     Event, Millis,
     id::{KeyDigest, NodeId},
     refusal::{Reason, Refusal},
-    request::{ForwardEnd, Load, Ticket},
+    request::{ForwardEnd, Load, Ticket, Verdict},
     store::Announcement,
 };
 
 use crate::{
-    fake::{End, read_all},
+    fake::{End, TrafficSide, read_all},
     link::{forward, is_link_up, next_event, node},
 };
 
@@ -62,8 +62,12 @@
     }
 
     fn send(&mut self, head: &Head) {
+        self.send_with(head, "");
+    }
+
+    fn send_with(&mut self, head: &Head, payload: &str) {
         let mut bytes = Vec::new();
-        frame::encode(&mut bytes, head, &[]).expect("the frame is small");
+        frame::encode(&mut bytes, head, &[payload.as_bytes()]).expect("the frame is small");
         self.stream.write_all(&bytes).expect("the node reads");
     }
 
@@ -176,3 +180,57 @@
     assert_eq!(ends, [ForwardEnd::Broken]);
     assert_eq!(read_all(peer.stream).end, End::Reset);
 }
+
+/// Sends a request to a node that forwards it to the peer, which responds. Returns how the forwarded
+/// request ended and what its caller got.
+fn play(two: &TrafficSide, peer: &mut FakePeer, respond: impl Fn(&mut FakePeer, u32)) -> String {
+    let callers = two.callers;
+    let caller = thread::spawn(move || crate::fake::get(callers, "/slots"));
+    let ticket = two.accept().ticket;
+    two.dispatch(TrafficCommand::Forward(forward(ticket)));
+    let stream = peer.next_request();
+    respond(peer, stream);
+    let is_end = |event: &Event| matches!(event, Event::ForwardEnded { .. });
+    let Event::ForwardEnded { end, .. } = next_event(two, is_end) else { panic!("no end") };
+    two.finish(ticket, Verdict::Refuse(Refusal::unknown(Reason::TargetFailed)));
+    let response = caller.join().expect("the caller ends");
+    let is_whole = response.body() == "hello" || response.body().ends_with("\r\n0\r\n\r\n");
+    let got = match response.status() {
+        200 if is_whole => "the whole response".to_owned(),
+        200 => "a truncated response".to_owned(),
+        status => format!("{status}"),
+    };
+    format!("{end:?}, the caller gets {got}")
+}
+
+fn answer(stream: u32, status: u16, lines: &str, body: frame::Body) -> Head {
+    let load = frame::LoadReport::from(Load::default());
+    let fields = lines.len() as u32;
+    Head::Answer(frame::Response { stream, status, retries: 0, load, fields, body })
+}
+
+/// Guards against a status code that no final response has, and that a peer of an earlier version
+/// passes on. It must end its own request and no other on the connection.
+#[test]
+fn a_response_of_a_peer_without_a_valid_status_is_not_passed_on() {
+    let two = node(2, "fleet");
+    let (listener, announcement) = listen();
+    two.dispatch(TrafficCommand::OpenLink(announcement.clone()));
+    let mut peer = FakePeer::accept(&listener, &announcement);
+    next_event(&two, is_link_up);
+    let (whole, chunks) = (frame::Body::Whole, frame::Body::Chunks { length: None });
+    let mut table = String::new();
+    for status in [0, 99, 100, 101, 199, 600, 999, 1_000, u16::MAX, 200] {
+        for body in [whole, chunks] {
+            let result = play(&two, &mut peer, |peer, stream| {
+                peer.send_with(&answer(stream, status, "", body), "hello");
+                if body == chunks {
+                    peer.send_with(&Head::Chunk { stream, last: false }, "hello");
+                    peer.send_with(&Head::Chunk { stream, last: true }, "");
+                }
+            });
+            table.push_str(&format!("{status} {body:?}: {result}\n"));
+        }
+    }
+    insta::assert_snapshot!(table);
+}
--- a/crates/mustardpin-world/src/event.rs
+++ b/crates/mustardpin-world/src/event.rs
@@ -64,8 +64,9 @@
     CallerGone(Ticket),
     /// A run on this node's target ended.
     RunEnded(Ticket, RunEnd),
-    /// A response of this node's target began and could not be used: it was malformed or truncated,
-    /// belonged to another request, or was cancelled before its end.
+    /// A response could not be used. One of this node's target began, and was malformed or
+    /// truncated, belonged to another request, or was cancelled before its end. One that a peer
+    /// passed on was malformed.
     ResponseUnusable,
     /// A request that was forwarded to a peer ended.
     ForwardEnded {
--- a/crates/mustardpin-world/src/request.rs
+++ b/crates/mustardpin-world/src/request.rs
@@ -167,7 +167,7 @@
     Refused(Refusal),
     /// No connection could be established; no byte was sent.
     NotSent,
-    /// The connection broke.
+    /// The connection broke, or the response was malformed.
     Broken,
     /// The request was cancelled: at its deadline, or because the caller disconnected.
     Cancelled,
--- a/crates/mustardpin-world/src/table/counter.rs
+++ b/crates/mustardpin-world/src/table/counter.rs
@@ -61,7 +61,8 @@
     /// Attempts cancelled, on the local target or at a peer.
     #[display("cancelled")]
     Cancelled,
-    /// Responses of the local target that began and could not be used.
+    /// Responses of the local target that began and could not be used, and malformed ones that
+    /// peers passed on.
     #[display("unusable")]
     Unusable,
     /// Messages sent to peers.
