Refuse malformed header and trailer lines of peers

What callers saw: nothing yet. Nodes pass on the lines of headers and trailers as their peers encoded them; a line with a blank or a control byte in its name, an empty line, or one without CRLF would have reached callers, and an empty line ended the head of a whole response.

Cause: nothing looked at the lines. Peers read them from heads in which such names were refused before, so no version is known to send one.

Fix: the lines are checked where a response arrives from a peer, with the parser that reads heads. A malformed line ends its request as a status that is none does; trailers come after the body has begun, so that the response is cut and does not look complete.

--- a/crates/mustardpin-http/src/headers.rs
+++ b/crates/mustardpin-http/src/headers.rs
@@ -3,6 +3,8 @@
 use bytes::Bytes;
 use smallvec::SmallVec;
 
+use crate::{error::Error, head::MAX_HEADERS};
+
 /// The number of headers whose spans are stored without a heap allocation.
 const INLINE_HEADERS: usize = 16;
 
@@ -123,6 +125,33 @@
         .collect()
 }
 
+/// Checks lines of headers or trailers that were encoded elsewhere and are sent on as they are.
+///
+/// # Errors
+///
+/// If a line does not follow the grammar, does not end with CRLF or is empty, or if there are more
+/// than [`MAX_HEADERS`] lines.
+///
+/// ```
+/// use mustardpin_http::headers::check_lines;
+/// assert!(check_lines(b"Accept: */*\r\nX: 1\r\n").is_ok());
+/// assert!(check_lines(b"X Y: 1\r\n").is_err());
+/// ```
+pub fn check_lines(lines: &[u8]) -> Result<(), Error> {
+    if lines.is_empty() {
+        return Ok(());
+    }
+    if !lines.ends_with(b"\r\n") || has_bare_line_feed(lines) {
+        return Err(Error::LineEnd);
+    }
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    match httparse::parse_headers(lines, &mut headers)? {
+        // The empty line that would end the section is missing.
+        httparse::Status::Partial => Ok(()),
+        httparse::Status::Complete(_) => Err(httparse::Error::NewLine.into()),
+    }
+}
+
 /// Whether an LF in these bytes does not follow a CR.
 pub(crate) fn has_bare_line_feed(bytes: &[u8]) -> bool {
     let mut lines = bytes.split(|&byte| byte == b'\n');
--- a/crates/mustardpin-node/src/traffic/link/outgoing.rs
+++ b/crates/mustardpin-node/src/traffic/link/outgoing.rs
@@ -12,7 +12,7 @@
 };
 
 use bytes::Bytes;
-use mustardpin_http::status;
+use mustardpin_http::{headers, status};
 use mustardpin_wire::frame::{self, Head};
 use mustardpin_world::{
     Event, Millis,
@@ -377,8 +377,8 @@
 ) -> Result<(), Error> {
     let (header_lines, complete_body) = frame::split_payload(payload, head.fields)?;
     let status = head.status;
-    if !status::FINAL.contains(&status) {
-        reject_response(exchanges, link, &head, mustardpin_http::Error::Status(status));
+    if let Err(error) = check_response(status, &header_lines) {
+        reject_response(exchanges, link, &head, error);
         return Ok(());
     }
     let mut streams = link.streams();
@@ -406,6 +406,14 @@
     Ok(())
 }
 
+/// Checks a response that is passed on as it comes.
+fn check_response(status: u16, header_lines: &[u8]) -> Result<(), mustardpin_http::Error> {
+    if !status::FINAL.contains(&status) {
+        return Err(mustardpin_http::Error::Status(status));
+    }
+    headers::check_lines(header_lines)
+}
+
 /// Ends a request whose response cannot be passed on. The peer may still be sending its body.
 fn reject_response(
     exchanges: &Exchanges,
@@ -441,6 +449,11 @@
         return;
     }
     link.streams().remove(&stream_id);
+    if let Err(error) = headers::check_lines(&bytes) {
+        // The writer is dropped, so the caller's response is visibly truncated.
+        exchanges.forward_unusable(ticket, &link.announcement.name, 0, error);
+        return;
+    }
     // Fails if the caller has disconnected, which has been reported already.
     let _ = writer.send(Piece::End(bytes)).await;
     exchanges.forward_ended(ticket, ForwardEnd::Answered { status }, 0, None);
