Refuse requests with a bare line feed in their head

What was seen, in tests alone: where a name in the head of a request began with an LF, the head ended there. A deregistration of an earlier process of a target lost its body, and so the start that it names, and counted for the process that runs now. A caller's request lost its body, and what followed the LF ran as a request of its own.

Cause: the same as for responses; heads of callers' requests and of targets' reports are read by one function.

Fix: the check moves to where the length of either kind of head is determined. Such a request gets 400, and its connection is closed. A client that ends all its lines with LF gets that too.

--- a/crates/mustardpin-http/src/error.rs
+++ b/crates/mustardpin-http/src/error.rs
@@ -20,7 +20,7 @@
     #[display("the status code {_0:03} is not valid")]
     #[from(skip)]
     Status(#[error(not(source))] u16),
-    /// A line of a response's head or of a trailer section ends with LF instead of CRLF.
+    /// A line of a head or of a trailer section ends with LF instead of CRLF.
     #[display("a line ends with LF instead of CRLF")]
     LineEnd,
     /// The headers do not define the end of the body unambiguously.
--- a/crates/mustardpin-http/src/head.rs
+++ b/crates/mustardpin-http/src/head.rs
@@ -40,7 +40,8 @@
     ///
     /// # Errors
     ///
-    /// If the head is malformed, or larger than `limit` bytes.
+    /// If the head is malformed, or larger than `limit` bytes. A head is also malformed if a line
+    /// does not end with CRLF.
     ///
     /// ```
     /// use bytes::BytesMut;
@@ -57,7 +58,7 @@
         let mut headers = [const { MaybeUninit::uninit() }; MAX_HEADERS];
         let mut parsed = httparse::Request::new(&mut []);
         let parsing = parsed.parse_with_uninit_headers(buffer, &mut headers);
-        let Some(length) = complete_length(parsing, buffer.len(), limit)? else { return Ok(None) };
+        let Some(length) = complete_length(parsing, buffer, limit)? else { return Ok(None) };
         let version = parsed.version;
         let method = range_of(buffer, parsed.method.unwrap_or_default().as_bytes());
         let target = range_of(buffer, parsed.path.unwrap_or_default().as_bytes());
@@ -104,8 +105,7 @@
     ///
     /// # Errors
     ///
-    /// The same as for [`Request::take`], or if the status code is not in [`status::VALID`] or a
-    /// line does not end with CRLF.
+    /// The same as for [`Request::take`], or if the status code is not in [`status::VALID`].
     ///
     /// ```
     /// use bytes::BytesMut;
@@ -121,12 +121,7 @@
         let mut parsed = httparse::Response::new(&mut []);
         let config = httparse::ParserConfig::default();
         let parsing = config.parse_response_with_uninit_headers(&mut parsed, buffer, &mut headers);
-        let Some(length) = complete_length(parsing, buffer.len(), limit)? else { return Ok(None) };
-        // `httparse` takes an LF alone for the end of a line. At the start of a name it would end the
-        // head, and the lines after it would become the body.
-        if headers::has_bare_line_feed(&buffer[..length]) {
-            return Err(Error::LineEnd);
-        }
+        let Some(length) = complete_length(parsing, buffer, limit)? else { return Ok(None) };
         let (code, version) = (parsed.code.unwrap_or_default(), parsed.version);
         if !status::VALID.contains(&code) {
             return Err(Error::Status(code));
@@ -156,16 +151,22 @@
     }
 }
 
-/// The length of a complete head in bytes, or `None` if more input is needed. `available` and
-/// `limit` are in bytes.
+/// The length of a complete head in bytes, or `None` if more input is needed. `limit` is in bytes.
 fn complete_length(
     parsing: Result<httparse::Status<usize>, httparse::Error>,
-    available: usize,
+    buffer: &[u8],
     limit: usize,
 ) -> Result<Option<usize>, Error> {
     match parsing {
+        // `httparse` takes an LF alone for the end of a line. At the start of a name it would end the
+        // head, and the lines after it would become the body or the next message.
+        Ok(httparse::Status::Complete(length))
+            if length <= limit && headers::has_bare_line_feed(&buffer[..length]) =>
+        {
+            Err(Error::LineEnd)
+        }
         Ok(httparse::Status::Complete(length)) if length <= limit => Ok(Some(length)),
-        Ok(httparse::Status::Partial) if available <= limit => Ok(None),
+        Ok(httparse::Status::Partial) if buffer.len() <= limit => Ok(None),
         Ok(_) | Err(httparse::Error::TooManyHeaders) => Err(Error::HeadTooLarge),
         Err(httparse::Error::Version) => Err(Error::Version),
         Err(error) => Err(error.into()),
--- a/crates/mustardpin-http/tests/testsuite/head.rs
+++ b/crates/mustardpin-http/tests/testsuite/head.rs
@@ -24,6 +24,10 @@
         "GET /\u{1} HTTP/1.1\r\n\r\n",
         "GET / HTTP/1.1\r\nA: \u{0}\r\n\r\n",
         "PRI * HTTP/2.0\r\n\r\n",
+        "GET / HTTP/1.1\nHost: a\n\n",
+        "GET / HTTP/1.1\r\nHost: a\r\n\nB: c\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: a\nB: c\r\n\r\n",
+        "\nGET / HTTP/1.1\r\nHost: a\r\n\r\n",
         "nonsense",
     ];
     let mut table = String::new();
@@ -92,13 +96,14 @@
                 name[place] = byte;
                 // A colon ends the name.
                 let is_valid = is_token(byte) || (byte == b':' && place > 0);
-                let head = [b"HTTP/1.1 200 OK\r\nx: 1\r\n", &name[..], b": x\r\n\r\n"].concat();
-                let taken = Response::take(&mut BytesMut::from(&head[..]), LIMIT);
-                assert_eq!(
-                    taken.is_ok(),
-                    is_valid,
-                    "{byte:#04x} at {place} of {length}: {taken:?}"
-                );
+                let case = format!("{byte:#04x} at {place} of {length}");
+                let lines = [b"x: 1\r\n", &name[..], b": x\r\n\r\n"].concat();
+                let response = [b"HTTP/1.1 200 OK\r\n", &lines[..]].concat();
+                let taken = Response::take(&mut BytesMut::from(&response[..]), LIMIT);
+                assert_eq!(taken.is_ok(), is_valid, "response, {case}: {taken:?}");
+                let request = [b"GET / HTTP/1.1\r\n", &lines[..]].concat();
+                let taken = Request::take(&mut BytesMut::from(&request[..]), LIMIT);
+                assert_eq!(taken.is_ok(), is_valid, "request, {case}: {taken:?}");
             }
         }
     }
--- a/crates/mustardpin-node/tests/testsuite/input.rs
+++ b/crates/mustardpin-node/tests/testsuite/input.rs
@@ -232,3 +232,22 @@
     insta::assert_snapshot!(lines.join("\n"));
     assert_eq!(get(fleet.callers(0), "/slots").status(), 200);
 }
+
+/// Guards against a name that begins with an LF and ends the head, so that what follows is taken for
+/// another request or for no body.
+#[test]
+fn no_request_begins_inside_the_head_of_another() {
+    let fleet = fleet(Limits::default());
+    let head = format!("host: fleet\r\nauthorization: Bearer {KEY}\r\n");
+    let requests = [
+        format!("GET /one HTTP/1.1\r\n{head}\nGET /inside HTTP/1.1\r\n{head}\r\n"),
+        format!("POST /two HTTP/1.1\r\n{head}\nx: 1\r\ncontent-length: 5\r\n\r\nhello"),
+        format!("GET /three HTTP/1.1\r\n{head}x: 1\ny: 2\r\n\r\n"),
+    ];
+    let statuses = requests.map(|request| {
+        let mut stream = TcpStream::connect(fleet.callers(0)).expect("the node listens");
+        stream.write_all(request.as_bytes()).expect("the node reads");
+        read_all(stream).status()
+    });
+    assert_eq!((statuses, fleet.targets[0].seen()), ([400, 400, 400], Vec::new()));
+}
