Test messages that are no response with real processes

Node tests run nodes in the process of the test, so this one starts all programs, with a target that the test plays: status 000 and 700, names with a blank, a control byte and an LF, and a trailer with an LF, at the node of the target and through a peer.

On four of the six messages reached callers: both statuses as they were, and both with an LF as a complete 200. The names with a blank and a control byte were refused there too.

The target that a test plays moves from the tests of memory to a module of its own; those tests wait for the same limit as before.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! End-to-end tests of all programs as separate processes on loopback, one module per feature.
 
+mod broken;
 mod command;
 mod fleet;
 mod keys;
@@ -9,6 +10,7 @@
 mod pages;
 mod pause;
 mod platform;
+mod played;
 mod process;
 mod relay;
 mod soak;
--- a/tests/testsuite/memory.rs
+++ b/tests/testsuite/memory.rs
@@ -11,7 +11,6 @@
 };
 
 use futures::future::join_all;
-use serde_json::json;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpSocket, TcpStream},
@@ -21,13 +20,12 @@
 
 use crate::{
     fleet::{Fleet, SlotPlan, scratch_directory, slot, start_node},
+    played::{self, SLOTS, read_head},
     process::free_address,
 };
 
 /// The memory of the smallest instance on which a node runs.
 const MAX_MEMORY_BYTES: usize = 160 * 1_000 * 1_000;
-/// The requests that the target reports to run at once.
-const SLOTS: u32 = 300;
 /// The time for which bytes are sent, which is also the timeout of the requests.
 const TROUBLE: Duration = Duration::from_secs(3);
 /// The limits of the users' deployment.
@@ -43,49 +41,11 @@
     serve: impl Fn(TcpStream) -> F + Send + 'static,
 ) -> (Fleet, String) {
     let plans = [limited(slot("north", "search")), limited(slot("south", "ledger"))];
-    let mut fleet = Fleet::start(&plans).await;
-    let key = fleet.issue_key("garage-1").await;
-    let search = &mut fleet.slots[0];
-    search.target_process.kill();
-    let listener = TcpListener::bind(search.target).await.expect("the port is free");
-    let (target, local) = (search.target, search.local);
-    tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(serve(stream));
-        }
-    });
-    tokio::spawn(async move {
-        let body = json!({
-            "address": target.to_string(), "service": "search", "slots": SLOTS, "healthy": true,
-        });
-        let body = body.to_string();
-        let length = body.len();
-        let report = format!(
-            "POST /target/announce HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\
-             content-length: {length}\r\n\r\n{body}"
-        );
-        while let Ok(mut stream) = TcpStream::connect(local).await {
-            let _sent = stream.write_all(report.as_bytes()).await;
-            let _received = stream.read(&mut [0; 1_024]).await;
-            time::sleep(Duration::from_millis(200)).await;
-        }
-    });
+    let (fleet, key) = played::start(&plans, serve).await;
     fleet.wait_for(0, "the target is there", |status| status.target.limit >= SLOTS / 2).await;
     (fleet, key)
 }
 
-/// Reads up to the end of a request's head. Returns its path.
-async fn read_head(stream: &mut TcpStream) -> String {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        match stream.read_u8().await {
-            Ok(byte) => head.push(byte),
-            Err(_) => return String::new(),
-        }
-    }
-    String::from_utf8_lossy(&head).split(' ').nth(1).unwrap_or_default().to_owned()
-}
-
 /// Sends the same bytes until the connection ends, at most 400 times a second.
 async fn send_without_end(mut stream: TcpStream, start: &str, repeated: &str) {
     let repeated = repeated.repeat(4_096 / repeated.len());
