End a request with a malformed response once

By reading: between the lookup of a stream and its removal, a cancellation can remove it and report the end of the request. A malformed response of the peer would then have reported a second end, for a ticket that a retry may use again. The end is now reported only by the one that removes the stream. Not shown by a test: it takes two threads in that moment.

--- a/crates/mustardpin-node/src/traffic/link/outgoing.rs
+++ b/crates/mustardpin-node/src/traffic/link/outgoing.rs
@@ -422,9 +422,11 @@
     cause: mustardpin_http::Error,
 ) {
     let ticket = link.streams().get(&head.stream).map(|stream| stream.ticket);
-    let Some(ticket) = ticket else { return };
-    link.cancel(head.stream);
-    exchanges.forward_unusable(ticket, &link.announcement.name, head.retries, cause);
+    if let Some(ticket) = ticket
+        && link.cancel(head.stream)
+    {
+        exchanges.forward_unusable(ticket, &link.announcement.name, head.retries, cause);
+    }
 }
 
 /// Forwards a piece of a streamed response. The peer sends a piece only if it has a credit, so the
