Test that damaged heads are refused or end at their empty line

A property beside the tables: one to three bytes of a response are replaced, mostly by such that mean something in a head. What is accepted ends at its first empty line and has a valid status and headers.

--- a/crates/mustardpin-http/tests/testsuite/head.rs
+++ b/crates/mustardpin-http/tests/testsuite/head.rs
@@ -161,6 +161,11 @@
     assert_eq!(Request::take(&mut BytesMut::from(&*many), 64 * 1024), Err(Error::HeadTooLarge));
 }
 
+/// A byte that may change the meaning of a head.
+fn damage() -> impl Strategy<Value = u8> {
+    prop_oneof![any::<u8>(), prop::sample::select(&b"\r\n\t :0123456789\0"[..])]
+}
+
 proptest! {
     /// Arbitrary bytes never make the parser panic or read past the end of the buffer.
     #[test]
@@ -171,6 +176,31 @@
         let _ = Response::take(&mut buffer, LIMIT);
     }
 
+    /// Guards against a damaged head that is accepted and ends elsewhere than at its empty line, or that
+    /// has a status or a header that is none.
+    #[test]
+    fn a_damaged_head_is_refused_or_ends_at_its_empty_line(
+        damages in prop::collection::vec((0_usize..60, damage()), 1..4),
+    ) {
+        let mut bytes = b"HTTP/1.1 200 OK\r\nx: 1\r\ncontent-length: 5\r\n\r\nhello\r\n\r\nrest".to_vec();
+        for (place, byte) in damages {
+            let place = place % bytes.len();
+            bytes[place] = byte;
+        }
+        let mut buffer = BytesMut::from(&bytes[..]);
+        if let Ok(Some(head)) = Response::take(&mut buffer, LIMIT) {
+            // Empty lines before the head are skipped.
+            let start = bytes.iter().position(|byte| !byte.is_ascii_whitespace()).unwrap_or(0);
+            let end = bytes[start..].windows(4).position(|window| window == b"\r\n\r\n");
+            prop_assert_eq!(Some(bytes.len() - buffer.len()), end.map(|end| start + end + 4));
+            prop_assert!((100..600).contains(&head.status));
+            for (name, value) in head.headers.iter() {
+                prop_assert!(!name.is_empty() && name.bytes().all(|byte| byte.is_ascii_graphic()));
+                prop_assert!(!value.iter().any(|byte| byte.is_ascii_control() && *byte != b'\t'));
+            }
+        }
+    }
+
     /// A head received in two parts is parsed like one received at once.
     #[test]
     fn a_head_parses_the_same_however_it_is_split(cut in 0_usize..60) {
