Move the responses of peers to a file of their own

The functions that take a peer's response, its chunks and a malformed one move to outgoing/response.rs as they were; three lose the word that the module now gives.

--- a/crates/mustardpin-node/src/traffic/link/outgoing.rs
+++ b/crates/mustardpin-node/src/traffic/link/outgoing.rs
@@ -1,5 +1,7 @@
 //! The connection that a node keeps to one of its peers.
 
+mod response;
+
 use std::{
     collections::HashMap,
     io,
@@ -12,7 +14,6 @@
 };
 
 use bytes::Bytes;
-use mustardpin_http::{headers, status};
 use mustardpin_wire::frame::{self, Head};
 use mustardpin_world::{
     Event, Millis,
@@ -23,14 +24,13 @@
 use tokio::{net::TcpStream, sync::Notify, time};
 
 use crate::traffic::{
-    body::{self, Body, Piece, Writer},
+    body::Writer,
     exchange::{Outbound, Payload},
     exchanges::Exchanges,
     link::{
         liveness::Monitor,
         wire::{Error, Wire},
     },
-    response::CallerResponse,
     sender::Sender,
 };
 
@@ -338,7 +338,7 @@
     match head {
         Head::Answer(response) => {
             exchanges.outbox.push(Event::Load { from, load: response.load.into() });
-            receive_response(exchanges, link, response, payload)?;
+            response::receive(exchanges, link, response, payload)?;
         }
         Head::Refused(refused) => {
             exchanges.outbox.push(Event::Load { from, load: refused.load.into() });
@@ -348,7 +348,9 @@
                 exchanges.forward_ended(stream.ticket, end, refused.retries, None);
             }
         }
-        Head::Chunk { stream, last } => receive_chunk(exchanges, link, stream, last, payload).await,
+        Head::Chunk { stream, last } => {
+            response::receive_chunk(exchanges, link, stream, last, payload).await
+        }
         Head::Broken { stream } => {
             if let Some(stream) = link.streams().remove(&stream) {
                 exchanges.forward_ended(stream.ticket, ForwardEnd::Broken, 0, None);
@@ -369,98 +371,6 @@
     Ok(())
 }
 
-fn receive_response(
-    exchanges: &Arc<Exchanges>,
-    link: &OutgoingLink,
-    head: frame::Response,
-    payload: Bytes,
-) -> Result<(), Error> {
-    let (header_lines, complete_body) = frame::split_payload(payload, head.fields)?;
-    let status = head.status;
-    if let Err(error) = check_response(status, &header_lines) {
-        reject_response(exchanges, link, &head, error);
-        return Ok(());
-    }
-    let mut streams = link.streams();
-    let Some(stream) = streams.get_mut(&head.stream) else { return Ok(()) };
-    let ticket = stream.ticket;
-    let body = match head.body {
-        frame::Body::Whole => Body::Complete(complete_body),
-        frame::Body::Empty => Body::Empty,
-        frame::Body::Chunks { length } => {
-            let Some(sender) = link.sender() else { return Ok(()) };
-            let (writer, streamed) = body::from_peer(sender, head.stream, length);
-            stream.response = Some((writer, status));
-            drop(streams);
-            exchanges.stream_response(
-                ticket,
-                CallerResponse { status, header_lines, body: Body::Stream(streamed) },
-            );
-            return Ok(());
-        }
-    };
-    streams.remove(&head.stream);
-    drop(streams);
-    let response = CallerResponse { status, header_lines, body };
-    exchanges.forward_ended(ticket, ForwardEnd::Answered { status }, head.retries, Some(response));
-    Ok(())
-}
-
-/// Checks a response that is passed on as it comes.
-fn check_response(status: u16, header_lines: &[u8]) -> Result<(), mustardpin_http::Error> {
-    if !status::FINAL.contains(&status) {
-        return Err(mustardpin_http::Error::Status(status));
-    }
-    headers::check_lines(header_lines)
-}
-
-/// Ends a request whose response cannot be passed on. The peer may still be sending its body.
-fn reject_response(
-    exchanges: &Exchanges,
-    link: &OutgoingLink,
-    head: &frame::Response,
-    cause: mustardpin_http::Error,
-) {
-    let ticket = link.streams().get(&head.stream).map(|stream| stream.ticket);
-    if let Some(ticket) = ticket
-        && link.cancel(head.stream)
-    {
-        exchanges.forward_unusable(ticket, &link.announcement.name, head.retries, cause);
-    }
-}
-
-/// Forwards a piece of a streamed response. The peer sends a piece only if it has a credit, so the
-/// channel has capacity for it.
-async fn receive_chunk(
-    exchanges: &Exchanges,
-    link: &OutgoingLink,
-    stream_id: u32,
-    last: bool,
-    bytes: Bytes,
-) {
-    let writer = {
-        let streams = link.streams();
-        let stream = streams.get(&stream_id);
-        stream.and_then(|stream| stream.response.clone().map(|response| (stream.ticket, response)))
-    };
-    let Some((ticket, (writer, status))) = writer else { return };
-    if !last {
-        if writer.send(Piece::Data(bytes)).await.is_err() {
-            exchanges.caller_gone(ticket);
-        }
-        return;
-    }
-    link.streams().remove(&stream_id);
-    if let Err(error) = headers::check_lines(&bytes) {
-        // The writer is dropped, so the caller's response is visibly truncated.
-        exchanges.forward_unusable(ticket, &link.announcement.name, 0, error);
-        return;
-    }
-    // Fails if the caller has disconnected, which has been reported already.
-    let _ = writer.send(Piece::End(bytes)).await;
-    exchanges.forward_ended(ticket, ForwardEnd::Answered { status }, 0, None);
-}
-
 /// Ends all requests in progress when the connection has ended. A request counts as not sent if
 /// none of its bytes were written.
 fn fail_streams(exchanges: &Exchanges, link: &OutgoingLink, written: u64) {
