Keep departures in the store before they are acknowledged

What callers saw: an endpoint deregistered and got its acknowledgement; half a second later all nodes were killed and started again, and a heartbeat that it had sent before arrived late. The new process took the endpoint for one that stays.

Cause: an acknowledgement binds every later process, but what it said lived only in the memory of the nodes that had heard of it. The report was answered as soon as it was queued, and a new process believed the first report that came.

Change: a departure (deregistration, a heartbeat that says draining, a response that says leaving) is a row of the fleet's area. Its report is answered once the store has confirmed the row, or after 800 ms with 503; the target is closed at once. A process that starts opens its target once it has read the rows, or, while the store does not reply, once a peer that attended its predecessor has told what it knows. Peers write the row for a node that the store does not reply to. Rows are written again after a restore. A forgotten departure is logged. Rows of nodes that are gone are removed. Version 6 of the protocol between nodes.

Why it works: the row outlives all processes, and no target is used before the rows are known.

Tests turned: the fixture of the world's tests reads the fleet's rows, as a node does, since its target is not used before.

--- a/crates/mustardpin-node/src/control/thread.rs
+++ b/crates/mustardpin-node/src/control/thread.rs
@@ -126,6 +126,9 @@
             Command::Send { to, message } => TrafficCommand::Send { to, message },
             Command::OpenLink(announcement) => TrafficCommand::OpenLink(announcement),
             Command::CloseLink(node) => TrafficCommand::CloseLink(node),
+            Command::AnswerReport { report, is_recorded } => {
+                TrafficCommand::AnswerReport { report, is_recorded }
+            }
             Command::Target(address) => TrafficCommand::Target(address),
             Command::Publish { load, urgent } => TrafficCommand::Publish { load, urgent },
             Command::CallerLimits(callers) => TrafficCommand::CallerLimits(callers),
--- a/crates/mustardpin-node/src/traffic.rs
+++ b/crates/mustardpin-node/src/traffic.rs
@@ -18,6 +18,7 @@
 mod link;
 mod listener;
 mod outbox;
+mod reports;
 mod response;
 mod sender;
 mod target;
@@ -28,6 +29,7 @@
     Millis,
     command::TargetAddress,
     config::CallerLimits,
+    event::ReportTicket,
     id::NodeId,
     message::Message,
     request::{Forward, Load, Run, Ticket, Verdict},
@@ -74,6 +76,13 @@
     /// Close the connection to this peer, once no request is in progress over it, and stop
     /// reconnecting.
     CloseLink(NodeId),
+    /// Answer a report of a departure.
+    AnswerReport {
+        /// The report to answer.
+        report: ReportTicket,
+        /// Whether the departure has been recorded.
+        is_recorded: bool,
+    },
     /// Set the address of the local target; `None` if there is no target.
     Target(Option<TargetAddress>),
     /// Set the load that is reported with every response to a peer.
--- a/crates/mustardpin-node/src/traffic/caller.rs
+++ b/crates/mustardpin-node/src/traffic/caller.rs
@@ -51,8 +51,12 @@
 
 /// A request whose response has not begun to be sent.
 enum ResponseSlot {
-    /// The request is in progress.
-    Open { ticket: Ticket, response: oneshot::Receiver<CallerResponse>, options: ResponseOptions },
+    /// The request is in progress. A report of a departure has no ticket.
+    Open {
+        ticket: Option<Ticket>,
+        response: oneshot::Receiver<CallerResponse>,
+        options: ResponseOptions,
+    },
     /// The response is ready.
     Ready(CallerResponse, ResponseOptions),
 }
@@ -122,7 +126,7 @@
     let mut buffer = BytesMut::new();
     let protocol = connection.process(&mut stream, &mut buffer).await;
     for slot in connection.slots {
-        if let ResponseSlot::Open { ticket, .. } = slot {
+        if let ResponseSlot::Open { ticket: Some(ticket), .. } = slot {
             connection.exchanges.caller_gone(ticket);
         }
     }
@@ -265,7 +269,7 @@
     /// cannot be sent.
     fn cancel_pending(&mut self) {
         for slot in self.slots.drain(..) {
-            if let ResponseSlot::Open { ticket, .. } = slot {
+            if let ResponseSlot::Open { ticket: Some(ticket), .. } = slot {
                 self.exchanges.caller_gone(ticket);
             }
         }
--- a/crates/mustardpin-node/src/traffic/caller/reading.rs
+++ b/crates/mustardpin-node/src/traffic/caller/reading.rs
@@ -7,13 +7,21 @@
     framing::Framing,
     head::Request,
 };
-use mustardpin_world::refusal::{Reason, Refusal};
-use tokio::{sync::mpsc, time::Instant};
+use mustardpin_wire::dialect::{Departure, Report};
+use mustardpin_world::{
+    Event,
+    refusal::{Reason, Refusal},
+};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::Instant,
+};
 
 use crate::traffic::{
     body::{self, Body, Piece, Writer},
     budget::Reservation,
     caller::{Connection, ResponseOptions, ResponseSlot, writing::Writing},
+    exchanges::Exchanges,
     intake::{self, Opened},
     listener::ListenerKind,
     response::CallerResponse,
@@ -403,7 +411,7 @@
 /// Cancels the request whose body is being streamed and sends a refusal. A target may have received
 /// a part of the request.
 fn cancel_with(connection: &mut Connection, reason: Reason) -> bool {
-    if let Some(ResponseSlot::Open { ticket, .. }) = connection.slots.pop_back() {
+    if let Some(ResponseSlot::Open { ticket: Some(ticket), .. }) = connection.slots.pop_back() {
         connection.exchanges.caller_gone(ticket);
     }
     let response = intake::refusal_response(&connection.exchanges, Refusal::unknown(reason), None);
@@ -415,10 +423,13 @@
     let options = response_options(&head);
     connection.is_last |= !options.is_persistent;
     let slot = match local_response(connection, &head, &body) {
-        Some(response) => ResponseSlot::Ready(response, options),
+        Some(LocalResponse::Ready(response)) => ResponseSlot::Ready(response, options),
+        Some(LocalResponse::Pending(response)) => {
+            ResponseSlot::Open { ticket: None, response, options }
+        }
         None => match open(connection, &head, body, reservation) {
-            Ok(opened) => {
-                ResponseSlot::Open { ticket: opened.ticket, response: opened.response, options }
+            Ok(Opened { ticket, response }) => {
+                ResponseSlot::Open { ticket: Some(ticket), response, options }
             }
             Err(response) => ResponseSlot::Ready(*response, options),
         },
@@ -439,8 +450,15 @@
     ResponseOptions { is_persistent: head.is_persistent(), accepts_chunked: head.is_version_11 }
 }
 
+/// The response to a request for the node itself.
+enum LocalResponse {
+    Ready(CallerResponse),
+    /// It follows once the departure that the request reports has been recorded.
+    Pending(oneshot::Receiver<CallerResponse>),
+}
+
 /// The response to a request for the node itself: a readiness check or a report.
-fn local_response(connection: &Connection, head: &Request, body: &Body) -> Option<CallerResponse> {
+fn local_response(connection: &Connection, head: &Request, body: &Body) -> Option<LocalResponse> {
     let exchanges = &connection.exchanges;
     match connection.kind {
         ListenerKind::Callers | ListenerKind::Peers => None,
@@ -451,26 +469,34 @@
                 (true, true) => 200,
                 (true, false) => 503,
             };
-            Some(CallerResponse::plain(status, Bytes::new()))
+            Some(LocalResponse::Ready(CallerResponse::plain(status, Bytes::new())))
         }
         ListenerKind::Local | ListenerKind::Reports => {
             let bytes = match body {
                 Body::Complete(bytes) => bytes.clone(),
                 Body::Empty | Body::Stream(_) => Bytes::new(),
             };
-            let report = exchanges.dialect.read_report(head, &bytes);
-            match report {
-                Some(report) => {
-                    if let Some(event) = report.event {
-                        exchanges.outbox.push(event);
-                    }
-                    Some(CallerResponse::plain(report.status, report.body))
-                }
+            match exchanges.dialect.read_report(head, &bytes) {
+                Some(report) => Some(accept_report(exchanges, report)),
                 None if connection.kind == ListenerKind::Reports => {
-                    Some(CallerResponse::plain(404, Bytes::new()))
+                    Some(LocalResponse::Ready(CallerResponse::plain(404, Bytes::new())))
                 }
                 None => None,
             }
         }
     }
 }
+
+/// Passes a report to the control thread.
+fn accept_report(exchanges: &Exchanges, report: Report) -> LocalResponse {
+    if let Some(event) = report.event {
+        exchanges.outbox.push(event);
+    }
+    let response = CallerResponse::plain(report.status, report.body);
+    let Some(Departure { instance, started }) = report.departure else {
+        return LocalResponse::Ready(response);
+    };
+    let (ticket, receiver) = exchanges.reports.insert(response);
+    exchanges.outbox.push(Event::TargetLeft { instance, started, report: Some(ticket) });
+    LocalResponse::Pending(receiver)
+}
--- a/crates/mustardpin-node/src/traffic/dispatch.rs
+++ b/crates/mustardpin-node/src/traffic/dispatch.rs
@@ -57,6 +57,9 @@
         TrafficCommand::Send { to, message } => exchanges.links.send(to, message),
         TrafficCommand::OpenLink(announcement) => exchanges.links.connect(exchanges, announcement),
         TrafficCommand::CloseLink(node) => exchanges.links.disconnect(node),
+        TrafficCommand::AnswerReport { report, is_recorded } => {
+            exchanges.reports.answer(report, is_recorded);
+        }
         TrafficCommand::Target(address) => exchanges.target.set(address),
         TrafficCommand::Publish { load, urgent } => {
             exchanges.set_load(load);
--- a/crates/mustardpin-node/src/traffic/exchanges.rs
+++ b/crates/mustardpin-node/src/traffic/exchanges.rs
@@ -31,6 +31,7 @@
         link::{Credentials, Links},
         listener::Stage,
         outbox::Outbox,
+        reports::Reports,
         response::CallerResponse,
         target::Target,
     },
@@ -65,6 +66,7 @@
     pub(super) service: CompactString,
     pub(super) target: Target,
     pub(super) links: Links,
+    pub(super) reports: Reports,
     /// The memory for request bodies, of callers and of peers.
     pub(super) body_budget: Arc<Budget>,
     /// The memory for responses of the target that are not complete.
@@ -84,6 +86,7 @@
             outbox: Outbox::new(control),
             target: Target::new(),
             links: Links::new(credentials),
+            reports: Reports::default(),
             body_budget: Budget::new(limits.buffered_size),
             response_budget: Budget::new(limits.buffered_size),
             table: Mutex::default(),
--- a/crates/mustardpin-node/tests/testsuite/fake/platform.rs
+++ b/crates/mustardpin-node/tests/testsuite/fake/platform.rs
@@ -81,7 +81,8 @@
     fn changes(&self, area: Area, after: StoreVersion, whole: bool) -> Reply {
         let table = self.table();
         let is_wanted = |row: &&Row| {
-            let is_fleet = matches!(row.key, RowKey::Node(_) | RowKey::Roster);
+            let is_fleet =
+                matches!(row.key, RowKey::Node(_) | RowKey::Roster | RowKey::Departure(_));
             let exists = !whole || row.value.is_some();
             exists && is_fleet == (area == Area::Fleet) && row.version > after
         };
--- a/crates/mustardpin-virtual/src/fleet.rs
+++ b/crates/mustardpin-virtual/src/fleet.rs
@@ -12,9 +12,10 @@
     collections::{BTreeMap, BinaryHeap, HashMap},
 };
 
+use compact_str::CompactString;
 use mustardpin_world::{
     Event, Identity, Millis, Options, World, config,
-    event::{Proposal, ProposalTicket, TargetReport},
+    event::{Proposal, ProposalTicket, ReportTicket, TargetReport},
     id::{KeyDigest, NodeId, Revision},
     log::Entry,
     notice::Notice,
@@ -143,6 +144,8 @@
     pub ran: Vec<RunRecord>,
     /// The responses that callers received, in order.
     pub received: Vec<Received>,
+    /// When reports of departures were answered, by report, and whether the departure was recorded.
+    pub acknowledged: BTreeMap<ReportTicket, (Millis, bool)>,
     /// The replies to proposals, by ticket.
     pub proposal_replies: BTreeMap<u64, Result<Revision, config::ChangeError>>,
     /// Log entries of nodes, without those about a request.
@@ -183,6 +186,7 @@
             platform: Platform::default(),
             ran: Vec::new(),
             received: Vec::new(),
+            acknowledged: BTreeMap::new(),
             proposal_replies: BTreeMap::new(),
             log: Vec::new(),
             messages: 0,
@@ -367,13 +371,28 @@
 
     /// Deregisters the target at a site, which runs on but sends no more reports. The last report
     /// that it sent before arrives this much later, at the process that the node then has.
-    pub fn deregister_target(&mut self, site: Site, late: Millis) {
+    pub fn deregister_target(&mut self, site: Site, late: Millis) -> ReportTicket {
         let report = self.next_report(site);
         let target = &mut self.nodes[site.0].target;
         target.has_deregistered = true;
         let (instance, started) = (report.instance.clone(), Some(target.started));
-        self.deliver_later(site, Millis(0), Event::TargetGone { instance, started });
+        let ticket = self.report_departure(site, instance, started);
         self.schedule(site, self.now + late, Step::LateReport { report });
+        ticket
+    }
+
+    /// Reports to a node that a process of its target leaves. The answer is recorded in
+    /// [`Fleet::acknowledged`].
+    pub fn report_departure(
+        &mut self,
+        site: Site,
+        instance: CompactString,
+        started: Option<Millis>,
+    ) -> ReportTicket {
+        let report = ReportTicket(self.next_number());
+        let event = Event::TargetLeft { instance, started, report: Some(report) };
+        self.deliver_later(site, Millis(0), event);
+        report
     }
 
     /// Sends a root request to a node and returns its number.
--- a/crates/mustardpin-virtual/src/fleet/step.rs
+++ b/crates/mustardpin-virtual/src/fleet/step.rs
@@ -103,6 +103,9 @@
             Command::OpenLink(announcement) => self.open_link(site, announcement),
             Command::CloseLink(peer) => self.close_link(site, peer),
             Command::Store(ticket, operation) => self.call_store(site, ticket, operation),
+            Command::AnswerReport { report, is_recorded } => {
+                self.acknowledged.insert(report, (self.now, is_recorded));
+            }
             Command::ReplyToProposal(ticket, reply) => {
                 self.proposal_replies.insert(ticket.0, reply);
             }
--- a/crates/mustardpin-virtual/src/platform.rs
+++ b/crates/mustardpin-virtual/src/platform.rs
@@ -69,7 +69,7 @@
 
 fn area_of(key: &RowKey) -> Area {
     match key {
-        RowKey::Node(_) | RowKey::Roster => Area::Fleet,
+        RowKey::Node(_) | RowKey::Roster | RowKey::Departure(_) => Area::Fleet,
         RowKey::Configuration(_) | RowKey::Head => Area::Configuration,
     }
 }
--- a/crates/mustardpin-virtual/tests/testsuite/leaving.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/leaving.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 
 use mustardpin_virtual::{Fleet, Request, RunRecord, Service, Site};
-use mustardpin_world::{Event, Millis, Options, config::Row};
+use mustardpin_world::{Millis, Options, config::Row};
 
 use crate::{
     scenario::{self, for_seeds},
@@ -235,7 +235,7 @@
         scenario.load_for(Millis::from_secs(3));
         scenario.fleet.restart(site);
         scenario.load_for(Millis::from_secs(1));
-        scenario.fleet.inject(site, Event::TargetGone { instance, started });
+        scenario.fleet.report_departure(site, instance, started);
         scenario.load_for(Millis::from_secs(3));
         let since = scenario.fleet.now - Millis::from_secs(2);
         assert!(runs(&scenario, site, since) >= 20, "seed {seed}: 75 without a departure");
--- a/crates/mustardpin-virtual/tests/testsuite/main.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod bookings;
 mod configuration;
+mod departures;
 mod disconnect;
 mod drain;
 mod faults;
--- a/crates/mustardpin-wire/src/dialect.rs
+++ b/crates/mustardpin-wire/src/dialect.rs
@@ -99,11 +99,22 @@
     Unusable(&'static str),
 }
 
+/// A process that reports that it leaves: it takes no more requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Departure {
+    /// The instance id of the target.
+    pub instance: CompactString,
+    /// When the process started, by its own clock; `None` if not reported.
+    pub started: Option<Millis>,
+}
+
 /// A target's report of its own state, and the response to it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Report {
-    /// The event for the world; `None` if the report is invalid.
+    /// The event for the world; `None` if the report is invalid, or reports nothing but a departure.
     pub event: Option<Event>,
+    /// The departure that is reported, if any. The response is sent only once it has been recorded.
+    pub departure: Option<Departure>,
     /// The HTTP status code of the response.
     pub status: u16,
     /// The body of the response.
--- a/crates/mustardpin-wire/src/frame.rs
+++ b/crates/mustardpin-wire/src/frame.rs
@@ -24,7 +24,7 @@
 /// The size of the prefix that holds a frame's length, in bytes.
 const PREFIX_BYTES: usize = 4;
 /// The version of the protocol between nodes.
-pub const PROTOCOL_VERSION: u16 = 5;
+pub const PROTOCOL_VERSION: u16 = 6;
 
 /// Why a frame can't be encoded or decoded.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/mustardpin-wire/src/message.rs
+++ b/crates/mustardpin-wire/src/message.rs
@@ -27,7 +27,8 @@
 /// `AskFreshness` and `TellFreshness` are a freshness query and its reply. `Draw` holds lease
 /// requests as (team, shard, wanted tokens), and `Grant` the lease grants as (tokens, time until the
 /// next token). `RecallTarget` reminds a restarted node of what its target has stated, with a rate in
-/// thousandths of a request per second.
+/// thousandths of a request per second. `WriteDeparture`, `DepartureWritten` and `RememberedDepartures` name
+/// processes of targets.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
 #[allow(missing_docs, reason = "mirrors the messages of mustardpin_world::message")]
@@ -44,6 +45,9 @@
     Crashed { crash: u64, requests: Vec<u64>, tried: Option<u64> },
     Cleared(u64),
     RecallTarget { target: u64, leaving: bool, rate: Option<u64>, age: u64 },
+    WriteDeparture(u64),
+    DepartureWritten { process: u64, epoch: u32 },
+    RememberedDepartures(Vec<u64>),
 }
 
 /// A version of the store's content.
@@ -107,6 +111,7 @@
             }
             message::Message::Quarantine(message) => message.into(),
             message::Message::Target(message) => message.into(),
+            message::Message::Departure(message) => message.into(),
         }
     }
 }
@@ -186,6 +191,21 @@
     }
 }
 
+impl From<message::departure::Message> for Message {
+    fn from(message: message::departure::Message) -> Message {
+        match message {
+            message::departure::Message::Write(process) => Message::WriteDeparture(process.0),
+            message::departure::Message::Written { process, epoch } => {
+                Message::DepartureWritten { process: process.0, epoch: epoch.0 }
+            }
+            message::departure::Message::Remembered { departed } => {
+                let departed = departed.into_iter().map(|process| process.0);
+                Message::RememberedDepartures(departed.collect())
+            }
+        }
+    }
+}
+
 impl TryFrom<Message> for message::Message {
     type Error = Error;
 
@@ -258,6 +278,17 @@
             Message::Cleared(request) => {
                 message::quarantine::Message::Cleared(Fingerprint(request)).into()
             }
+            Message::WriteDeparture(process) => {
+                message::departure::Message::Write(TargetId(process)).into()
+            }
+            Message::DepartureWritten { process, epoch } => {
+                let (process, epoch) = (TargetId(process), id::Epoch(epoch));
+                message::departure::Message::Written { process, epoch }.into()
+            }
+            Message::RememberedDepartures(departed) => {
+                let departed = departed.into_iter().map(TargetId).collect();
+                message::departure::Message::Remembered { departed }.into()
+            }
         })
     }
 }
--- a/crates/mustardpin-wire/src/native.rs
+++ b/crates/mustardpin-wire/src/native.rs
@@ -112,10 +112,15 @@
             return None;
         }
         Some(match target::read(&self.service, body) {
-            Ok(report) => {
-                Report { event: Some(Event::Target(report)), status: 204, body: Bytes::new() }
+            Ok(report) => Report {
+                event: Some(Event::Target(report)),
+                departure: None,
+                status: 204,
+                body: Bytes::new(),
+            },
+            Err(error) => {
+                Report { event: None, departure: None, status: 422, body: error.to_string().into() }
             }
-            Err(error) => Report { event: None, status: 422, body: error.to_string().into() },
         })
     }
 
--- a/crates/mustardpin-wire/src/store.rs
+++ b/crates/mustardpin-wire/src/store.rs
@@ -8,7 +8,7 @@
 use derive_more::{Display, Error, From};
 use mustardpin_world::{
     config as world_config,
-    id::{Epoch, NodeId, StoreVersion},
+    id::{Epoch, NodeId, StoreVersion, TargetId},
     store::{self, Roster, RowKey, Value},
 };
 use serde::{Deserialize, Serialize};
@@ -16,6 +16,7 @@
 use crate::config;
 
 const NODE_PREFIX: &str = "node/";
+const DEPARTURE_PREFIX: &str = "departure/";
 const ROSTER: &str = "roster";
 const HEAD: &str = "head";
 const CONFIGURATION_PREFIX: &str = "row/";
@@ -100,6 +101,22 @@
     }
 }
 
+/// The departure of a process beside a node.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+struct Departure {
+    node: CompactString,
+    /// The id of the process, in hexadecimal.
+    process: CompactString,
+}
+
+impl From<&store::Departure> for Departure {
+    fn from(departure: &store::Departure) -> Departure {
+        let store::Departure { node, process } = departure;
+        Departure { node: node.clone(), process: format_compact!("{process}") }
+    }
+}
+
 /// A member of a roster: its data centre and node name.
 type Member = (CompactString, CompactString);
 
@@ -176,6 +193,9 @@
     match key {
         RowKey::Node(name) => format_compact!("{NODE_PREFIX}{name}"),
         RowKey::Roster => ROSTER.into(),
+        RowKey::Departure(store::Departure { node, process }) => {
+            format_compact!("{DEPARTURE_PREFIX}{node}/{process}")
+        }
         RowKey::Head => HEAD.into(),
         RowKey::Configuration(path) => format_compact!("{CONFIGURATION_PREFIX}{path}"),
     }
@@ -191,18 +211,30 @@
     match key {
         ROSTER => Ok(RowKey::Roster),
         HEAD => Ok(RowKey::Head),
-        _ => match key.strip_prefix(NODE_PREFIX) {
-            Some(name) => Ok(RowKey::Node(name.into())),
-            None => {
-                let path = key.strip_prefix(CONFIGURATION_PREFIX).ok_or_else(unknown)?;
-                let (kind, name) = path.split_once('/').ok_or_else(unknown)?;
-                let kind = config::Kind::try_from(kind)?.into();
-                Ok(RowKey::Configuration(world_config::Path { kind, name: name.into() }))
+        _ => {
+            if let Some(name) = key.strip_prefix(NODE_PREFIX) {
+                return Ok(RowKey::Node(name.into()));
             }
-        },
+            if let Some(departure) = key.strip_prefix(DEPARTURE_PREFIX) {
+                return decode_departure(departure).map(RowKey::Departure).ok_or_else(unknown);
+            }
+            let path = key.strip_prefix(CONFIGURATION_PREFIX).ok_or_else(unknown)?;
+            let (kind, name) = path.split_once('/').ok_or_else(unknown)?;
+            let kind = config::Kind::try_from(kind)?.into();
+            Ok(RowKey::Configuration(world_config::Path { kind, name: name.into() }))
+        }
     }
 }
 
+/// Decodes the part of a departure's key after its prefix.
+fn decode_departure(text: &str) -> Option<store::Departure> {
+    let (node, id) = text.rsplit_once('/')?;
+    let process = TargetId(u64::from_str_radix(id, 16).ok()?);
+    // One process has one key.
+    let is_canonical = format_compact!("{process}") == id;
+    is_canonical.then(|| store::Departure { node: node.into(), process })
+}
+
 /// Encodes the value of a row.
 ///
 /// # Errors
@@ -219,6 +251,7 @@
             let previous = (roster.previous.epoch.0, roster.previous.number);
             serde_json::to_vec(&Members { members, epoch: roster.epoch.0, previous, former })?
         }
+        Value::Departure(departure) => serde_json::to_vec(&Departure::from(departure))?,
         Value::Head(store::Head { recent, epoch }) => {
             serde_json::to_vec(&Head { recent: recent.clone(), epoch: epoch.0 })?
         }
@@ -259,6 +292,13 @@
             let previous = StoreVersion::new(Epoch(previous.0), previous.1);
             Value::Roster(Roster { members, epoch: Epoch(epoch), previous, former })
         }
+        RowKey::Departure(departure) => {
+            let stored: Departure = serde_json::from_slice(bytes)?;
+            if stored != Departure::from(departure) {
+                return Err(Error::OtherKey);
+            }
+            Value::Departure(departure.clone())
+        }
         RowKey::Head => {
             let (recent, epoch) = match serde_json::from_slice(bytes)? {
                 StoredHead::Head(Head { recent, epoch }) => (recent, epoch),
--- a/crates/mustardpin-wire/tests/testsuite/message.rs
+++ b/crates/mustardpin-wire/tests/testsuite/message.rs
@@ -3,8 +3,8 @@
 use mustardpin_wire::message::Message;
 use mustardpin_world::{
     Millis,
-    id::{Epoch, NodeId, Revision, StoreVersion},
-    message::{self, configuration, fleet, freshness, quarantine, rate_limit, shedding},
+    id::{Epoch, NodeId, Revision, StoreVersion, TargetId},
+    message::{self, configuration, departure, fleet, freshness, quarantine, rate_limit, shedding},
     request::Fingerprint,
     store::Announcement,
 };
@@ -60,6 +60,9 @@
         }
         .into(),
         quarantine::Message::Cleared(Fingerprint(1)).into(),
+        departure::Message::Write(TargetId(5)).into(),
+        departure::Message::Written { process: TargetId(5), epoch: Epoch(2) }.into(),
+        departure::Message::Remembered { departed: vec![TargetId(5), TargetId(6)] }.into(),
     ]
 }
 
--- a/crates/mustardpin-wire/tests/testsuite/store.rs
+++ b/crates/mustardpin-wire/tests/testsuite/store.rs
@@ -6,8 +6,8 @@
 use mustardpin_world::{
     Millis,
     config::{self, Importance},
-    id::{Epoch, KeyDigest, NodeId, StoreVersion},
-    store::{Announcement, Head, Member, Roster, RowKey, Value},
+    id::{Epoch, KeyDigest, NodeId, StoreVersion, TargetId},
+    store::{Announcement, Departure, Head, Member, Roster, RowKey, Value},
 };
 use proptest::prelude::*;
 
@@ -72,6 +72,8 @@
         address: "127.0.0.1:7101".into(),
     };
     rows.push((RowKey::Node("north-1".into()), Value::Node(announcement)));
+    let departure = Departure { node: "north-1".into(), process: TargetId(0xff) };
+    rows.push((RowKey::Departure(departure.clone()), Value::Departure(departure)));
     rows
 }
 
@@ -127,6 +129,8 @@
         read("row/team/garages", r#"{"team": 1}"#),
         read("head", r#""x""#),
         read("roster", "[]"),
+        read("departure/north-1/ff", "{}"),
+        read("departure/north-1/00000000000000ff", r#"{"node":"a","process":"ff"}"#),
     ]);
 }
 
@@ -202,7 +206,8 @@
 proptest! {
     #[test]
     fn any_value_is_decoded_or_an_error(
-        key in "(row/(team|route|key|fleet|exception)/[a-z]{0,5}|node/.{0,17}|head|roster)",
+        key in "(row/(team|route|key|fleet|exception)/[a-z]{0,5}|node/.{0,17}\
+            |departure/.{0,9}/[0-9a-f]{16}|head|roster)",
         json in json(),
     ) {
         let key = store::decode_key(&key).expect("a key of the project");
@@ -211,7 +216,8 @@
 
     #[test]
     fn any_row_is_decoded_or_an_error(
-        key in "(row/(team|route|key|fleet|exception|x)/[a-z]{0,5}|node/.{0,17}|head|roster|x)",
+        key in "(row/(team|route|key|fleet|exception|x)/[a-z]{0,5}|node/.{0,17}\
+            |departure/.{0,9}/[+0-9a-fA-F]{1,17}|head|roster|x)",
         json in "(null|1|\"x\"|\\[\"x\"\\]|\\{\"(team|route|key|fleet|exception|node)\":(1|null|\\{\\})\\})",
     ) {
         if let Ok(row_key) = store::decode_key(&key) {
--- a/crates/mustardpin-world/src/command.rs
+++ b/crates/mustardpin-world/src/command.rs
@@ -3,7 +3,7 @@
 use crate::{
     clock::Millis,
     config::{self, ChangeError},
-    event::ProposalTicket,
+    event::{ProposalTicket, ReportTicket},
     id::{NodeId, Revision},
     log::Entry,
     message::Message,
@@ -55,6 +55,14 @@
     Store(store::Ticket, store::Operation),
     /// Reply to an operator's proposal with the revision it was given, or why it was rejected.
     ReplyToProposal(ProposalTicket, Result<Revision, ChangeError>),
+    /// Answer a report of a departure.
+    AnswerReport {
+        /// The report.
+        report: ReportTicket,
+        /// Whether the departure is in the store. If not, it holds only as long as this process or a
+        /// peer that has heard of it.
+        is_recorded: bool,
+    },
     /// Use this address for this node's target from now on; `None` if there is no target.
     Target(Option<TargetAddress>),
     /// Report this load of this node's target with every response to a peer from now on.
--- a/crates/mustardpin-world/src/event.rs
+++ b/crates/mustardpin-world/src/event.rs
@@ -53,6 +53,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct ProposalTicket(pub u64);
 
+/// Matches a report of a departure with its answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct ReportTicket(pub u64);
+
 /// Something that happened outside the world.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
@@ -119,12 +123,15 @@
     Store(store::Ticket, store::Reply),
     /// This node's target announced itself or sent a report.
     Target(TargetReport),
-    /// A target deregistered: it takes no more requests for the life of its process.
-    TargetGone {
+    /// A target reported that it is leaving, or deregistered: it takes no more requests for the life
+    /// of its process.
+    TargetLeft {
         /// The instance id of the target that reported it.
         instance: CompactString,
         /// When its process started, by its own clock; `None` if not reported.
         started: Option<Millis>,
+        /// The report that [`crate::Command::AnswerReport`] answers, if its sender waits.
+        report: Option<ReportTicket>,
     },
     /// A response of this node's target states something about the target. Precedes the end of the
     /// run, and the response itself where that is sent on as it arrives.
--- a/crates/mustardpin-world/src/message.rs
+++ b/crates/mustardpin-world/src/message.rs
@@ -2,6 +2,7 @@
 //! or delayed.
 
 pub mod configuration;
+pub mod departure;
 pub mod fleet;
 pub mod freshness;
 pub mod quarantine;
@@ -29,4 +30,6 @@
     Quarantine(quarantine::Message),
     /// What the receiver's target has stated about itself.
     Target(target::Message),
+    /// Departures of targets beside the sender or the receiver.
+    Departure(departure::Message),
 }
--- a/crates/mustardpin-world/src/store.rs
+++ b/crates/mustardpin-world/src/store.rs
@@ -1,13 +1,13 @@
 //! Operations on the platform's store, and their replies.
 //!
-//! The store keeps rows in two areas: the configuration, and the rows by which nodes find each
-//! other. Every row has the version at which it was last written.
+//! The store keeps rows in two areas: the configuration, and the rows by which nodes find each other
+//! and remember which targets have left. Every row has the version at which it was last written.
 
 use compact_str::CompactString;
 
 use crate::{
     config,
-    id::{Epoch, NodeId, StoreVersion},
+    id::{Epoch, NodeId, StoreVersion, TargetId},
 };
 
 /// Matches an operation with its reply.
@@ -52,6 +52,15 @@
     pub former: Option<Vec<Vec<Member>>>,
 }
 
+/// A process of a target that has left, or is leaving. Its row is written once and never changes.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Departure {
+    /// The name of the node beside the target.
+    pub node: CompactString,
+    /// The process of the target.
+    pub process: TargetId,
+}
+
 /// The last accepted changes of the configuration. Every change writes them.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Head {
@@ -66,7 +75,7 @@
 pub enum Area {
     /// The configuration that operators agree on.
     Configuration,
-    /// The announcements of nodes, and the roster.
+    /// The announcements of nodes, the roster, and the departures of targets.
     Fleet,
 }
 
@@ -77,6 +86,8 @@
     Node(CompactString),
     /// The roster.
     Roster,
+    /// A departure.
+    Departure(Departure),
     /// A row of the configuration.
     Configuration(config::Path),
     /// The ids of the last accepted changes. Every change writes this row, so concurrent changes
@@ -91,6 +102,8 @@
     Node(Announcement),
     /// The roster.
     Roster(Roster),
+    /// A departure.
+    Departure(Departure),
     /// A row of the configuration.
     Configuration(config::Row),
     /// The last accepted changes of the configuration.
--- a/crates/mustardpin-world/src/system.rs
+++ b/crates/mustardpin-world/src/system.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod deadline;
+mod departure;
 mod ejection;
 mod ending;
 mod finish;
@@ -30,7 +31,7 @@
 
 use crate::{
     clock::Millis,
-    event::{Event, Proposal, ProposalTicket, TargetReport},
+    event::{Event, Proposal, ProposalTicket, ReportTicket, TargetReport},
     id::{NodeId, Revision},
     message::{self, Message},
     notice::Notice,
@@ -46,6 +47,7 @@
 pub(crate) struct State {
     pub(crate) last_ticket: store::Ticket,
     pub(crate) configuration: configuration::State,
+    pub(crate) departure: departure::State,
     pub(crate) fleet: fleet::State,
     pub(crate) freshness: freshness::State,
     pub(crate) limit: limit::State,
@@ -68,6 +70,7 @@
         State {
             last_ticket: store::Ticket::default(),
             configuration: configuration::State::default(),
+            departure: departure::State::default(),
             fleet: fleet::State::default(),
             freshness: freshness::State::default(),
             limit: limit::State::new(&options.limit),
@@ -99,7 +102,7 @@
 #[derive(Debug)]
 pub(crate) enum TargetChange {
     Reported(TargetReport),
-    Deregistered { instance: CompactString, started: Option<Millis> },
+    Left { instance: CompactString, started: Option<Millis>, report: Option<ReportTicket> },
     Noticed { ticket: Ticket, instance: CompactString, notice: Notice },
     Lost,
 }
@@ -123,6 +126,7 @@
     pub(crate) shedding: Vec<(NodeId, message::shedding::Message)>,
     pub(crate) quarantine: Vec<(NodeId, message::quarantine::Message)>,
     pub(crate) target_messages: Vec<(NodeId, message::target::Message)>,
+    pub(crate) departures: Vec<(NodeId, message::departure::Message)>,
     pub(crate) store: Vec<(store::Ticket, store::Reply)>,
     pub(crate) target: Vec<TargetChange>,
     pub(crate) proposals: Vec<(ProposalTicket, Proposal)>,
@@ -160,8 +164,8 @@
                 }
                 Event::Store(ticket, reply) => inbox.store.push((ticket, reply)),
                 Event::Target(report) => inbox.target.push(TargetChange::Reported(report)),
-                Event::TargetGone { instance, started } => {
-                    inbox.target.push(TargetChange::Deregistered { instance, started });
+                Event::TargetLeft { instance, started, report } => {
+                    inbox.target.push(TargetChange::Left { instance, started, report });
                 }
                 Event::TargetNotice { ticket, instance, notice } => {
                     inbox.target.push(TargetChange::Noticed { ticket, instance, notice });
@@ -184,6 +188,7 @@
             Message::Shedding(message) => self.shedding.push((from, message)),
             Message::Quarantine(message) => self.quarantine.push((from, message)),
             Message::Target(message) => self.target_messages.push((from, message)),
+            Message::Departure(message) => self.departures.push((from, message)),
         }
     }
 }
@@ -207,6 +212,7 @@
     target::run(world, tick);
     restore::run(world, tick);
     fleet::run(world, tick);
+    departure::run(world, tick);
     freshness::run(world, tick);
     configuration::run(world, tick);
     roster::run(world, tick);
--- a/crates/mustardpin-world/src/system/fleet.rs
+++ b/crates/mustardpin-world/src/system/fleet.rs
@@ -4,7 +4,7 @@
 //! cannot reach a node any more, one of them removes its row. A node that finds its own row removed
 //! writes it again, which shows its peers that it is running though they cannot reach it.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 use compact_str::CompactString;
 use rand::seq::IndexedRandom as _;
@@ -12,11 +12,11 @@
 use crate::{
     clock::Millis,
     command::Command,
-    id::{Epoch, NodeId, PeerKey, Revision, StoreVersion},
+    id::{Epoch, NodeId, PeerKey, Revision, StoreVersion, TargetId},
     log::{Entry, Level},
-    message::fleet::Message,
+    message::{self, fleet::Message},
     store::{Announcement, Area, Changes, Operation, Reply, Row, RowKey, Value},
-    system::{LinkChange, pacing},
+    system::{LinkChange, departure, pacing},
     table::peer::{Link, Peer},
     world::{Tick, World},
 };
@@ -37,6 +37,10 @@
 /// Range of the random delay before a removal, so that nodes don't remove the same row at once.
 const REMOVAL_JITTER: Millis = Millis(3_000);
 
+/// Connections to nodes that are not known any more are forgotten once there are this many times as
+/// many connections as peers.
+const MAX_ATTENDED_FACTOR: usize = 2;
+
 /// State of the system between ticks.
 #[derive(Debug, Default)]
 pub(crate) struct State {
@@ -47,6 +51,18 @@
     next_check: Millis,
     /// Nodes whose rows were removed, the latest at the end.
     removed: VecDeque<NodeId>,
+    /// Which processes of nodes this node has been connected to, by the name of the node.
+    attended: BTreeMap<CompactString, Attendance>,
+}
+
+/// The connection to the latest process of a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Attendance {
+    node: NodeId,
+    /// Whether everything that the process has sent so far, or until its end, has arrived.
+    is_complete: bool,
+    /// The same of the process before it, until its end.
+    was_complete: bool,
 }
 
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
@@ -61,6 +77,7 @@
         if world.systems.fleet.read_up_to.is_none_or(|read| read <= up_to) {
             let rows = rows.clone();
             apply_rows(world, tick, whole.then_some(up_to), &rows);
+            departure::apply_rows(world, tick, whole.then_some(up_to), &rows);
         }
     }
     for change in std::mem::take(&mut tick.inbox.links) {
@@ -95,7 +112,8 @@
         let Some(peer) = world.tables.peers.get_mut(key) else { continue };
         let name = &peer.announcement.name;
         world.tables.statements.record(name, &load, tick.now);
-        peer.is_target_leaving = world.tables.statements.is_leaving(name, load.target);
+        peer.is_target_leaving = world.tables.statements.is_leaving(name, load.target)
+            || world.tables.departures.behind(name).any(|process| process == load.target);
         peer.load = Some(load);
         peer.load_as_of = tick.now;
         peer.unreported = 0;
@@ -283,12 +301,16 @@
     }
     let node = announcement.node;
     let key = add_peer(world, tick, announcement);
+    let has_attended = attend(world, key);
     set_link(world, tick, node, Link::Up);
     if let Some(peer) = world.tables.peers.get_mut(key) {
         peer.revision = revision;
         peer.health.record_success();
     }
     pacing::remind(world, tick, key);
+    if has_attended {
+        remember(world, tick, key);
+    }
     let known = world.tables.peers.iter().filter(|(_, peer)| peer.link == Link::Up);
     let mut known: Vec<_> = known.map(|(key, _)| key).collect();
     if known.len() > MAX_KNOWN {
@@ -299,6 +321,34 @@
     world.send(tick, key, Message::Known(known));
 }
 
+/// Records the connection to a peer. Returns whether this node was connected to the process before it
+/// until that ended.
+fn attend(world: &mut World, key: PeerKey) -> bool {
+    let Some(peer) = world.tables.peers.get(key) else { return false };
+    let Announcement { node, name, .. } = peer.announcement.clone();
+    let attended = &mut world.systems.fleet.attended;
+    let was_complete = attended.get(&name).is_some_and(|before| match before.node == node {
+        true => before.was_complete,
+        false => before.is_complete,
+    });
+    attended.insert(name, Attendance { node, is_complete: true, was_complete });
+    let peers = &world.tables.peers;
+    if attended.len() > peers.len() * MAX_ATTENDED_FACTOR {
+        attended.retain(|name, _| peers.by_name(name).is_some());
+    }
+    was_complete
+}
+
+/// Tells a peer that has just connected what this node knows of its predecessor's target.
+fn remember(world: &mut World, tick: &mut Tick, key: PeerKey) {
+    let Some(peer) = world.tables.peers.get(key) else { return };
+    let name = &peer.announcement.name;
+    let stated = world.tables.statements.get(name).filter(|known| known.leaving);
+    let mut departed: Vec<TargetId> = world.tables.departures.behind(name).collect();
+    departed.extend(stated.map(|known| known.target));
+    world.send(tick, key, message::departure::Message::Remembered { departed });
+}
+
 fn set_link(world: &mut World, tick: &mut Tick, node: NodeId, link: Link) {
     let Some(key) = world.tables.peers.by_node(node) else { return };
     let Some(peer) = world.tables.peers.get_mut(key) else { return };
@@ -321,6 +371,10 @@
     if link != Link::Up {
         peer.load = None;
     }
+    if let Some(attendance) = world.systems.fleet.attended.get_mut(&peer.announcement.name) {
+        // What a silent peer has sent may never arrive.
+        attendance.is_complete &= attendance.node != node || link != Link::Silent;
+    }
     let has_row = peer.row.is_some();
     tick.log(entry);
     if is_end && !has_row && world.systems.fleet.read_up_to.is_some() {
--- a/crates/mustardpin-world/src/system/pacing.rs
+++ b/crates/mustardpin-world/src/system/pacing.rs
@@ -13,7 +13,7 @@
     message::target::Message,
     notice::{Rate, RateLimit},
     request::{RunEnd, SERVER_ERROR, TargetRate},
-    system::target,
+    system::{departure, target},
     table::{
         pace::{Pace, Source},
         statement::Statement,
@@ -39,7 +39,7 @@
     for (from, message) in std::mem::take(&mut tick.inbox.target_messages) {
         let Message { target, leaving, rate, age } = message;
         if leaving {
-            world.tables.departures.insert(target);
+            departure::record(world, tick, target);
         }
         let statement = Statement { target, leaving, rate, as_of: tick.now - age };
         if target == world.tables.target.process {
@@ -136,10 +136,7 @@
         .with("age", tick.now - stated_at)
         .with("running", target.running)
         .with("queued", target.queued);
-    let entry = match source {
-        Source::Target => entry.with("from", "target"),
-        Source::Peer(node) => entry.with("from", node),
-    };
+    let entry = source.log(entry, "from");
     tick.log(match before {
         Some(before) => entry
             .with("before", before.rate.to_compact_string())
@@ -211,10 +208,7 @@
         .with("rate", pace.rate.to_compact_string())
         .with("rate_age", now - pace.stated_at)
         .with("rate_wait", pace.wait(now, 0));
-    match pace.source {
-        Source::Target => entry.with("rate_from", "target"),
-        Source::Peer(node) => entry.with("rate_from", node),
-    }
+    pace.source.log(entry, "rate_from")
 }
 
 /// What this node knows of the target's rate limit, as it tells peers.
--- a/crates/mustardpin-world/src/system/target.rs
+++ b/crates/mustardpin-world/src/system/target.rs
@@ -18,7 +18,7 @@
     notice::{Notice, RateLimit},
     refusal::{Reason, Refusal},
     request::{Ticket, Verdict},
-    system::{TargetChange, finish, pacing, queueing},
+    system::{TargetChange, departure, finish, pacing, queueing},
     table::{
         call::Stage,
         pace::Source,
@@ -34,9 +34,12 @@
                 let report = report.clone();
                 apply_report(world, tick, report);
             }
-            TargetChange::Deregistered { instance, started } => {
-                let (instance, started) = (instance.clone(), *started);
-                deregister(world, tick, instance, started);
+            TargetChange::Left { instance, started, report } => {
+                let (instance, started, report) = (instance.clone(), *started, *report);
+                let process = leave(world, tick, instance, started);
+                if let Some(report) = report {
+                    departure::answer_once_written(world, tick.now, report, process);
+                }
             }
             TargetChange::Noticed { ticket, instance, notice } => {
                 let (ticket, instance, notice) = (*ticket, instance.clone(), *notice);
@@ -182,14 +185,15 @@
     pacing::apply(world, tick, request, notice.rate_limit);
 }
 
-/// Records that a process has deregistered. Without a start time, it is the one that reports itself
-/// under this instance id now.
-fn deregister(
+/// Records that a process has reported that it is leaving, or has deregistered. Without a start time,
+/// it is the one that reports itself under this instance id now. Returns the process; the default
+/// value if it can't be identified.
+fn leave(
     world: &mut World,
     tick: &mut Tick,
     instance: CompactString,
     started: Option<Millis>,
-) {
+) -> TargetId {
     let known = &world.tables.target.report;
     let is_known =
         instance == known.instance && started.is_none_or(|started| started == known.started);
@@ -200,10 +204,11 @@
             .with("known_instance", known.instance.clone())
             .with("known_started", known.started);
         tick.log(entry);
-        let Some(started) = started else { return };
-        world.tables.departures.insert(TargetId::of(&instance, started));
+        let Some(started) = started else { return TargetId::default() };
+        let process = TargetId::of(&instance, started);
+        departure::record(world, tick, process);
         if !is_successor(&world.tables.target, started) {
-            return;
+            return process;
         }
         // Peers learn of the departure by the identity of the target, before its first report.
         let report = TargetReport { instance, started, ..TargetReport::default() };
@@ -211,11 +216,17 @@
         set_process(world, tick.now);
     }
     let target = &mut world.tables.target;
-    world.tables.departures.insert(target.process);
-    if std::mem::replace(&mut target.is_leaving, true) {
-        return;
+    let process = target.process;
+    if target.report.draining {
+        mark_leaving(world, tick, None, Source::Target);
+        return process;
     }
-    log_target(world, tick, "target_deregistered");
+    let was_leaving = std::mem::replace(&mut target.is_leaving, true);
+    departure::record(world, tick, process);
+    if !was_leaving {
+        log_target(world, tick, "target_deregistered");
+    }
+    process
 }
 
 /// Whether a process that has not reported is the target: no other one has, or an earlier one that is
@@ -242,8 +253,8 @@
     request: Option<CompactString>,
     source: Source,
 ) {
+    departure::record(world, tick, world.tables.target.process);
     let target = &mut world.tables.target;
-    world.tables.departures.insert(target.process);
     if target.is_leaving {
         return;
     }
@@ -253,10 +264,7 @@
         .with("instance", target.report.instance.clone())
         .with("running", target.running)
         .with("queued", target.queued);
-    tick.log(match source {
-        Source::Target => entry.with("from", "target"),
-        Source::Peer(node) => entry.with("from", node),
-    });
+    tick.log(source.log(entry, "from"));
 }
 
 fn log_target(world: &World, tick: &mut Tick, event: &'static str) {
--- a/crates/mustardpin-world/src/table/pace.rs
+++ b/crates/mustardpin-world/src/table/pace.rs
@@ -1,6 +1,6 @@
 //! The pace of a target: a token bucket for the requests per second that it takes.
 
-use crate::{clock::Millis, id::NodeId, notice::Rate};
+use crate::{clock::Millis, id::NodeId, log::Entry, notice::Rate};
 
 /// The bucket holds what the rate yields in this time, and one token at least.
 const BURST_INTERVAL: Millis = Millis(250);
@@ -19,13 +19,26 @@
 /// Tokens are added in fractions, whose sum may fall short of a whole token by rounding.
 const ROUNDING: f64 = 1e-9;
 
-/// Who told this node of a rate limit.
+/// Who told this node what its target has stated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Source {
-    /// The target, in a response.
+    /// The target, in a response or a report.
     Target,
     /// A peer that remembered it while this node was restarted.
     Peer(NodeId),
+    /// The store, where a predecessor of this node has written it.
+    Store,
+}
+
+impl Source {
+    /// Adds the source to a log entry as a field with this name.
+    pub fn log(self, entry: Entry, field: &'static str) -> Entry {
+        match self {
+            Source::Target => entry.with(field, "target"),
+            Source::Peer(node) => entry.with(field, node),
+            Source::Store => entry.with(field, "store"),
+        }
+    }
 }
 
 /// The rate limit of a target, and the tokens for requests that may be sent to it.
--- a/crates/mustardpin-world/src/table/target.rs
+++ b/crates/mustardpin-world/src/table/target.rs
@@ -28,6 +28,9 @@
     /// Whether it has deregistered or stated that it is leaving. Holds for the life of its process,
     /// whatever its later reports say.
     pub is_leaving: bool,
+    /// Whether this node knows the departures that its predecessors have acknowledged. Until then, the
+    /// process may be one of those that are leaving.
+    pub are_departures_known: bool,
     /// Its rate limit, while it has one.
     pub pace: Option<Pace>,
     /// When the last request was sent that it answered without stating a rate limit; zero if there
@@ -83,6 +86,8 @@
 
     /// Whether the target accepts new requests, according to its reports and its responses.
     pub fn is_open(&self) -> bool {
-        self.present && !self.report.draining && !self.is_leaving
+        // A process without an identity has no departure that could be recognised.
+        let is_known = self.are_departures_known || self.process == TargetId::default();
+        self.present && is_known && !self.report.draining && !self.is_leaving
     }
 }
--- a/crates/mustardpin-world/tests/testsuite/extreme.rs
+++ b/crates/mustardpin-world/tests/testsuite/extreme.rs
@@ -6,10 +6,10 @@
         CallerLimits, Change, CutOffPolicy, Exception, Fleet, Importance, Key, Part, Rank, Route,
         Row, Team,
     },
-    event::TargetReport,
+    event::{ReportTicket, TargetReport},
     id::{Epoch, KeyDigest, NodeId, Revision, StoreVersion, TargetId},
     message::{
-        Message, configuration, freshness, quarantine,
+        Message, configuration, departure, freshness, quarantine,
         rate_limit::{self, LeaseGrant, LeaseRequest, Shard},
         shedding, target,
     },
@@ -19,7 +19,10 @@
         Fingerprint, ForwardEnd, Forwarded, Load, Nesting, Origin, Request, RunEnd, TargetLoad,
         TargetRate, Ticket,
     },
-    store::{self, Announcement, Area, Changes, Member, Operation, Reply, Roster, RowKey, Value},
+    store::{
+        self, Announcement, Area, Changes, Departure, Member, Operation, Reply, Roster, RowKey,
+        Value,
+    },
 };
 use proptest::{collection::vec, prelude::*};
 
@@ -43,7 +46,7 @@
 
 fn steps() -> impl Strategy<Value = Vec<Step>> {
     let numbers = [number(), number(), number(), number(), number(), number()];
-    vec((0_u8..20, numbers, any::<bool>(), 0_u64..700), 1..60)
+    vec((0_u8..22, numbers, any::<bool>(), 0_u64..700), 1..60)
 }
 
 /// The number as a smaller type, with the largest value for all that do not fit.
@@ -199,7 +202,13 @@
                 let nodes = [NodeId(1), PEER].map(|node| {
                     (RowKey::Node(announcement(node).name), Value::Node(announcement(node)))
                 });
-                nodes.into_iter().chain([(RowKey::Roster, Value::Roster(roster))]).collect()
+                let departures = numbers.map(|number| {
+                    let node = format!("north-{}", number % 4).into();
+                    let departure = Departure { node, process: TargetId(number) };
+                    (RowKey::Departure(departure.clone()), Value::Departure(departure))
+                });
+                let roster = (RowKey::Roster, Value::Roster(roster));
+                nodes.into_iter().chain(departures).chain([roster]).collect()
             }
         };
         let version = StoreVersion::new(Epoch(1), self.version);
@@ -360,6 +369,20 @@
                 let leaving = three % 8 == 0;
                 message(target::Message { target, leaving, rate, age: Millis(four) }.into())
             }
+            19 => {
+                let process = TargetId(if flag { one } else { two });
+                let departure = match three % 3 {
+                    0 => departure::Message::Write(process),
+                    1 => departure::Message::Written { process, epoch: Epoch(short(four)) },
+                    _ => departure::Message::Remembered { departed: vec![process] },
+                };
+                message(departure.into())
+            }
+            20 => {
+                let started = flag.then_some(Millis(one));
+                let report = Some(ReportTicket(two));
+                Event::TargetLeft { instance: "b".into(), started, report }
+            }
             _ => Event::LagProbe(Millis(one)),
         };
         self.tick(vec![event]);
--- a/crates/mustardpin-world/tests/testsuite/node.rs
+++ b/crates/mustardpin-world/tests/testsuite/node.rs
@@ -25,6 +25,8 @@
         let world = World::new(identity, options, 1);
         let mut node = Node { now: Millis::ZERO, world, reads: Vec::new() };
         node.tick(Vec::new());
+        // Until it has read the fleet's rows, its target may be one that has left.
+        node.reply(Area::Fleet, 0, true, Changes::Rows(Vec::new()));
         let update = configuration(1, false);
         let report = TargetReport {
             address: "127.0.0.1:1".into(),
@@ -64,10 +66,14 @@
 
     /// Runs a tick with the changes of an area up to a version of the store.
     pub fn change(&mut self, area: Area, up_to: u64, changes: Changes) -> Vec<Command> {
+        self.reply(area, up_to, false, changes)
+    }
+
+    fn reply(&mut self, area: Area, up_to: u64, whole: bool, changes: Changes) -> Vec<Command> {
         let read = self.reads.iter().find(|(other, _)| *other == area);
         let (_, ticket) = *read.expect("the node reads the area");
         let up_to = StoreVersion::new(Epoch(0), up_to);
-        let reply = Reply::Changes { area, whole: false, up_to, clock: None, changes };
+        let reply = Reply::Changes { area, whole, up_to, clock: None, changes };
         self.tick(vec![Event::Store(ticket, reply)])
     }
 
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -21,7 +21,8 @@
 use serde_json::{Value, json};
 
 use crate::{
-    process::{Process, free_address, output, program},
+    port::free_address,
+    process::{Process, output, program},
     relay::Relay,
 };
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod pause;
 mod platform;
 mod played;
+mod port;
 mod process;
 mod relay;
 mod soak;
--- a/tests/testsuite/memory.rs
+++ b/tests/testsuite/memory.rs
@@ -21,7 +21,7 @@
 use crate::{
     fleet::{Fleet, SlotPlan, scratch_directory, slot, start_node},
     played::{self, SLOTS, read_head},
-    process::free_address,
+    port::free_address,
 };
 
 /// The memory of the smallest instance on which a node runs.
--- a/tests/testsuite/platform.rs
+++ b/tests/testsuite/platform.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     fleet::{CallerRequest, Fleet, slot},
-    process::free_address,
+    port::free_address,
     relay::{Mode, Relay},
 };
 
