Check key, team and route of a request on every way out

What callers saw: a configuration removed a team while its requests waited for tokens of its rate.

Cause: the rate limit passed on all requests that wait for a team which no longer exists, as a later stage was to check the key again. Only the dispatch to the local target did. Forwarding looked up key, team and route by their arena keys and sent the request without what it no longer found; the peer took a request without a key's id for one that needs none, and accepted any key that it did not know, also by the later configuration of the two.

Change: system/clearance.rs is passed by the dispatch and by forwarding. It finds the route once more if the revision has changed, checks the key and its team, the caller and the time left, and refuses the request, or sends it back to wait for tokens of the team that holds its key now, or to the routing. Requests that wait for tokens are checked with each change. A node refuses a forwarded request whose key it does not know any more, or with configuration_changed where the team is another one or the route needs a key, if its own configuration is at least as late as the one by which it was forwarded. Calls made for a forwarded request keep the id of its key. Names keep their arena keys while their rows are removed.

Why it works: nothing is sent on by a lookup that may fail silently; what has no name is not sent.

Changed on the way: a call that a target makes for another request is checked by that request's key alone when it runs here, as when it is forwarded; before, it was refused here if its parent had been forwarded. The test of numbers of any size forwards requests with a key and a team, or with neither.

--- a/crates/mustardpin-virtual/src/fleet.rs
+++ b/crates/mustardpin-virtual/src/fleet.rs
@@ -71,6 +71,8 @@
     requester: Requester,
     root: u64,
     request: Request,
+    /// The team that the peer which forwarded it has named.
+    team: Option<CompactString>,
     /// A response that is kept until the world decides the verdict.
     response: Option<Response>,
 }
--- a/crates/mustardpin-virtual/src/fleet/call.rs
+++ b/crates/mustardpin-virtual/src/fleet/call.rs
@@ -25,6 +25,10 @@
         }
         let ticket = Ticket(self.next_number());
         let InboundRequest { request, origin, requester, root } = inbound;
+        let team = match &origin {
+            Origin::Peer(forwarded) => forwarded.team.clone(),
+            Origin::Caller { .. } | Origin::Target { .. } => None,
+        };
         let event = Event::Arrived(request::Request {
             ticket,
             origin,
@@ -37,7 +41,7 @@
         });
         let node = &mut self.nodes[site.0];
         node.by_requester.insert(requester, ticket);
-        node.exchanges.insert(ticket, Exchange { requester, root, request, response: None });
+        node.exchanges.insert(ticket, Exchange { requester, root, request, team, response: None });
         node.pending.push(event);
         self.tick_at(site, self.now);
     }
--- a/crates/mustardpin-virtual/src/fleet/message.rs
+++ b/crates/mustardpin-virtual/src/fleet/message.rs
@@ -1,8 +1,8 @@
 //! Messages between worlds, and operations of the platform's store.
 
 use mustardpin_world::{
-    Event, Millis,
-    id::NodeId,
+    Event, Millis, config,
+    id::{NodeId, Revision},
     message::Message,
     request::Load,
     store::{self, Operation, Reply},
@@ -90,6 +90,12 @@
         }
     }
 
+    /// Writes the configuration as one document, of which nodes that watch it hear at once.
+    pub fn write_document(&mut self, revision: Revision, rows: Vec<config::Row>) {
+        self.platform.put_document(revision, rows);
+        self.reply_to_long_polls();
+    }
+
     /// Replies to the long polls whose areas have changed.
     pub(super) fn reply_to_long_polls(&mut self) {
         self.platform.clock = self.now;
--- a/crates/mustardpin-virtual/src/fleet/run.rs
+++ b/crates/mustardpin-virtual/src/fleet/run.rs
@@ -28,7 +28,7 @@
         }
         let Some(exchange) = self.nodes[site.0].exchanges.get(&ticket).cloned() else { return };
         if self.record_runs {
-            self.record_run(site, &exchange);
+            self.record_run(site, &exchange, run.team.as_deref());
         }
         let fingerprint = Fingerprint(exchange.request.fingerprint);
         if self.nodes[site.0].target.poison.contains(&fingerprint) {
@@ -45,7 +45,7 @@
         self.start_queued(site);
     }
 
-    fn record_run(&mut self, site: Site, exchange: &Exchange) {
+    fn record_run(&mut self, site: Site, exchange: &Exchange, team: Option<&str>) {
         let root = self.roots.get(exchange.root as usize);
         let key = root.and_then(|(_, _, request)| request.key.as_deref());
         self.ran.push(RunRecord {
@@ -55,6 +55,7 @@
             path: exchange.request.path.clone(),
             fingerprint: Fingerprint(exchange.request.fingerprint),
             key_id: key.map(|key| caller::key_id(key).to_owned()),
+            team: team.or(exchange.team.as_deref()).map(str::to_owned),
             root: exchange.root,
         });
     }
--- a/crates/mustardpin-virtual/src/target.rs
+++ b/crates/mustardpin-virtual/src/target.rs
@@ -84,6 +84,8 @@
     pub fingerprint: Fingerprint,
     /// The id of the key that the caller of the root request sent.
     pub key_id: Option<String>,
+    /// The team that the target was told.
+    pub team: Option<String>,
     /// The number of the root request.
     pub root: u64,
 }
--- a/crates/mustardpin-virtual/tests/testsuite/main.rs
+++ b/crates/mustardpin-virtual/tests/testsuite/main.rs
@@ -27,3 +27,4 @@
 mod statements;
 mod stop;
 mod support;
+mod waiting;
--- a/crates/mustardpin-world/src/refusal.rs
+++ b/crates/mustardpin-world/src/refusal.rs
@@ -98,6 +98,9 @@
     Starting = "starting", 503;
     /// The node is draining before it stops.
     Leaving = "leaving", 503;
+    /// The configuration has another team or route for the request than the one by which a peer
+    /// forwarded it. The peer may check it again.
+    ConfigurationChanged = "configuration_changed", 503;
     /// The request was running when several targets crashed.
     Quarantined = "quarantined", 503;
     /// The target failed or the connection to it broke.
--- a/crates/mustardpin-world/src/system.rs
+++ b/crates/mustardpin-world/src/system.rs
@@ -1,5 +1,6 @@
 //! The systems and the order in which they run in each tick.
 
+mod clearance;
 mod configuration;
 mod deadline;
 mod departure;
--- a/crates/mustardpin-world/src/system/intake.rs
+++ b/crates/mustardpin-world/src/system/intake.rs
@@ -7,7 +7,7 @@
     clock::Millis,
     command::Command,
     config::Rank,
-    id::{CallKey, NodeId, RouteKey, ServiceKey, TeamKey, TenantKey},
+    id::{CallKey, NodeId, Revision, RouteKey, ServiceKey, TeamKey, TenantKey},
     log::{self, Entry, Level},
     refusal::{Reason, Refusal},
     request::{CallToken, Forwarded, Nesting, Origin, Request, Verdict},
@@ -23,8 +23,6 @@
 /// How long a caller should wait before it retries a request that came before the node had a
 /// configuration.
 const RETRY_AFTER_START: Millis = Millis(300);
-/// How long a caller should wait before it retries a request that a cut-off node refused.
-const RETRY_AFTER_CUT_OFF: Millis = Millis(1_000);
 
 /// The properties of a new call that depend on the origin of its request.
 struct Arrival {
@@ -35,6 +33,7 @@
     nesting: Nesting,
     tenant: Option<TenantKey>,
     key_id: Option<CompactString>,
+    revision: Revision,
     team: Option<TeamKey>,
     rank: Rank,
     repeatable: bool,
@@ -111,8 +110,7 @@
         Some(call) => permission::Principal { tenant: call.tenant, team: call.team },
         None => permission::check(tables, route, tenant).map_err(|reason| match reason {
             Reason::KeyMissing if is_key_unknown => Refusal::not_run(Reason::KeyUnknown),
-            Reason::CutOff => Refusal::not_run(reason).after(RETRY_AFTER_CUT_OFF),
-            _ => Refusal::not_run(reason),
+            _ => permission::refusal(reason),
         })?,
     };
     let row = world.tables.routes.get_mut(route).ok_or(Refusal::not_run(Reason::RouteUnknown))?;
@@ -131,6 +129,7 @@
         nesting,
         tenant: principal.tenant,
         key_id: None,
+        revision: Revision::default(),
         team: principal.team,
         rank: world.tables.rank(principal.team, route),
         repeatable,
@@ -141,6 +140,8 @@
         hops: 0,
     };
     if let Some(call) = parent.and_then(|parent| world.tables.calls.get(parent)) {
+        arrival.key_id = call.key_id.clone();
+        arrival.revision = call.revision;
         arrival.rank = call.rank;
         arrival.deadline = arrival.deadline.min(call.deadline);
         arrival.depth = call.depth + 1;
@@ -186,6 +187,10 @@
     if tables.leaving {
         return Err(Refusal::not_run(Reason::Leaving));
     }
+    if forwarded.key_id.is_some() != forwarded.team.is_some() {
+        // The peer has told the target of the team, so one without it can't run for the key's team.
+        return Err(permission::refusal(Reason::ConfigurationChanged));
+    }
     if forwarded.service != *world.identity.service() && forwarded.hops > 1 {
         return Err(Refusal::not_run(Reason::NoTarget));
     }
@@ -198,6 +203,7 @@
         nesting: forwarded.nesting,
         tenant: None,
         key_id: forwarded.key_id.clone(),
+        revision: forwarded.revision,
         team: forwarded.team.as_ref().and_then(|team| tables.teams.by_name(team)),
         rank: forwarded.rank,
         repeatable: forwarded.repeatable,
@@ -222,6 +228,11 @@
         nesting: arrival.nesting,
         tenant: arrival.tenant,
         key_id: arrival.key_id,
+        revision: arrival.revision,
+        routed_by: world.tables.configuration.revision,
+        host: request.host,
+        method: request.method,
+        path: request.path,
         team: arrival.team,
         route: arrival.route,
         service: arrival.service,
--- a/crates/mustardpin-world/src/system/queueing.rs
+++ b/crates/mustardpin-world/src/system/queueing.rs
@@ -21,7 +21,7 @@
     options::{self, Queueing},
     refusal::{Reason, Refusal},
     request::{Nesting, Run, Verdict},
-    system::{finish, pacing, permission, routing, shedding},
+    system::{clearance, finish, pacing, routing, shedding},
     table::{
         call::{Call, Stage},
         counter::Work,
@@ -306,9 +306,10 @@
     if call.deadline <= tick.now + min_run_time(world, tick.now) {
         return refuse(world, tick, key, Reason::DeadlineBeforeRun);
     }
-    if let Err(reason) = permission::check_again(&world.tables, call) {
-        return finish::run(world, tick, key, Verdict::Refuse(Refusal::not_run(reason)));
+    if !clearance::check(world, tick, key) {
+        return;
     }
+    let Some(call) = world.tables.calls.get(key) else { return };
     if call.is_logged {
         let target = &world.tables.target;
         let log_entry = Entry::new(Level::Info, "run")
--- a/crates/mustardpin-world/src/system/rate_limit/leasing.rs
+++ b/crates/mustardpin-world/src/system/rate_limit/leasing.rs
@@ -4,12 +4,12 @@
 
 use crate::{
     clock::Millis,
-    id::{CallKey, PeerKey, TeamKey},
+    id::{CallKey, PeerKey, Revision, TeamKey},
     message::rate_limit::{self as message, LeaseGrant, LeaseRequest, Shard},
     refusal::{Reason, Refusal},
     request::Verdict,
     system::{
-        finish,
+        clearance, finish,
         rate_limit::{ownership, parameters, policy},
     },
     table::{
@@ -62,6 +62,8 @@
     smoothed_at: Millis,
     /// Time of the first tick.
     started_at: Option<Millis>,
+    /// The revision of the configuration by which the waiting calls were checked.
+    revision: Revision,
 }
 
 /// Adds granted tokens to the caches; a grant without tokens starts a backoff.
@@ -87,6 +89,7 @@
 
 pub(super) fn run(world: &mut World, tick: &mut Tick) {
     world.systems.rate_limit.leasing.started_at.get_or_insert(tick.now);
+    check_waiting(world, tick);
     for call in world.tables.calls.take(Stage::RateLimit) {
         enqueue(world, tick.now, call);
     }
@@ -99,7 +102,7 @@
     for team in due {
         match parameters(world, team) {
             Some(parameters) => serve(world, tick, team, &parameters),
-            None => admit_all(world, tick.now, team),
+            None => release_all(world, tick, team),
         }
     }
     send_requests(world, tick);
@@ -135,19 +138,48 @@
     }
 }
 
-/// Admits all waiting calls of a team that has no limit or no longer exists; for the latter, a
-/// later stage checks the key again.
-fn admit_all(world: &mut World, now: Millis, team: TeamKey) {
+/// Ends the wait of all calls of a team that has no limit, or no longer exists.
+fn release_all(world: &mut World, tick: &mut Tick, team: TeamKey) {
     let Some(cache) = world.tables.rate_limits.token_caches.remove(team) else { return };
+    let exists = world.tables.teams.get(team).is_some();
     for call in cache.waiting {
-        let is_waiting =
-            world.tables.calls.get(call).is_some_and(|call| call.stage == Stage::RateLimit);
-        if is_waiting {
-            world.tables.calls.advance(call, Stage::Routing, now);
+        if !is_waiting(&world.tables.calls, call, team) {
+            continue;
+        }
+        match exists {
+            true => world.tables.calls.advance(call, Stage::Routing, tick.now),
+            // Its key has another team now, or none.
+            false => {
+                clearance::check(world, tick, call);
+            }
         }
     }
 }
 
+/// Checks the calls that wait for a token once more after a change of the configuration. One whose key
+/// is no longer valid is refused for that reason, and not for its team's rate.
+fn check_waiting(world: &mut World, tick: &mut Tick) {
+    let revision = world.tables.configuration.revision;
+    if std::mem::replace(&mut world.systems.rate_limit.leasing.revision, revision) == revision {
+        return;
+    }
+    let caches = world.tables.rate_limits.token_caches.iter();
+    let waiting: Vec<(TeamKey, CallKey)> = caches
+        .flat_map(|(team, cache)| cache.waiting.iter().map(move |&call| (team, call)))
+        .collect();
+    for (team, call) in waiting {
+        if is_waiting(&world.tables.calls, call, team) {
+            clearance::check(world, tick, call);
+        }
+    }
+}
+
+/// Whether a call waits for a token of this team. It may have ended, or wait for another team's.
+fn is_waiting(calls: &Calls, call: CallKey, team: TeamKey) -> bool {
+    let call = calls.get(call);
+    call.is_some_and(|call| call.stage == Stage::RateLimit && call.team == Some(team))
+}
+
 /// Spends a team's cached tokens, leases what is missing and refuses calls that waited too long.
 fn serve(world: &mut World, tick: &mut Tick, team: TeamKey, parameters: &BucketParameters) {
     update_owners(world, team, parameters);
@@ -166,7 +198,7 @@
     let Some(cache) = world.tables.rate_limits.token_caches.get_mut(team) else { return };
     let calls = &mut world.tables.calls;
     while let Some(&call) = cache.waiting.front() {
-        let is_waiting = calls.get(call).is_some_and(|call| call.stage == Stage::RateLimit);
+        let is_waiting = is_waiting(calls, call, team);
         if is_waiting && !cache.spend(now) {
             return;
         }
@@ -367,9 +399,7 @@
     let refusal = refusal(world, tick.now, team);
     let Some(cache) = world.tables.rate_limits.token_caches.get_mut(team) else { return };
     let calls = &world.tables.calls;
-    cache
-        .waiting
-        .retain(|&call| calls.get(call).is_some_and(|call| call.stage == Stage::RateLimit));
+    cache.waiting.retain(|&call| is_waiting(calls, call, team));
     let all_backed_off =
         cache.shard_states.iter().all(|shard_state| shard_state.backoff_until > tick.now);
     let mut refused = Vec::new();
--- a/crates/mustardpin-world/src/system/retry.rs
+++ b/crates/mustardpin-world/src/system/retry.rs
@@ -188,7 +188,8 @@
             | Reason::NoTarget
             | Reason::QueueFull
             | Reason::TargetRateLimit
-            | Reason::InProgressLimit,
+            | Reason::InProgressLimit
+            | Reason::ConfigurationChanged,
         ) => Cause::free(Retry::Refused),
         (_, Reason::TargetFailed | Reason::Leaving) if call.repeatable => {
             Cause::paid(Retry::Broken)
--- a/crates/mustardpin-world/src/system/routing.rs
+++ b/crates/mustardpin-world/src/system/routing.rs
@@ -13,7 +13,7 @@
     log::{Entry, Level},
     refusal::{Reason, Refusal},
     request::{Forward, Forwarded, TargetRate, Verdict},
-    system::{finish, retry, shedding},
+    system::{clearance, finish, retry, shedding},
     table::{
         call::{Call, Stage},
         counter::Work,
@@ -173,8 +173,11 @@
     congestion * CONGESTION_COST
 }
 
-/// Forwards a call to a peer.
+/// Forwards a call to a peer, unless it is no longer permitted.
 fn forward(world: &mut World, tick: &mut Tick, key: CallKey, peer_key: PeerKey) {
+    if !clearance::check(world, tick, key) {
+        return;
+    }
     let lent = retry::lend(world, key);
     let tables = &mut world.tables;
     tables.calls.advance(key, Stage::Forwarded, tick.now);
@@ -184,10 +187,12 @@
     call.lineage.lent = lent;
     peer.in_flight += 1;
     peer.unreported += 1;
-    let tenant = call.tenant.and_then(|tenant| tables.tenants.get(tenant));
-    let key_id = tenant.map(|key| key.id.clone()).or_else(|| call.key_id.clone());
     let route = call.route.and_then(|route| tables.routes.get(route));
     let team = call.team.and_then(|team| tables.teams.get(team));
+    // On an open route, a request runs for nobody, whatever key it came with.
+    let tenant = call.tenant.filter(|_| team.is_some());
+    let tenant = tenant.and_then(|tenant| tables.tenants.get(tenant));
+    let key_id = tenant.map(|key| key.id.clone()).or_else(|| call.key_id.clone());
     let service = tables.services.get(call.service);
     let forwarded = Forwarded {
         from: world.identity.announcement.node,
--- a/crates/mustardpin-world/src/table/call.rs
+++ b/crates/mustardpin-world/src/table/call.rs
@@ -13,7 +13,7 @@
 use crate::{
     clock::Millis,
     config::Rank,
-    id::{CallKey, NodeId, PeerKey, RouteKey, ServiceKey, TeamKey, TenantKey},
+    id::{CallKey, NodeId, PeerKey, Revision, RouteKey, ServiceKey, TeamKey, TenantKey},
     request::{CallToken, Fingerprint, Nesting, Ticket},
 };
 
@@ -93,8 +93,18 @@
     pub nesting: Nesting,
     /// The tenant key that it came with, if this node accepted it from the caller.
     pub tenant: Option<TenantKey>,
-    /// The id of the tenant key, if a peer forwarded the call.
+    /// The id of the tenant key, if a peer forwarded the call, or the one that it was made for.
     pub key_id: Option<CompactString>,
+    /// The revision of the configuration by which the peer that forwarded it has checked it.
+    pub revision: Revision,
+    /// The revision by which this node has found the route.
+    pub routed_by: Revision,
+    /// The host that it is for, in lower case.
+    pub host: CompactString,
+    /// The HTTP method.
+    pub method: CompactString,
+    /// The path, without the query.
+    pub path: CompactString,
     /// The team that it runs for.
     pub team: Option<TeamKey>,
     /// Its route; `None` if a peer forwarded it by a configuration that this node does not have.
--- a/crates/mustardpin-world/src/table/registry.rs
+++ b/crates/mustardpin-world/src/table/registry.rs
@@ -25,11 +25,12 @@
     }
 }
 
-/// An arena of named rows. A row that is replaced keeps its key; one that is removed and added
-/// again gets a new one.
+/// An arena of named rows. A name keeps its key while its row is replaced, or removed and added
+/// again, so that what refers to the key goes on with the new row.
 #[derive(Debug)]
 pub struct Registry<K: slotmap::Key, R> {
-    rows: SlotMap<K, R>,
+    /// `None` while a row is removed.
+    rows: SlotMap<K, Option<R>>,
     by_name: BTreeMap<CompactString, K>,
 }
 
@@ -59,34 +60,34 @@
     /// ```
     pub fn put(&mut self, row: R) -> K {
         if let Some(&key) = self.by_name.get(row.name()) {
-            self.rows[key] = row;
+            self.rows[key] = Some(row);
             return key;
         }
         let name = row.name().clone();
-        let key = self.rows.insert(row);
+        let key = self.rows.insert(Some(row));
         self.by_name.insert(name, key);
         key
     }
 
     /// Removes the row of this name.
     pub fn remove(&mut self, name: &str) {
-        if let Some(key) = self.by_name.remove(name) {
-            self.rows.remove(key);
+        if let Some(&key) = self.by_name.get(name) {
+            self.rows[key] = None;
         }
     }
 
     /// The row with this key.
     pub fn get(&self, key: K) -> Option<&R> {
-        self.rows.get(key)
+        self.rows.get(key)?.as_ref()
     }
 
     /// The key of the row of this name.
     pub fn by_name(&self, name: &str) -> Option<K> {
-        self.by_name.get(name).copied()
+        self.by_name.get(name).copied().filter(|&key| self.get(key).is_some())
     }
 
     /// All rows, in the order of their names.
     pub fn iter(&self) -> impl Iterator<Item = (K, &R)> {
-        self.by_name.values().map(|&key| (key, &self.rows[key]))
+        self.by_name.values().filter_map(|&key| Some((key, self.get(key)?)))
     }
 }
--- a/crates/mustardpin-world/src/table/route.rs
+++ b/crates/mustardpin-world/src/table/route.rs
@@ -52,10 +52,11 @@
 
 type ByPrefix = HashMap<CompactString, SmallVec<[RouteKey; 1]>, RandomState>;
 
-/// The table of routes. A route keeps its key when it is replaced, until its name is removed.
+/// The table of routes. A name keeps its key while its route is replaced, or removed and added again.
 #[derive(Debug, Default)]
 pub struct Routes {
-    rows: SlotMap<RouteKey, Route>,
+    /// `None` while a route is removed.
+    rows: SlotMap<RouteKey, Option<Route>>,
     by_name: BTreeMap<CompactString, RouteKey>,
     by_host: HashMap<CompactString, ByPrefix, RandomState>,
     any_host: ByPrefix,
@@ -78,15 +79,14 @@
         let name = config.name.clone();
         if let Some(&key) = self.by_name.get(&name) {
             self.remove_from_index(key);
-            let old = &self.rows[key];
-            if old.config.parts == config.parts {
+            if let Some(old) = self.get(key).filter(|old| old.config.parts == config.parts) {
                 parts.clone_from(&old.parts);
             }
-            self.rows[key] = Route { config, parts };
+            self.rows[key] = Some(Route { config, parts });
             self.add_to_index(key);
             return key;
         }
-        let key = self.rows.insert(Route { config, parts });
+        let key = self.rows.insert(Some(Route { config, parts }));
         self.by_name.insert(name, key);
         self.add_to_index(key);
         key
@@ -94,30 +94,30 @@
 
     /// Removes the route of this name.
     pub fn remove(&mut self, name: &str) {
-        if let Some(key) = self.by_name.remove(name) {
+        if let Some(&key) = self.by_name.get(name) {
             self.remove_from_index(key);
-            self.rows.remove(key);
+            self.rows[key] = None;
         }
     }
 
     /// The route with this key.
     pub fn get(&self, key: RouteKey) -> Option<&Route> {
-        self.rows.get(key)
+        self.rows.get(key)?.as_ref()
     }
 
     /// The route with this key.
     pub fn get_mut(&mut self, key: RouteKey) -> Option<&mut Route> {
-        self.rows.get_mut(key)
+        self.rows.get_mut(key)?.as_mut()
     }
 
     /// The key of the route of this name.
     pub fn by_name(&self, name: &str) -> Option<RouteKey> {
-        self.by_name.get(name).copied()
+        self.by_name.get(name).copied().filter(|&key| self.get(key).is_some())
     }
 
     /// All routes, in the order of their names.
     pub fn iter(&self) -> impl Iterator<Item = (RouteKey, &Route)> {
-        self.by_name.values().map(|&key| (key, &self.rows[key]))
+        self.by_name.values().filter_map(|&key| Some((key, self.get(key)?)))
     }
 
     /// The route that matches a request: one for its host before one for any host, then the longest
@@ -136,13 +136,15 @@
     }
 
     fn match_method(&self, keys: &[RouteKey], method: &str) -> Option<RouteKey> {
-        let route_method = |key: &&RouteKey| self.rows[**key].config.method.as_deref();
-        let exact = keys.iter().find(|key| route_method(key) == Some(method));
-        exact.or_else(|| keys.iter().find(|key| route_method(key).is_none())).copied()
+        let has_method = |key: &&RouteKey, method: Option<&str>| {
+            self.get(**key).is_some_and(|route| route.config.method.as_deref() == method)
+        };
+        let exact = keys.iter().find(|key| has_method(key, Some(method)));
+        exact.or_else(|| keys.iter().find(|key| has_method(key, None))).copied()
     }
 
     fn add_to_index(&mut self, key: RouteKey) {
-        let config = &self.rows[key].config;
+        let Some(Route { config, .. }) = &self.rows[key] else { return };
         self.prefix_lengths.insert(config.path_prefix.len());
         let prefixes = match &config.host {
             Some(host) => self.by_host.entry(host.clone()).or_default(),
@@ -152,7 +154,7 @@
     }
 
     fn remove_from_index(&mut self, key: RouteKey) {
-        let config = &self.rows[key].config;
+        let Some(Route { config, .. }) = &self.rows[key] else { return };
         let prefixes = match &config.host {
             Some(host) => self.by_host.get_mut(host),
             None => Some(&mut self.any_host),
--- a/crates/mustardpin-world/tests/testsuite/extreme.rs
+++ b/crates/mustardpin-world/tests/testsuite/extreme.rs
@@ -263,8 +263,8 @@
                 let forwarded = Forwarded {
                     from: PEER,
                     revision: Revision(one),
-                    key_id: None,
-                    team: Some("garages".into()),
+                    key_id: flag.then(|| "garage-1".into()),
+                    team: flag.then(|| "garages".into()),
                     route: "book".into(),
                     service: "ledger".into(),
                     rank: Rank { team: Importance(byte(two)), route: Importance(byte(three)) },
--- a/crates/mustardpin-world/tests/testsuite/main.rs
+++ b/crates/mustardpin-world/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the world's parts.
 
+mod clearance;
 mod disconnect;
 mod drain;
 mod extreme;
