--- a/crates/mustardpin-node/src/traffic/caller/reading.rs
+++ b/crates/mustardpin-node/src/traffic/caller/reading.rs
@@ -10,6 +10,7 @@
 use mustardpin_wire::dialect::{Departure, Report};
 use mustardpin_world::{
     Event,
+    log::{Entry, Level},
     refusal::{Reason, Refusal},
 };
 use tokio::{
@@ -27,6 +28,9 @@
     response::CallerResponse,
 };
 
+/// From this status on, the response to a report says that it is invalid.
+const CLIENT_ERROR: u16 = 400;
+
 /// A request whose body is being buffered.
 struct BufferedRequest {
     head: Request,
@@ -492,6 +496,12 @@
     if let Some(event) = report.event {
         exchanges.outbox.push(event);
     }
+    if report.status >= CLIENT_ERROR {
+        let entry = Entry::new(Level::Warn, "report_rejected")
+            .with("status", u32::from(report.status))
+            .with("cause", String::from_utf8_lossy(&report.body).into_owned());
+        exchanges.outbox.log(entry);
+    }
     let response = CallerResponse::plain(report.status, report.body);
     let Some(Departure { instance, started }) = report.departure else {
         return LocalResponse::Ready(response);
