Send no body with refusals of HEAD requests

A refused HEAD request was answered with a body, which the caller read in place of its next response; over HTTP/2 the stream ended with a protocol error.

Cause: only responses of targets took the request's method into account. The writer of a connection did not know it.

Change: a connection keeps from the head whether the response may have a body, and the writer leaves it out. HTTP/2 likewise.

--- a/crates/mustardpin-node/src/traffic/caller.rs
+++ b/crates/mustardpin-node/src/traffic/caller.rs
@@ -10,6 +10,7 @@
 use std::{collections::VecDeque, io, pin::pin, sync::Arc, time::Duration};
 
 use bytes::BytesMut;
+use mustardpin_http::head::Request;
 use mustardpin_wire::dialect::Port;
 use mustardpin_world::{Millis, request::Ticket};
 use socket2::SockRef;
@@ -76,6 +77,20 @@
     is_persistent: bool,
     /// Whether the caller accepts chunked transfer coding.
     accepts_chunked: bool,
+    /// Whether the response may have a body. One to a HEAD request ends with its head, whatever length
+    /// that states.
+    has_body: bool,
+}
+
+impl ResponseOptions {
+    /// How the response to a request is sent.
+    fn of(head: &Request) -> ResponseOptions {
+        ResponseOptions {
+            is_persistent: head.is_persistent(),
+            accepts_chunked: head.is_version_11,
+            has_body: head.method() != "HEAD",
+        }
+    }
 }
 
 /// The state of a connection, shared by its reader and its writer.
@@ -250,7 +265,7 @@
         // Requests behind this one that have been accepted get their responses first.
         let drains = self.is_draining() && self.slots.is_empty();
         let closes = !options.is_persistent || drains;
-        let closes = writing.start_response(response, options.accepts_chunked, closes);
+        let closes = writing.start_response(response, options, closes);
         self.idle_since = Instant::now();
         if closes {
             // Pipelined requests after this one are treated as not read.
--- a/crates/mustardpin-node/src/traffic/caller/reading.rs
+++ b/crates/mustardpin-node/src/traffic/caller/reading.rs
@@ -119,19 +119,19 @@
                 };
                 return false;
             }
-            Err(error) => return refuse(connection, reason_of(error)),
+            Err(error) => return refuse(connection, None, reason_of(error)),
         };
         self.since = None;
         if connection.admission.is_err() {
-            return refuse(connection, Reason::ConnectionLimit);
+            return refuse(connection, Some(&head), Reason::ConnectionLimit);
         }
         let framing = match Framing::of_request(&head.headers) {
             Ok(framing) => framing,
-            Err(error) => return refuse(connection, reason_of(error)),
+            Err(error) => return refuse(connection, Some(&head), reason_of(error)),
         };
         let limit = connection.exchanges.caller_limits().body_size;
         if matches!(framing, Framing::Length(length) if length > limit) {
-            return refuse(connection, Reason::BodyTooLarge);
+            return refuse(connection, Some(&head), Reason::BodyTooLarge);
         }
         let length = match framing {
             Framing::Length(length) => Some(length),
@@ -151,7 +151,7 @@
         if !reservation.grow_to(length.unwrap_or(0).min(max_buffered) as usize) {
             if awaits_continue {
                 // The caller may send another request in place of the body.
-                return refuse(connection, Reason::InProgressLimit);
+                return refuse(connection, Some(&head), Reason::InProgressLimit);
             }
             let body = DiscardedBody { decoder, received_bytes: 0 };
             return self.refuse_body(connection, buffer, &head, body);
@@ -184,7 +184,7 @@
                 Ok(Decoded::Data(bytes)) => {
                     incoming.received_bytes += bytes.len() as u64;
                     if incoming.received_bytes > exchanges.caller_limits().body_size {
-                        return refuse(connection, Reason::BodyTooLarge);
+                        return refuse(connection, Some(&incoming.head), Reason::BodyTooLarge);
                     }
                     incoming.buffered.push(bytes);
                     if !incoming.reservation.grow_to(incoming.buffered.len()) {
@@ -210,7 +210,9 @@
                     self.state = State::Body(Box::new(incoming));
                     return false;
                 }
-                Err(error) => return refuse(connection, reason_of(error)),
+                Err(error) => {
+                    return refuse(connection, Some(&incoming.head), reason_of(error));
+                }
             }
         }
     }
@@ -267,7 +269,7 @@
                 Ok(Decoded::Data(bytes)) => {
                     request.received_bytes += bytes.len() as u64;
                     if request.received_bytes > limit {
-                        return cancel_with(connection, Reason::BodyTooLarge);
+                        return cancel_with(connection, &request.head, Reason::BodyTooLarge);
                     }
                     request.pending = Some(Piece::Data(bytes));
                 }
@@ -299,9 +301,9 @@
         head: &Request,
         body: DiscardedBody,
     ) -> bool {
-        let options = response_options(head);
+        let options = ResponseOptions::of(head);
         if !options.is_persistent {
-            return refuse(connection, Reason::InProgressLimit);
+            return refuse(connection, Some(head), Reason::InProgressLimit);
         }
         let response = intake::refuse(&connection.exchanges, Reason::InProgressLimit, None);
         connection.slots.push_back(ResponseSlot::Ready(response, options));
@@ -379,11 +381,11 @@
         match std::mem::take(&mut self.state) {
             State::Head => {
                 self.since = None;
-                refuse(connection, Reason::BodyTimeout);
+                refuse(connection, None, Reason::BodyTimeout);
             }
-            State::Body(_) => {
+            State::Body(incoming) => {
                 self.last_received = None;
-                refuse(connection, Reason::BodyTimeout);
+                refuse(connection, Some(&incoming.head), Reason::BodyTimeout);
             }
             // Dropping the writer truncates the body, which aborts the request.
             State::Streaming(_) | State::Discarding(_) => self.last_received = None,
@@ -398,14 +400,22 @@
     }
 }
 
-/// Sends a refusal. No more requests are read after it.
-fn refuse(connection: &mut Connection, reason: Reason) -> bool {
+/// Refuses a request, whose head is known unless it is malformed. No more requests are read after it.
+fn refuse(connection: &mut Connection, head: Option<&Request>, reason: Reason) -> bool {
     let response = intake::refuse(&connection.exchanges, reason, None);
-    refuse_with(connection, response)
+    refuse_with(connection, head, response)
 }
 
-fn refuse_with(connection: &mut Connection, response: CallerResponse) -> bool {
-    let options = ResponseOptions { is_persistent: false, accepts_chunked: true };
+fn refuse_with(
+    connection: &mut Connection,
+    head: Option<&Request>,
+    response: CallerResponse,
+) -> bool {
+    let options = ResponseOptions {
+        is_persistent: false,
+        accepts_chunked: true,
+        has_body: head.is_none_or(|head| ResponseOptions::of(head).has_body),
+    };
     connection.is_closing = true;
     connection.has_unread_request = true;
     connection.slots.push_back(ResponseSlot::Ready(response, options));
@@ -414,17 +424,17 @@
 
 /// Cancels the request whose body is being streamed and sends a refusal. A target may have received
 /// a part of the request.
-fn cancel_with(connection: &mut Connection, reason: Reason) -> bool {
+fn cancel_with(connection: &mut Connection, head: &Request, reason: Reason) -> bool {
     if let Some(ResponseSlot::Open { ticket: Some(ticket), .. }) = connection.slots.pop_back() {
         connection.exchanges.caller_gone(ticket);
     }
     let response = intake::refusal_response(&connection.exchanges, Refusal::unknown(reason), None);
-    refuse_with(connection, response)
+    refuse_with(connection, Some(head), response)
 }
 
 /// Accepts a request that has been read.
 fn accept(connection: &mut Connection, head: Request, body: Body, reservation: Reservation) {
-    let options = response_options(&head);
+    let options = ResponseOptions::of(&head);
     connection.is_last |= !options.is_persistent;
     let slot = match local_response(connection, &head, &body) {
         Some(LocalResponse::Ready(response)) => ResponseSlot::Ready(response, options),
@@ -450,10 +460,6 @@
     intake::open(&connection.exchanges, connection.port(), head, body, reservation)
 }
 
-fn response_options(head: &Request) -> ResponseOptions {
-    ResponseOptions { is_persistent: head.is_persistent(), accepts_chunked: head.is_version_11 }
-}
-
 /// The response to a request for the node itself.
 enum LocalResponse {
     Ready(CallerResponse),
--- a/crates/mustardpin-node/src/traffic/caller/writing.rs
+++ b/crates/mustardpin-node/src/traffic/caller/writing.rs
@@ -8,6 +8,7 @@
 
 use crate::traffic::{
     body::{Body, Piece, Stream},
+    caller::ResponseOptions,
     response::CallerResponse,
 };
 
@@ -41,12 +42,13 @@
     pub(super) fn start_response(
         &mut self,
         response: CallerResponse,
-        accepts_chunked: bool,
+        options: ResponseOptions,
         closes: bool,
     ) -> bool {
         let CallerResponse { status, header_lines, body } = response;
-        let ends_by_close =
-            matches!(&body, Body::Stream(pieces) if pieces.length.is_none()) && !accepts_chunked;
+        let ResponseOptions { accepts_chunked, has_body, .. } = options;
+        let has_no_end = matches!(&body, Body::Stream(pieces) if pieces.length.is_none());
+        let ends_by_close = has_no_end && !accepts_chunked && has_body;
         let closes = closes || ends_by_close;
         write::status_line(&mut self.out, status);
         self.out.extend_from_slice(&header_lines);
@@ -58,6 +60,9 @@
             Body::Complete(bytes) => {
                 write::numeric_header(&mut self.out, "content-length", bytes.len() as u64);
                 self.out.extend_from_slice(b"\r\n");
+                if !has_body {
+                    return closes;
+                }
                 if bytes.len() <= MAX_JOINED_BODY_BYTES {
                     self.out.extend_from_slice(&bytes);
                 } else {
@@ -72,7 +77,9 @@
                     write::header(&mut self.out, "transfer-encoding", b"chunked");
                 }
                 self.out.extend_from_slice(b"\r\n");
-                self.streamed = Some(StreamedBody { pieces, is_chunked, ends_by_close });
+                if has_body {
+                    self.streamed = Some(StreamedBody { pieces, is_chunked, ends_by_close });
+                }
             }
         }
         closes
--- a/crates/mustardpin-node/src/traffic/http2.rs
+++ b/crates/mustardpin-node/src/traffic/http2.rs
@@ -13,7 +13,7 @@
 
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
-use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Response, StatusCode, header};
 use http_body::{Body as _, Frame};
 use http_body_util::BodyExt as _;
 use hyper::{body::Incoming, server::conn::http2, service::service_fn};
@@ -121,6 +121,8 @@
 ) -> Result<Response<HyperBody>, Truncated> {
     let (parts, incoming) = request.into_parts();
     let head = head_of(&parts);
+    let has_body = parts.method != Method::HEAD;
+    let hyper_response = |response| hyper_response(response, has_body);
     let port = if kind == ListenerKind::Local { Port::Local } else { Port::Callers };
     let mut reservation = exchanges.body_budget.reservation();
     let read = read_body(&exchanges, port, &head, incoming, &mut reservation).await;
@@ -304,11 +306,20 @@
     }
 }
 
-fn hyper_response(caller_response: CallerResponse) -> Response<HyperBody> {
-    let mut response = Response::new(HyperBody::new(caller_response.body));
+/// The response in the form that hyper requires. One to a HEAD request has no body.
+fn hyper_response(caller_response: CallerResponse, has_body: bool) -> Response<HyperBody> {
+    let length = match &caller_response.body {
+        Body::Complete(bytes) => Some(bytes.len()),
+        Body::Stream(_) | Body::Empty => None,
+    };
+    let body = if has_body { HyperBody::new(caller_response.body) } else { HyperBody::Ended };
+    let mut response = Response::new(body);
     *response.status_mut() =
         StatusCode::from_u16(caller_response.status).unwrap_or(StatusCode::BAD_GATEWAY);
     append(response.headers_mut(), &caller_response.header_lines);
+    if let Some(length) = length.filter(|_| !has_body) {
+        response.headers_mut().insert(header::CONTENT_LENGTH, length.into());
+    }
     response
 }
 
--- a/crates/mustardpin-node/tests/testsuite/fake/caller.rs
+++ b/crates/mustardpin-node/tests/testsuite/fake/caller.rs
@@ -142,6 +142,23 @@
         Ok((status, body.to_bytes(), trailers))
     }
 
+    /// Sends a HEAD request, with or without the key. Returns the status, the length that the response
+    /// states and the size of its body.
+    pub async fn head(&mut self, path: &str, has_key: bool) -> hyper::Result<(u16, usize, usize)> {
+        let mut request = Request::head(format!("http://fleet{path}"));
+        if has_key {
+            request = request.header("authorization", format!("Bearer {}", super::KEY));
+        }
+        let request = request.body(Full::default()).expect("the request is well formed");
+        self.sender.ready().await?;
+        let response = self.sender.send_request(request).await?;
+        let length = response.headers().get("content-length");
+        let length = length.and_then(|length| length.to_str().ok()?.parse().ok());
+        let status = response.status().as_u16();
+        let body = response.into_body().collect().await?.to_bytes().len();
+        Ok((status, length.unwrap_or_default(), body))
+    }
+
     /// Sends a GET request.
     pub async fn get(&mut self, path: &str) -> hyper::Result<Response<Incoming>> {
         let request = Request::get(format!("http://fleet{path}"))
--- a/crates/mustardpin-node/tests/testsuite/main.rs
+++ b/crates/mustardpin-node/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod prefix;
 mod reload;
 mod run;
+mod sequence;
 mod stray;
 mod stream;
 mod upload;
