Send interim responses between responses

Callers that pipelined a request with `expect: 100-continue` behind a large response found `HTTP/1.1 100 Continue` inside that response's body. It looked complete, and the rest of it was taken for the next response.

Cause: the interim response was written as soon as the head of its request had been read, wherever the writer stood.

Evidence: two tests of `sequence`, both failed before the change: status 100 lay inside the body, and came after the body had been sent without waiting.

Change: a request keeps that its caller waits; the interim response is written once no response before it is open, never after bytes of the body. The time-out of the body begins with it.

--- a/crates/mustardpin-node/src/traffic/caller.rs
+++ b/crates/mustardpin-node/src/traffic/caller.rs
@@ -187,7 +187,7 @@
             }
             is_first &= buffer.is_empty();
             while self.may_take(&reading) {
-                let has_ended = reading.take(self, buffer, &mut writing);
+                let has_ended = reading.take(self, buffer);
                 // While the node drains, the next request of a connection is its last.
                 self.is_closing |= has_ended && (self.is_last || self.is_draining());
                 if !has_ended {
@@ -200,6 +200,7 @@
                 // The buffer may hold more requests.
                 continue;
             }
+            reading.send_continue(self, &mut writing);
             if writing.write(&mut writer)? && self.can_close(&writing) {
                 self.has_unread_request |= reading.is_in_body();
                 if writing.must_reset() {
--- a/crates/mustardpin-node/src/traffic/caller/reading.rs
+++ b/crates/mustardpin-node/src/traffic/caller/reading.rs
@@ -43,6 +43,8 @@
     reservation: Reservation,
     /// The number of body bytes received. Also counts bytes that are streamed later.
     received_bytes: u64,
+    /// Whether the caller waits for `100 Continue` before it sends the body.
+    awaits_continue: bool,
 }
 
 /// A request whose body is streamed.
@@ -89,26 +91,16 @@
 impl Reading {
     /// Parses the buffered bytes. Returns true if a request has ended, so that the next can be
     /// parsed.
-    pub(super) fn take(
-        &mut self,
-        connection: &mut Connection,
-        buffer: &mut BytesMut,
-        writing: &mut Writing,
-    ) -> bool {
+    pub(super) fn take(&mut self, connection: &mut Connection, buffer: &mut BytesMut) -> bool {
         match std::mem::take(&mut self.state) {
-            State::Head => self.take_head(connection, buffer, writing),
+            State::Head => self.take_head(connection, buffer),
             State::Body(incoming) => self.take_body(connection, buffer, *incoming),
             State::Streaming(request) => self.stream_body(connection, buffer, *request),
             State::Discarding(body) => self.discard_body(connection, buffer, body),
         }
     }
 
-    fn take_head(
-        &mut self,
-        connection: &mut Connection,
-        buffer: &mut BytesMut,
-        writing: &mut Writing,
-    ) -> bool {
+    fn take_head(&mut self, connection: &mut Connection, buffer: &mut BytesMut) -> bool {
         let limit = connection.exchanges.caller_limits().header_size as usize;
         let head = match Request::take(buffer, limit) {
             Ok(Some(head)) => head,
@@ -156,9 +148,6 @@
             let body = DiscardedBody { decoder, received_bytes: 0 };
             return self.refuse_body(connection, buffer, &head, body);
         }
-        if awaits_continue {
-            writing.send_continue();
-        }
         let incoming = BufferedRequest {
             head,
             decoder,
@@ -167,6 +156,7 @@
             trailers: Bytes::new(),
             reservation,
             received_bytes: 0,
+            awaits_continue,
         };
         self.take_body(connection, buffer, incoming)
     }
@@ -346,12 +336,30 @@
         if self.last_received.is_some() {
             self.last_received = Some(Instant::now());
         }
+        if let State::Body(incoming) = &mut self.state {
+            incoming.awaits_continue = false;
+        }
+    }
+
+    /// Sends `100 Continue` to a caller that waits for it, once the responses before it were sent:
+    /// it would lie inside one of them, or be taken for the response to another request.
+    pub(super) fn send_continue(&mut self, connection: &Connection, writing: &mut Writing) {
+        let is_due = connection.slots.is_empty() && writing.is_idle() && !connection.is_closing;
+        if let State::Body(incoming) = &mut self.state
+            && incoming.awaits_continue
+            && is_due
+        {
+            incoming.awaits_continue = false;
+            self.last_received = Some(Instant::now());
+            writing.send_continue();
+        }
     }
 
     /// Since when the connection has been waiting for the caller to send more of a request.
     pub(super) fn since(&self) -> Option<Instant> {
         match self.state {
             State::Head => self.since,
+            State::Body(ref incoming) if incoming.awaits_continue => None,
             State::Body(_) => self.last_received,
             State::Streaming(ref request) if request.pending.is_some() => None,
             State::Streaming(_) | State::Discarding(_) => self.last_received,
--- a/crates/mustardpin-node/tests/testsuite/sequence.rs
+++ b/crates/mustardpin-node/tests/testsuite/sequence.rs
@@ -168,6 +168,42 @@
     });
 }
 
+/// Guards against an interim response inside the body of a response that the caller still reads.
+#[test]
+fn an_interim_response_comes_between_responses() {
+    let fleet = Fleet::start(&[("slots", script()), ("ledger", script())]);
+    for path in ["/slots/large", "/ledger/large"] {
+        let (mut stream, mut reader) = connect(fleet.callers(0));
+        let expects = "expect: 100-continue\r\ncontent-length: 5\r\n";
+        let requests = head("GET", path, "") + &head("POST", "/slots/2", expects);
+        stream.write_all(requests.as_bytes()).expect("the node reads");
+        // The first response does not fit into the buffers, so it is still being sent.
+        thread::sleep(Duration::from_millis(300));
+        let first = reader.next("GET");
+        assert_eq!((first.status, first.body.len()), (200, LARGE_BYTES), "{path}");
+        assert_eq!(reader.next("POST").status, 100, "{path}");
+        stream.write_all(b"slot7").expect("the node reads");
+        let second = reader.next("POST");
+        assert_eq!((second.status, second.body), (200, b"/slots/2".to_vec()), "{path}");
+    }
+}
+
+/// Guards against an interim response that comes after the body was sent without waiting for it.
+#[test]
+fn a_body_that_does_not_wait_gets_no_interim_response() {
+    let fleet = Fleet::start(&[("slots", script())]);
+    let (mut stream, mut reader) = connect(fleet.callers(0));
+    let expects = "expect: 100-continue\r\ncontent-length: 5\r\n";
+    let requests = head("GET", "/slots/large", "") + &head("POST", "/slots/2", expects);
+    stream.write_all(requests.as_bytes()).expect("the node reads");
+    thread::sleep(Duration::from_millis(200));
+    stream.write_all(b"slot7").expect("the node reads");
+    thread::sleep(Duration::from_millis(200));
+    assert_eq!(reader.next("GET").status, 200);
+    let second = reader.next("POST");
+    assert_eq!((second.status, second.body), (200, b"/slots/2".to_vec()));
+}
+
 /// Guards against any order of methods, uploads, refusals and large responses in which a message begins
 /// inside another one, or a caller gets the response to another request.
 #[test]
