End the body of a request with its response

Callers whose upload got its response before they had sent all of it got no response to their next request on that connection until it timed out, and a part of each such upload stayed in the memory of the node.

Cause: the node at the target stops to send the body once the response has begun, and gives no more credits. The node where the upload entered waited for one for ever, holding the queued pieces and the reader of the connection; the peer kept an entry for each such body. At the target's own node, the body was held until the end of a large response.

Change: any end that a peer sends ends the body of the request, and a body that is not sent to its end is ended at the peer too. A run drops a body that it has begun to send once the response comes.

--- a/crates/mustardpin-node/src/traffic/link/outgoing.rs
+++ b/crates/mustardpin-node/src/traffic/link/outgoing.rs
@@ -338,6 +338,8 @@
     match head {
         Head::Answer(response) => {
             exchanges.outbox.push(Event::Load { from, load: response.load.into() });
+            // The peer sends no more of the request to its target.
+            sender.stop_chunks(response.stream);
             response::receive(exchanges, link, response, payload)?;
         }
         Head::Refused(refused) => {
@@ -352,6 +354,7 @@
             response::receive_chunk(exchanges, link, stream, last, payload).await
         }
         Head::Broken { stream } => {
+            sender.stop_chunks(stream);
             if let Some(stream) = link.streams().remove(&stream) {
                 exchanges.forward_ended(stream.ticket, ForwardEnd::Broken, 0, None);
             }
--- a/crates/mustardpin-node/src/traffic/sender.rs
+++ b/crates/mustardpin-node/src/traffic/sender.rs
@@ -135,7 +135,10 @@
         loop {
             match streamed.next().await {
                 Some(Piece::Data(bytes)) => {
-                    let Ok(credit) = credits.acquire().await else { break };
+                    let Ok(credit) = credits.acquire().await else {
+                        self.send(&Head::Broken { stream }, &[]);
+                        break;
+                    };
                     credit.forget();
                     self.send(&Head::Chunk { stream, last: false }, &[&bytes]);
                 }
--- a/crates/mustardpin-node/src/traffic/target/run.rs
+++ b/crates/mustardpin-node/src/traffic/target/run.rs
@@ -246,6 +246,9 @@
                     continue;
                 }
                 let is_sent = self.written >= out.len() && sending.is_done();
+                // Without a recipient, the rest of the body is discarded. The caller might read no
+                // response before it has sent it.
+                streamed.take_if(|streamed| streamed.is_started());
                 return self.receive_response(head, is_sent).await;
             }
             self.advance(out, streamed, &mut sending).await?;
--- a/crates/mustardpin-node/tests/testsuite/fake/target.rs
+++ b/crates/mustardpin-node/tests/testsuite/fake/target.rs
@@ -122,7 +122,8 @@
     }
 }
 
-/// Reads one request with its body. Returns `None` if the connection has ended.
+/// Reads one request with its body, but only the head if the path ends with `early`. Returns `None` if
+/// the connection has ended.
 fn read_request(stream: &mut TcpStream) -> io::Result<Option<String>> {
     let mut bytes = Vec::new();
     let mut buffer = [0; 4096];
@@ -142,6 +143,9 @@
 
 fn is_complete(head: &str, body: &str) -> bool {
     let head = head.to_ascii_lowercase();
+    if head.contains("early http/1.1") {
+        return true;
+    }
     if head.contains("transfer-encoding: chunked") {
         return body.contains("0\r\n") && body.ends_with("\r\n\r\n");
     }
--- a/crates/mustardpin-node/tests/testsuite/link/played.rs
+++ b/crates/mustardpin-node/tests/testsuite/link/played.rs
@@ -279,3 +279,33 @@
     }
     insta::assert_snapshot!(table);
 }
+
+/// Guards against a body that stays in memory at both nodes, since it is neither sent on nor ended once
+/// its request has ended.
+#[test]
+fn the_body_of_a_request_that_has_ended_is_ended() {
+    let (two, mut peer) = connected();
+    let load = frame::LoadReport::from(Load::default());
+    let refusal = Refusal::not_run(Reason::QueueFull);
+    let refused = |stream| Head::Refused(frame::Refused::new(stream, &refusal, 0, load));
+    let ends: [&dyn Fn(u32) -> Head; 3] =
+        [&|stream| answer(stream, 200, "", frame::Body::Empty), &refused, &|stream| Head::Broken {
+            stream,
+        }];
+    for end in ends {
+        let mut caller = TcpStream::connect(two.callers).expect("the node listens");
+        let head = "POST /slots HTTP/1.1\r\nhost: fleet\r\ncontent-length: 6000000\r\n\r\n";
+        caller.write_all(head.as_bytes()).expect("the node reads");
+        let mut upload = caller.try_clone().expect("a second handle");
+        thread::spawn(move || upload.write_all(&vec![b'x'; 6_000_000]));
+        let ticket = two.accept().ticket;
+        two.dispatch(TrafficCommand::Forward(forward(ticket)));
+        let stream = peer.next_request();
+        let end = end(stream);
+        peer.send(&end);
+        while peer.next() != (Head::Broken { stream }) {}
+        let is_end = |event: &Event| matches!(event, Event::ForwardEnded { .. });
+        next_event(&two, is_end);
+        two.finish(ticket, Verdict::Refuse(Refusal::unknown(Reason::TargetFailed)));
+    }
+}
--- a/crates/mustardpin-node/tests/testsuite/sequence.rs
+++ b/crates/mustardpin-node/tests/testsuite/sequence.rs
@@ -11,6 +11,7 @@
 
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
+use socket2::SockRef;
 
 use crate::fake::{Fleet, KEY, Script, http2, text};
 
@@ -204,6 +205,29 @@
     assert_eq!((second.status, second.body), (200, b"/slots/2".to_vec()));
 }
 
+/// Guards against an early response that leaves the rest of the request's body unread: the connection
+/// then never gets the response to its next request, and what was read of the body stays in memory.
+#[test]
+fn an_early_response_leaves_its_connection_usable() {
+    let fleet = Fleet::start(&[("slots", script()), ("ledger", script())]);
+    let length = format!("content-length: {LARGE_BYTES}\r\n");
+    for path in ["/slots/early", "/ledger/early", "/slots/large-early", "/ledger/large-early"] {
+        let (mut stream, mut reader) = connect(fleet.callers(0));
+        stream.set_write_timeout(Some(Duration::from_secs(3))).expect("not zero");
+        // Neither body fits into the buffers: a large response waits until the caller has sent its own.
+        SockRef::from(&stream).set_recv_buffer_size(256 * 1024).expect("a size");
+        SockRef::from(&stream).set_send_buffer_size(64 * 1024).expect("a size");
+        stream.write_all(head("POST", path, &length).as_bytes()).expect("the node reads");
+        for _ in 0..LARGE_BYTES / 8_000 {
+            stream.write_all(&[b'x'; 8_000]).unwrap_or_else(|error| panic!("{path}: {error}"));
+        }
+        stream.write_all(head("GET", "/slots/2", "").as_bytes()).expect("the node reads");
+        assert_eq!(reader.next("POST").status, 200, "{path}");
+        let next = reader.next("GET");
+        assert_eq!((next.status, next.body), (200, b"/slots/2".to_vec()), "{path}");
+    }
+}
+
 /// Guards against any order of methods, uploads, refusals and large responses in which a message begins
 /// inside another one, or a caller gets the response to another request.
 #[test]
