Draw interim and early responses in random pipelines

The random test of the order on a connection drew neither requests that wait for `100 Continue` nor responses that come before the end of an upload, the causes of the last two faults of this kind.

--- a/crates/mustardpin-node/tests/testsuite/fake/target.rs
+++ b/crates/mustardpin-node/tests/testsuite/fake/target.rs
@@ -103,6 +103,7 @@
             } else {
                 script(&request)
             };
+            let is_early = is_early(&request);
             for step in steps {
                 match step {
                     Step::Send(bytes) => stream.write_all(&bytes)?,
@@ -117,13 +118,22 @@
                     }
                 }
             }
+            if is_early {
+                return io::copy(&mut stream, &mut io::sink()).map(drop);
+            }
         }
         Ok(())
     }
 }
 
-/// Reads one request with its body, but only the head if the path ends with `early`. Returns `None` if
-/// the connection has ended.
+/// Whether the target responds before it has read the body, which it then reads until the connection
+/// ends: the path ends with `early`.
+fn is_early(head: &str) -> bool {
+    head.lines().next().is_some_and(|line| line.ends_with("early HTTP/1.1"))
+}
+
+/// Reads one request with its body, or only its head if the target responds early. Returns `None` if the
+/// connection has ended.
 fn read_request(stream: &mut TcpStream) -> io::Result<Option<String>> {
     let mut bytes = Vec::new();
     let mut buffer = [0; 4096];
@@ -142,10 +152,10 @@
 }
 
 fn is_complete(head: &str, body: &str) -> bool {
-    let head = head.to_ascii_lowercase();
-    if head.contains("early http/1.1") {
+    if is_early(head) {
         return true;
     }
+    let head = head.to_ascii_lowercase();
     if head.contains("transfer-encoding: chunked") {
         return body.contains("0\r\n") && body.ends_with("\r\n\r\n");
     }
--- a/crates/mustardpin-node/tests/testsuite/sequence.rs
+++ b/crates/mustardpin-node/tests/testsuite/sequence.rs
@@ -103,7 +103,8 @@
     }
 }
 
-/// Responds with the path, to HEAD with the length of it, and to `/large` with a large body.
+/// Responds with the path, to HEAD with the length of it, and to `/large` with a large body. Closes the
+/// connection after a response to `early`.
 fn script() -> Script {
     Arc::new(|request| {
         let mut line = request.split(' ');
@@ -112,7 +113,8 @@
             true => "x".repeat(LARGE_BYTES),
             false => path.to_owned(),
         };
-        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+        let closes = if path.ends_with("early") { "connection: close\r\n" } else { "" };
+        let head = format!("HTTP/1.1 200 OK\r\n{closes}content-length: {}\r\n\r\n", body.len());
         text(&match method {
             "HEAD" => head,
             _ => head + &body,
@@ -228,8 +230,8 @@
     }
 }
 
-/// Guards against any order of methods, uploads, refusals and large responses in which a message begins
-/// inside another one, or a caller gets the response to another request.
+/// Guards against any order of methods, uploads, refusals, interim, early and large responses in which a
+/// message begins inside another one, or a caller gets the response to another request.
 #[test]
 fn every_message_begins_where_the_one_before_ends() {
     let fleet = Fleet::start(&[("slots", script()), ("ledger", script())]);
@@ -238,15 +240,20 @@
         let (mut stream, mut reader) = connect(fleet.callers(rng.random_range(0..2)));
         let mut sent = Vec::new();
         let mut bytes = String::new();
+        // What is sent, and for how long the caller then pauses.
+        let mut parts = Vec::new();
         for number in 0..rng.random_range(2..20) {
             let method = ["GET", "HEAD", "POST", "OPTIONS"][rng.random_range(0..4)];
             let service = ["slots", "ledger"][rng.random_range(0..2)];
             let kind = if rng.random_bool(0.1) { "large" } else { "small" };
-            let path = format!("/{service}/{kind}/{number}");
+            let mut path = format!("/{service}/{kind}/{number}");
             let body = match method {
                 "POST" => "y".repeat([0, 10, 5_000, 400_000][rng.random_range(0..4)]),
                 _ => String::new(),
             };
+            if method == "POST" && rng.random_bool(0.2) {
+                path.push_str("-early");
+            }
             let mut more = match rng.random_bool(0.3) {
                 true => format!("transfer-encoding: chunked\r\nidempotency-key: {number}\r\n"),
                 false => format!("content-length: {}\r\n", body.len()),
@@ -256,7 +263,14 @@
             if is_refused {
                 more.push_str("mustardpin-call: 00000000000000000000000000000000\r\n");
             }
+            let expects = method == "POST" && rng.random_bool(0.3);
+            if expects {
+                more.push_str("expect: 100-continue\r\n");
+            }
             bytes.push_str(&head(method, &path, &more));
+            if expects && rng.random_bool(0.5) {
+                parts.push((std::mem::take(&mut bytes), Duration::from_millis(20)));
+            }
             match (is_chunked, body.is_empty()) {
                 (true, true) => bytes.push_str("0\r\n\r\n"),
                 (true, false) => {
@@ -264,14 +278,24 @@
                 }
                 (false, _) => bytes.push_str(&body),
             }
-            sent.push((method, path, is_refused));
+            sent.push((method, path, is_refused, expects));
         }
-        let writer = thread::spawn(move || stream.write_all(bytes.as_bytes()));
-        for (method, path, is_refused) in sent {
+        parts.push((bytes, Duration::ZERO));
+        let writer = thread::spawn(move || {
+            for (bytes, pause) in parts {
+                stream.write_all(bytes.as_bytes())?;
+                thread::sleep(pause);
+            }
+            std::io::Result::Ok(())
+        });
+        for (method, path, is_refused, expects) in sent {
             if rng.random_bool(0.2) {
                 thread::sleep(Duration::from_millis(rng.random_range(0..40)));
             }
-            let message = reader.next(method);
+            let mut message = reader.next(method);
+            if message.status == 100 && expects {
+                message = reader.next(method);
+            }
             assert_eq!(message.status, if is_refused { 403 } else { 200 }, "seed {seed}: {path}");
             let expected = match (method, path.contains("large")) {
                 ("HEAD", _) => 0,
