Count responses until their callers have read them

30 callers that sent ahead and read slowly made their node keep all their complete responses: it grew over its machine's memory and was killed, and requests of other callers that a sound target was running had no response.

Cause: the memory of a response was reserved only until it was complete.

Change: the bytes of a complete response own a reservation until they are dropped, and count for their connection. A connection that holds 256 KiB gets no more of its requests read. Beyond the limit, the connection that holds the most among those that cannot send is reset (`caller_too_slow`). No response is started while 64 KiB wait for the socket.

One budget for all that a node holds, and metrics by holder, are still to come.

--- a/crates/mustardpin-node/src/traffic.rs
+++ b/crates/mustardpin-node/src/traffic.rs
@@ -6,6 +6,7 @@
 //! commands in batches; run tasks and peer link tasks report how attempts ended. A response that
 //! needs no decision goes to its caller at once, and the control thread is notified afterwards.
 
+mod backlog;
 mod body;
 mod budget;
 mod caller;
--- a/crates/mustardpin-node/src/traffic/budget.rs
+++ b/crates/mustardpin-node/src/traffic/budget.rs
@@ -23,6 +23,11 @@
         Reservation { budget: Arc::clone(self), count: 0 }
     }
 
+    /// By how many bytes the reservations exceed the limit.
+    pub(super) fn excess(&self) -> usize {
+        self.reserved.load(Ordering::Relaxed).saturating_sub(self.limit)
+    }
+
     fn reserve(&self, count: usize) -> bool {
         let previous = self.reserved.fetch_add(count, Ordering::Relaxed);
         let is_within_limit = previous.saturating_add(count) <= self.limit;
@@ -51,6 +56,15 @@
         }
         has_room
     }
+
+    /// Reserves this many bytes, even beyond the limit: they are in memory already.
+    pub(super) fn set(&mut self, count: usize) {
+        match count.checked_sub(self.count) {
+            Some(more) => self.budget.reserved.fetch_add(more, Ordering::Relaxed),
+            None => self.budget.reserved.fetch_sub(self.count - count, Ordering::Relaxed),
+        };
+        self.count = count;
+    }
 }
 
 impl Drop for Reservation {
--- a/crates/mustardpin-node/src/traffic/caller.rs
+++ b/crates/mustardpin-node/src/traffic/caller.rs
@@ -26,6 +26,7 @@
 };
 
 use crate::traffic::{
+    backlog::Account,
     caller::{reading::Reading, writing::Writing},
     connections::{Activity, Place},
     exchanges::Exchanges,
@@ -39,6 +40,9 @@
 /// The maximum number of pipelined requests in progress on a connection. More are read once some
 /// have ended.
 const MAX_PIPELINED_REQUESTS: usize = 64;
+/// While the responses that a caller has not read are as large as this in bytes, no more of its requests
+/// are read.
+const MAX_UNREAD_BYTES: usize = 256 * 1024;
 /// The maximum number of unparsed bytes; reading stops at this size.
 const MAX_BUFFERED_BYTES: usize = 1024 * 1024;
 /// Like `MAX_BUFFERED_BYTES`, within a body. A piece of a streamed body has at most this size.
@@ -112,6 +116,8 @@
     /// The connection's place, if it has one. Otherwise its first request is refused.
     admission: Admission,
     activity: Activity,
+    /// The responses that the caller has not read.
+    account: Account,
 }
 
 /// Serves a connection until it ends.
@@ -126,6 +132,7 @@
         return;
     }
     let mut connection = Connection {
+        account: exchanges.backlog.open(),
         exchanges,
         kind,
         stage,
@@ -196,12 +203,10 @@
             }
             let was_full = !self.may_take(&reading);
             self.start_ready_responses(&mut writing);
-            if was_full && self.may_take(&reading) {
-                // The buffer may hold more requests.
-                continue;
-            }
             reading.send_continue(self, &mut writing);
-            if writing.write(&mut writer)? && self.can_close(&writing) {
+            let is_written = writing.write(&mut writer)?;
+            self.account.set_blocked(writing.is_blocked());
+            if is_written && self.can_close(&writing) {
                 self.has_unread_request |= reading.is_in_body();
                 if writing.must_reset() {
                     // With zero linger time, dropping the socket resets the connection.
@@ -210,7 +215,8 @@
                 }
                 return Ok(Protocol::Http1);
             }
-            if self.has_ready_response(&writing) {
+            // The buffer may hold more requests, or the next response may be ready.
+            if (was_full && self.may_take(&reading)) || self.has_ready_response(&writing) {
                 continue;
             }
             self.update_activity(buffer, &reading, &writing);
@@ -223,9 +229,11 @@
         // Without chunked transfer coding, a response may end with the connection. The next request
         // could then not be answered.
         let may_end = self.slots.back().is_some_and(|slot| !slot.options().accepts_chunked);
+        // A caller that sends further requests but reads slowly has to read first.
+        let is_slow = self.account.bytes() >= MAX_UNREAD_BYTES;
         !self.is_closing
             && self.slots.len() < MAX_PIPELINED_REQUESTS
-            && (reading.is_in_body() || !may_end)
+            && (reading.is_in_body() || !(may_end || is_slow))
     }
 
     /// Whether the connection can be closed.
@@ -235,12 +243,12 @@
 
     /// Whether the next response is ready and can be started.
     fn has_ready_response(&self, writing: &Writing) -> bool {
-        writing.is_idle() && matches!(self.slots.front(), Some(ResponseSlot::Ready(..)))
+        writing.may_start() && matches!(self.slots.front(), Some(ResponseSlot::Ready(..)))
     }
 
     /// Starts writing the responses that are ready, in the order of their requests.
     fn start_ready_responses(&mut self, writing: &mut Writing) {
-        while writing.is_idle() {
+        while writing.may_start() {
             let slot = self.slots.front_mut();
             let response = match slot {
                 None => return,
@@ -343,7 +351,7 @@
         let is_draining = self.is_draining();
         let admission = &self.admission;
         let response = match self.slots.front_mut() {
-            Some(ResponseSlot::Open { response, .. }) if writing.is_idle() => Some(response),
+            Some(ResponseSlot::Open { response, .. }) if writing.may_start() => Some(response),
             _ => None,
         };
         select! {
@@ -368,6 +376,7 @@
             () = reading.advance(), if reading.awaits_capacity() => {}
             _ = self.stage.changed(), if !is_draining => {}
             () = evicted(admission) => self.make_room(reading),
+            () = self.account.evicted() => self.close_slow(writing),
             () = deadline => self.time_out(reading),
         }
         Ok(())
@@ -404,6 +413,13 @@
         }
     }
 
+    /// Closes the connection of a caller that reads too slowly.
+    fn close_slow(&mut self, writing: &mut Writing) {
+        self.exchanges.log_slow_caller(&self.account);
+        self.truncate(writing);
+        writing.discard();
+    }
+
     /// Handles an expired timeout of the connection.
     fn time_out(&mut self, reading: &mut Reading) {
         self.is_closing = true;
--- a/crates/mustardpin-node/src/traffic/caller/reading.rs
+++ b/crates/mustardpin-node/src/traffic/caller/reading.rs
@@ -465,7 +465,8 @@
     body: Body,
     reservation: Reservation,
 ) -> Result<Opened, Box<CallerResponse>> {
-    intake::open(&connection.exchanges, connection.port(), head, body, reservation)
+    let holder = connection.account.holder();
+    intake::open(&connection.exchanges, connection.port(), head, body, reservation, holder)
 }
 
 /// The response to a request for the node itself.
--- a/crates/mustardpin-node/src/traffic/caller/writing.rs
+++ b/crates/mustardpin-node/src/traffic/caller/writing.rs
@@ -34,6 +34,8 @@
     must_reset: bool,
 }
 
+/// No response is started while as many bytes as this wait for the socket.
+const MAX_JOINED_BYTES: usize = 64 * 1024;
 /// The maximum size in bytes of a body that is written together with its head.
 const MAX_JOINED_BODY_BYTES: usize = 16 * 1024;
 
@@ -91,11 +93,16 @@
         self.out.extend_from_slice(b"\r\n");
     }
 
-    /// Whether the last response has been queued completely, so that the next can start.
+    /// Whether the last response has been queued completely.
     pub(super) fn is_idle(&self) -> bool {
         self.streamed.is_none() && self.body.is_empty()
     }
 
+    /// Whether the next response can start. Small ones are written together.
+    pub(super) fn may_start(&self) -> bool {
+        self.is_idle() && self.out.len() - self.written < MAX_JOINED_BYTES
+    }
+
     /// Whether the socket's send buffer is full.
     pub(super) fn is_blocked(&self) -> bool {
         self.is_blocked
@@ -123,6 +130,15 @@
         self.is_truncated = true;
     }
 
+    /// Discards all that is still to be written. The connection must be reset.
+    pub(super) fn discard(&mut self) {
+        self.truncate();
+        self.must_reset = true;
+        self.out.clear();
+        self.written = 0;
+        self.body = Bytes::new();
+    }
+
     /// Queues the next piece of a streamed body.
     pub(super) async fn advance(&mut self) {
         let Some(streamed) = &mut self.streamed else { return };
--- a/crates/mustardpin-node/src/traffic/exchange.rs
+++ b/crates/mustardpin-node/src/traffic/exchange.rs
@@ -8,7 +8,8 @@
 use tokio::sync::oneshot;
 
 use crate::traffic::{
-    body::Body, budget::Reservation, link::OutgoingLink, response::CallerResponse, sender::Sender,
+    backlog::Holder, body::Body, budget::Reservation, link::OutgoingLink, response::CallerResponse,
+    sender::Sender,
 };
 
 slotmap::new_key_type! {
@@ -98,7 +99,12 @@
 /// Where the response to a request is sent.
 pub(super) enum ResponseRecipient {
     /// The connection task of a caller.
-    Caller(oneshot::Sender<CallerResponse>),
+    Caller {
+        /// Takes the response.
+        response: oneshot::Sender<CallerResponse>,
+        /// What counts the response until it is sent.
+        holder: Holder,
+    },
     /// A peer that forwarded the request.
     Peer {
         /// The connection over which the request arrived.
--- a/crates/mustardpin-node/src/traffic/exchanges.rs
+++ b/crates/mustardpin-node/src/traffic/exchanges.rs
@@ -26,6 +26,7 @@
     control::Handle,
     launch::Limits,
     traffic::{
+        backlog::{Account, Backlog},
         budget::Budget,
         exchange::{Attempt, Exchange, ExchangeKey, FinalResponse, Outbound, ResponseRecipient},
         link::{Credentials, Links},
@@ -69,8 +70,11 @@
     pub(super) reports: Reports,
     /// The memory for request bodies, of callers and of peers.
     pub(super) body_budget: Arc<Budget>,
-    /// The memory for responses of the target that are not complete.
+    /// The memory for responses: those of the target that are not complete, and those that callers
+    /// have not read.
     pub(super) response_budget: Arc<Budget>,
+    /// The responses that callers have not read.
+    pub(super) backlog: Arc<Backlog>,
     table: Mutex<SlotMap<ExchangeKey, Exchange>>,
     callers: Mutex<CallerLimits>,
     load: Mutex<Load>,
@@ -82,13 +86,15 @@
     /// Creates an empty table.
     pub fn new(setup: Setup) -> Arc<Exchanges> {
         let Setup { control, clock, limits, dialect, service, credentials } = setup;
+        let response_budget = Budget::new(limits.buffered_size);
         Arc::new(Exchanges {
             outbox: Outbox::new(control),
             target: Target::new(),
             links: Links::new(credentials),
             reports: Reports::default(),
             body_budget: Budget::new(limits.buffered_size),
-            response_budget: Budget::new(limits.buffered_size),
+            backlog: Backlog::new(Arc::clone(&response_budget)),
+            response_budget,
             table: Mutex::default(),
             callers: Mutex::new(limits.caller_limits()),
             load: Mutex::default(),
@@ -177,6 +183,12 @@
         self.outbox.push(Event::CallerGone(ticket));
     }
 
+    /// Logs that a connection is closed because its caller reads too slowly.
+    pub(super) fn log_slow_caller(&self, account: &Account) {
+        let entry = Entry::new(Level::Warn, "caller_too_slow").with("unread", account.bytes());
+        self.outbox.log(entry);
+    }
+
     /// Begins an attempt on a request. Returns `None` if the request has already finished.
     pub(super) fn begin_attempt(&self, ticket: Ticket, attempt: Attempt) -> Option<Arc<Outbound>> {
         let mut table = self.table();
@@ -326,7 +338,7 @@
         expires: Option<Millis>,
     ) {
         match (recipient, final_response) {
-            (ResponseRecipient::Caller(caller), final_response) => {
+            (ResponseRecipient::Caller { response: sender, holder }, final_response) => {
                 let response = match final_response {
                     FinalResponse::Response(response) => response,
                     FinalResponse::Refusal(refusal) => {
@@ -335,7 +347,7 @@
                     }
                 };
                 // Fails if the caller has disconnected in the meantime.
-                let _ = caller.send(response);
+                let _ = sender.send(holder.keep(response));
             }
             (ResponseRecipient::Peer { sender, stream }, FinalResponse::Response(response)) => {
                 sender.respond(stream, response, retries, self.load());
--- a/crates/mustardpin-node/src/traffic/http2.rs
+++ b/crates/mustardpin-node/src/traffic/http2.rs
@@ -33,6 +33,7 @@
 };
 
 use crate::traffic::{
+    backlog::Holder,
     body::{self, Body, Piece, Stream, Writer},
     budget::Reservation,
     connections::{Activity, Place},
@@ -73,11 +74,15 @@
     let first_response = Arc::new(Notify::new());
     let place = Arc::new(place);
     let streams = Arc::new(AtomicUsize::new(0));
+    let account = exchanges.backlog.open();
+    // A response waits only for its caller here, as there is no order between those of a connection.
+    account.set_blocked(true);
     let service = service_fn(|request| {
+        let holder = account.holder();
         let (exchanges, first_response) = (Arc::clone(&exchanges), Arc::clone(&first_response));
         let in_use = InUse::begin(&place, &streams);
         async move {
-            let response = respond(exchanges, kind, request).await;
+            let response = respond(exchanges, kind, request, holder).await;
             first_response.notify_one();
             drop(in_use);
             response
@@ -91,33 +96,37 @@
         .max_send_buf_size(SEND_BUFFER_BYTES)
         .keep_alive_interval(PING_INTERVAL)
         .serve_connection(io, service);
-    let mut connection = std::pin::pin!(connection);
-    let is_draining = select! {
-        // An error needs no handling: `DisconnectGuard` reports the connection's requests.
-        _ = connection.as_mut() => return,
-        _ = stage.wait_for(|stage| *stage != Stage::Serving) => true,
-        () = make_room(&place) => false,
-    };
-    if !is_draining {
+    let driven = async {
+        let mut connection = std::pin::pin!(connection);
+        let is_draining = select! {
+            // An error needs no handling: `DisconnectGuard` reports the connection's requests.
+            _ = connection.as_mut() => return,
+            _ = stage.wait_for(|stage| *stage != Stage::Serving) => true,
+            () = make_room(&place) => false,
+        };
+        if is_draining {
+            // The first request of a connection that was made while the node drains is on its way.
+            // Clients may give up a request that they have just sent when they are told to leave.
+            select! {
+                _ = connection.as_mut() => return,
+                () = first_response.notified() => {}
+                () = time::sleep(drain_idle_timeout) => {}
+            }
+        }
         connection.as_mut().graceful_shutdown();
         let _ = connection.await;
-        return;
-    }
-    // The first request of a connection that was made while the node drains is on its way. Clients
-    // may give up a request that they have just sent when they are told to leave.
+    };
     select! {
-        _ = connection.as_mut() => return,
-        () = first_response.notified() => {}
-        () = time::sleep(drain_idle_timeout) => {}
+        () = driven => {}
+        () = account.evicted() => exchanges.log_slow_caller(&account),
     }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
 }
 
 async fn respond(
     exchanges: Arc<Exchanges>,
     kind: ListenerKind,
     request: http::Request<Incoming>,
+    holder: Holder,
 ) -> Result<Response<HyperBody>, Truncated> {
     let (parts, incoming) = request.into_parts();
     let head = head_of(&parts);
@@ -130,7 +139,7 @@
         Ok(read) => read,
         Err(reason) => return Ok(hyper_response(intake::refuse(&exchanges, reason, None))),
     };
-    match intake::open(&exchanges, port, &head, body, reservation) {
+    match intake::open(&exchanges, port, &head, body, reservation, holder) {
         Err(caller_response) => Ok(hyper_response(*caller_response)),
         Ok(opened) => {
             let mut guard = DisconnectGuard { exchanges, ticket: Some(opened.ticket) };
--- a/crates/mustardpin-node/src/traffic/intake.rs
+++ b/crates/mustardpin-node/src/traffic/intake.rs
@@ -17,6 +17,7 @@
 use tokio::sync::oneshot;
 
 use crate::traffic::{
+    backlog::Holder,
     body::Body,
     budget::Reservation,
     exchange::{Attempt, Exchange, Outbound, OutboundHead, ResponseRecipient},
@@ -37,23 +38,24 @@
 }
 
 /// Inserts a caller's request into `Exchanges`. Its body keeps the reservation until the request is
-/// removed. Returns the response to send if the request is refused.
+/// removed, and its response is added to what `holder` counts. Returns the response to send if the request is refused.
 pub(super) fn open(
     exchanges: &Arc<Exchanges>,
     port: Port,
     head: &head::Request,
     body: Body,
     reservation: Reservation,
+    holder: Holder,
 ) -> Result<Opened, Box<CallerResponse>> {
     let parsed = exchanges.dialect.read_request(port, head);
     let parsed = parsed.map_err(|error| Box::new(refuse(exchanges, error.reason, None)))?;
     let expires = parsed.timeout.map(|timeout| exchanges.clock.now() + timeout);
-    let (caller, response) = oneshot::channel();
+    let (sender, response) = oneshot::channel();
     let outbound = outbound_head(exchanges, head, &parsed, &body);
     let (id, fingerprint) = (outbound.id.clone(), outbound.fingerprint);
     let exchange = Exchange {
         request: Arc::new(Outbound::new(outbound, body, reservation)),
-        recipient: Some(ResponseRecipient::Caller(caller)),
+        recipient: Some(ResponseRecipient::Caller { response: sender, holder }),
         attempt: Attempt::None,
         undecided: None,
         expires,
--- a/crates/mustardpin-node/tests/testsuite/main.rs
+++ b/crates/mustardpin-node/tests/testsuite/main.rs
@@ -24,5 +24,6 @@
 mod sequence;
 mod stray;
 mod stream;
+mod unread;
 mod upload;
 mod whole;
