--- a/crates/mustardpin-node/src/traffic/backlog.rs
+++ b/crates/mustardpin-node/src/traffic/backlog.rs
@@ -84,7 +84,7 @@
 }
 
 impl Account {
-    /// The part that responses of the connection are added to.
+    /// Adds responses to this row.
     pub(super) fn holder(&self) -> Holder {
         self.holder.clone()
     }
@@ -126,7 +126,7 @@
                 let mut reservation = self.backlog.budget.reservation();
                 reservation.set(bytes.len());
                 self.row.bytes.fetch_add(bytes.len(), Ordering::Relaxed);
-                let held = Held { bytes, row: Arc::clone(&self.row), _reservation: reservation };
+                let held = Held { bytes, row: Arc::clone(&self.row), reservation };
                 if self.backlog.budget.excess() > 0 {
                     self.backlog.make_room();
                 }
@@ -143,7 +143,8 @@
 struct Held {
     bytes: Bytes,
     row: Arc<Row>,
-    _reservation: Reservation,
+    #[allow(dead_code, reason = "dropped to release the memory of the body")]
+    reservation: Reservation,
 }
 
 impl AsRef<[u8]> for Held {
--- a/crates/mustardpin-node/src/traffic/intake.rs
+++ b/crates/mustardpin-node/src/traffic/intake.rs
@@ -38,7 +38,8 @@
 }
 
 /// Inserts a caller's request into `Exchanges`. Its body keeps the reservation until the request is
-/// removed, and its response is added to what `holder` counts. Returns the response to send if the request is refused.
+/// removed, and its response is added to what `holder` counts. Returns the response to send if the
+/// request is refused.
 pub(super) fn open(
     exchanges: &Arc<Exchanges>,
     port: Port,
